Refuse what is beyond a share before its body is read; owners that answer others are not silent

All callers of the flooding team reach one instance, 2,000 requests a second at 0.4 cores. Its log shows 417 of 620 offered requests ended as owner-silent though the owners had answered: the verdicts waited behind refusals for more than 120 ms, and owners were then passed over for 500 ms.

Ruled out: owners that are short of room (23 of the team's entitled requests were refused as full), the level of the shares (0.018 of 3.4 million tokens a second is more than half of what the best served team got).

Change: the gate publishes the teams' shares, requests that are not offered are refused before their bodies are read and without waiting for a task; bodies are read into memory of their length; callers' sockets carry no keep-alive probes; an owner from which any verdict came within 120 ms gets up to 400 ms.

--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -18,6 +18,8 @@
 	Deadline  time.Time
 	// Rank is how many priorities of the pool's requests go before this one's.
 	Rank int
+	// Standing is how the request stands to its team's fair share.
+	Standing coltsfootlink.Standing
 	// Retry says that the request has been sent before.
 	Retry bool
 	// Fingerprint identifies requests that are alike.
@@ -28,6 +30,15 @@
 	Reply chan<- Choice
 }
 
+// Shed tells of a request that was refused because it lies too far beyond its team's share to be offered.
+type Shed struct {
+	coltsfootlink.Local
+
+	Pool coltsfootlink.PoolName
+	Team coltsfootlink.TeamName
+	Work coltsfootlink.Work
+}
+
 // Choice is a target for a request, or a refusal.
 type Choice struct {
 	// Serial and Owner are the newest question and who was asked; empty if nobody was.
--- a/dispatch/offer.go
+++ b/dispatch/offer.go
@@ -28,7 +28,7 @@
 		task.serial++
 		waiting.serial = task.serial
 		waiting.asked = owner
-		waiting.answerBy = now.Add(askLimit)
+		waiting.answerBy, waiting.slowBy = now.Add(askLimit), now.Add(slowLimit)
 		task.pending[task.serial] = waiting
 		task.Sender.Send(owner, coltsfootlink.Ask{
 			Serial:    task.serial,
@@ -38,7 +38,7 @@
 			Objective: waiting.want.Objective,
 			Deadline:  waiting.want.Deadline,
 			Rank:      waiting.want.Rank,
-			Standing:  waiting.standing,
+			Standing:  waiting.want.Standing,
 		})
 		return
 	}
@@ -48,7 +48,7 @@
 // spill adds the target that waits least, as far as is known, for a request within its team's share: what
 // operators promise can be borne somewhere, even if the shared parts have to be read again.
 func (task *Task) spill(now time.Time, waiting pending) pending {
-	if waiting.spilled || waiting.standing != coltsfootlink.Entitled || waiting.want.Work.Affinity() == 0 {
+	if waiting.spilled || waiting.want.Standing != coltsfootlink.Entitled || waiting.want.Work.Affinity() == 0 {
 		return waiting
 	}
 	waiting.spilled = true
@@ -60,6 +60,7 @@
 
 // verdict gives the request its target, or asks for the next one.
 func (task *Task) verdict(from coltsfootlink.InstanceName, verdict coltsfootlink.Verdict) {
+	task.heard[from] = task.Clock.Now()
 	waiting, found := task.pending[verdict.Serial]
 	if !found {
 		return
@@ -68,7 +69,9 @@
 	target := waiting.candidates[0]
 	task.waits.note(task.Clock.Now(), target.Name, verdict)
 	if verdict.Reason == "" {
-		task.standings.grant(waiting.want)
+		if !waiting.want.Retry {
+			task.offers.count(waiting.want.Pool, waiting.want.Team, 0, tokensOf(waiting.want.Work))
+		}
 		task.running[verdict.Serial] = running{want: waiting.want, target: target.Name, owner: from}
 		waiting.want.Reply <- Choice{Serial: verdict.Serial, Owner: from, Target: target, ExpectedMillis: verdict.ExpectedMillis}
 		return
@@ -81,7 +84,7 @@
 	}
 	waiting.refusal = coltsfootlink.Refuse(verdict.Reason, "target "+string(target.Name)+" takes no more").WithRetryAt(retryAt)
 	waiting.candidates = waiting.candidates[1:]
-	if verdict.Reason == coltsfootlink.TargetFull && waiting.standing != coltsfootlink.Entitled {
+	if verdict.Reason == coltsfootlink.TargetFull && waiting.want.Standing != coltsfootlink.Entitled {
 		// What lies beyond the share is not worth reading its shared parts elsewhere.
 		waiting.candidates = nil
 	}
--- a/dispatch/owners.go
+++ b/dispatch/owners.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"coltsfootlink"
 	"coltsfootlink/ownership"
 )
@@ -50,20 +52,33 @@
 		if now.Before(waiting.answerBy) {
 			continue
 		}
+		// An owner that answers others is not silent: what is late is this instance, or the owner's mailbox.
+		if answersBy := task.heard[waiting.asked].Add(askLimit); now.Before(answersBy) && now.Before(waiting.slowBy) {
+			waiting.answerBy = answersBy
+			task.pending[serial] = waiting
+			continue
+		}
 		delete(task.pending, serial)
-		if until := task.distrusted[waiting.asked]; now.After(until) {
+		task.passOver(now, serial, waiting)
+	}
+}
+
+// passOver asks the owner of another target.
+func (task *Task) passOver(now time.Time, serial uint64, waiting pending) {
+	if now.After(task.heard[waiting.asked].Add(askLimit)) {
+		if now.After(task.distrusted[waiting.asked]) {
 			task.Log.Warn().Str("owner", string(waiting.asked)).Msg("dispatch: owner does not answer")
 		}
 		task.distrusted[waiting.asked] = now.Add(distrustSpan)
-		// A late permit for a request that went elsewhere is given back.
-		task.Sender.Send(waiting.asked, coltsfootlink.Progress{
-			Serial: serial,
-			Target: waiting.candidates[0].Name,
-			Stage:  coltsfootlink.Ended,
-			Result: coltsfootlink.Unused,
-		})
-		waiting.candidates = waiting.candidates[1:]
-		waiting.refusal = coltsfootlink.Refuse(coltsfootlink.OwnerSilent, "the owner of the target does not answer").WithRetryAt(now.Add(busyPause))
-		task.askNext(waiting)
 	}
+	// A late permit for a request that went elsewhere is given back.
+	task.Sender.Send(waiting.asked, coltsfootlink.Progress{
+		Serial: serial,
+		Target: waiting.candidates[0].Name,
+		Stage:  coltsfootlink.Ended,
+		Result: coltsfootlink.Unused,
+	})
+	waiting.candidates = waiting.candidates[1:]
+	waiting.refusal = coltsfootlink.Refuse(coltsfootlink.OwnerSilent, "the owner of the target does not answer").WithRetryAt(now.Add(busyPause))
+	task.askNext(waiting)
 }
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -17,6 +17,8 @@
 const (
 	// askLimit is how long an owner may take to answer.
 	askLimit = 120 * time.Millisecond
+	// slowLimit is how long an owner that answers others meanwhile may take.
+	slowLimit = 400 * time.Millisecond
 	// distrustSpan is how long an owner that did not answer is asked only if there is no other.
 	distrustSpan = 500 * time.Millisecond
 	// strikeSpan is how long a broken connection counts against requests like the one that it carried.
@@ -29,12 +31,13 @@
 type pending struct {
 	want       Want
 	candidates []coltsfootlink.Target
-	// serial and asked are the newest question and the owner that is to answer it, by answerBy.
-	serial   uint64
-	asked    coltsfootlink.InstanceName
-	answerBy time.Time
-	refusal  *coltsfootlink.Refusal
-	standing coltsfootlink.Standing
+	// serial and asked are the newest question and the owner that is to answer it, by answerBy, or by slowBy if it
+	// answers others meanwhile.
+	serial           uint64
+	asked            coltsfootlink.InstanceName
+	answerBy, slowBy time.Time
+	refusal          *coltsfootlink.Refusal
+	standing         coltsfootlink.Standing
 	// tried are the targets whose owners were asked; spilled says that the least loaded of all was added.
 	tried   map[coltsfootlink.TargetName]bool
 	spilled bool
@@ -59,12 +62,12 @@
 	RetryShare float64
 	RetrySlack float64
 
-	strikes   health.Strikes
-	standings standings
-	waits     waits
-	budgets   map[coltsfootlink.PoolName]retry.Budget
-	catalog   coltsfootlink.Catalog
-	view      coltsfootlink.View
+	strikes health.Strikes
+	offers  offers
+	waits   waits
+	budgets map[coltsfootlink.PoolName]retry.Budget
+	catalog coltsfootlink.Catalog
+	view    coltsfootlink.View
 	// live are the zones with live instances.
 	live    map[coltsfootlink.ZoneName]bool
 	serial  uint64
@@ -72,6 +75,8 @@
 	running map[uint64]running
 	// distrusted are the owners that did not answer, and until when.
 	distrusted map[coltsfootlink.InstanceName]time.Time
+	// heard is when an owner's newest verdict came.
+	heard map[coltsfootlink.InstanceName]time.Time
 }
 
 // Run answers until the context ends; requests that then have no target are refused.
@@ -108,10 +113,11 @@
 	task.pending = make(map[uint64]pending)
 	task.running = make(map[uint64]running)
 	task.strikes = health.NewStrikes()
-	task.standings = newStandings()
+	task.offers = newOffers()
 	task.waits = make(waits)
 	task.budgets = make(map[coltsfootlink.PoolName]retry.Budget)
 	task.distrusted = make(map[coltsfootlink.InstanceName]time.Time)
+	task.heard = make(map[coltsfootlink.InstanceName]time.Time)
 	task.serial = rand.Uint64() >> 16
 }
 
@@ -128,8 +134,9 @@
 			task.strikes, _ = task.strikes.WithStrike(strike)
 		}
 		task.strikes = task.strikes.WithoutExpired(task.Clock.Now())
-	case coltsfootlink.Shares:
-		task.standings.follow(task.Clock.Now(), message)
+	case Shed:
+		task.earn(message.Pool)
+		task.offers.count(message.Pool, message.Team, tokensOf(message.Work), 0)
 	case coltsfootlink.CatalogChanged:
 		task.catalog = message.Catalog
 		task.followOwners()
@@ -153,16 +160,13 @@
 		want.Reply <- Choice{Refusal: refusal}
 		return
 	}
-	standing, offered := task.standings.count(task.Clock.Now(), want)
-	if !offered {
-		want.Reply <- Choice{Refusal: coltsfootlink.Refuse(coltsfootlink.OverShare, "others of the pool get far less").WithRetryAt(task.Clock.Now().Add(busyPause))}
-		return
+	if !want.Retry {
+		task.offers.count(want.Pool, want.Team, tokensOf(want.Work), 0)
 	}
 	draw := rand.Uint64()
 	waiting := pending{
 		want:       want,
 		tried:      maps.Clone(want.Avoid),
-		standing:   standing,
 		candidates: Candidates(task.catalog, task.live, want.Pool, want.Work, task.Self.Zone, draw, want.Avoid),
 		refusal:    coltsfootlink.Refuse(coltsfootlink.NoTarget, "the pool has no target in service").WithRetryAt(task.Clock.Now().Add(busyPause)),
 	}
@@ -174,16 +178,11 @@
 
 // pay takes a retry out of the pool's budget, to which each first attempt adds a part of one.
 func (task *Task) pay(want Want) *coltsfootlink.Refusal {
-	budget, known := task.budgets[want.Pool]
-	if !known {
-		budget = retry.NewBudget(task.RetryShare, task.RetrySlack)
-	}
-	allowed := true
-	if want.Retry {
-		budget, allowed = budget.WithRetry()
-	} else {
-		budget = budget.WithRequest()
+	if !want.Retry {
+		task.earn(want.Pool)
+		return nil
 	}
+	budget, allowed := task.budget(want.Pool).WithRetry()
 	task.budgets[want.Pool] = budget
 	if !allowed {
 		return coltsfootlink.Refuse(coltsfootlink.RetriesUsedUp, "too many requests were sent again").WithRetryAt(task.Clock.Now().Add(busyPause))
@@ -191,6 +190,18 @@
 	return nil
 }
 
+// earn counts a first attempt.
+func (task *Task) earn(pool coltsfootlink.PoolName) {
+	task.budgets[pool] = task.budget(pool).WithRequest()
+}
+
+func (task *Task) budget(pool coltsfootlink.PoolName) retry.Budget {
+	if budget, known := task.budgets[pool]; known {
+		return budget
+	}
+	return retry.NewBudget(task.RetryShare, task.RetrySlack)
+}
+
 // report tells the owner of the target how far a request has come.
 func (task *Task) report(report Report) {
 	held, found := task.running[report.Serial]
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -171,9 +171,10 @@
 		Admission:  gateway.boxes.admission,
 		Dispatch:   gateway.boxes.dispatch,
 		Shares:     gateway.boxes.shares,
+		Gate:       gateway.boxes.gate,
 		Catalog:    gateway.boxes.catalog,
 	}
-	gateway.gate = &ingress.Gate{Inbox: gateway.boxes.gate, Log: gateway.Log}
+	gateway.gate = &ingress.Gate{Inbox: gateway.boxes.gate, Clock: gateway.clock, Log: gateway.Log}
 	gateway.service = &ingress.Service{
 		Gate:     gateway.gate,
 		Client:   &upstream.Client{Clock: gateway.clock, Keeper: gateway.boxes.keeper},
--- a/ingress/gate.go
+++ b/ingress/gate.go
@@ -12,15 +12,19 @@
 
 	"coltsfootlink"
 	"coltsfootlink/mailbox"
+	"coltsfootlink/share"
 )
 
-// Gate publishes the catalog in force to the requests, and whether the instance is ready for more callers.
+// Gate publishes the catalog in force and the teams' shares to the requests, and whether the instance is ready for
+// more callers.
 type Gate struct {
 	Inbox *mailbox.Deliveries
+	Clock coltsfootlink.Clock
 	Log   zerolog.Logger
 
-	catalog atomic.Pointer[coltsfootlink.Catalog]
-	leaving atomic.Bool
+	catalog   atomic.Pointer[coltsfootlink.Catalog]
+	standings atomic.Pointer[share.Standings]
+	leaving   atomic.Bool
 	// endsAt is when the instance ends; nil while it takes all requests.
 	endsAt atomic.Pointer[time.Time]
 }
@@ -43,6 +47,9 @@
 			switch message := delivery.Message.(type) {
 			case coltsfootlink.CatalogChanged:
 				gate.follow(message.Catalog)
+			case coltsfootlink.Shares:
+				standings := gate.Standings().WithShares(gate.Clock.Now(), message)
+				gate.standings.Store(&standings)
 			case coltsfootlink.Leave:
 				gate.leaving.Store(true)
 			case Close:
@@ -71,6 +78,14 @@
 	return coltsfootlink.Catalog{}
 }
 
+// Standings returns what is known of the teams' shares.
+func (gate *Gate) Standings() share.Standings {
+	if standings := gate.standings.Load(); standings != nil {
+		return *standings
+	}
+	return share.Standings{}
+}
+
 // Takes says whether the instance takes a request that may last until the given time.
 func (gate *Gate) Takes(until time.Time) bool {
 	endsAt := gate.endsAt.Load()
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -1,8 +1,10 @@
 package ingress
 
 import (
+	"bytes"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -12,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"coltsfootlink"
+	"coltsfootlink/dispatch"
 	"coltsfootlink/mailbox"
 	"coltsfootlink/platform"
 	"coltsfootlink/upstream"
@@ -22,8 +25,12 @@
 	unknownPause = time.Second
 	// stoppingPause is how long a caller should stay away that came to an instance which stops; others are there.
 	stoppingPause = 50 * time.Millisecond
+	// sharePause is how long a caller should stay away whose team asks for far more than its share.
+	sharePause = 500 * time.Millisecond
 	// defaultBodyBytes bounds a request's body where the configuration does not.
 	defaultBodyBytes = 4 << 20
+	// preparedBytes is the most memory that is taken for a body before it has come.
+	preparedBytes = 64 << 10
 	// maxUnsent is the most targets in a row that may turn out to accept no connection.
 	maxUnsent = 3
 )
@@ -61,7 +68,9 @@
 	team     coltsfootlink.TeamName
 	pool     coltsfootlink.PoolName
 	// rank is how many priorities of the pool's requests go before this one's.
-	rank     int
+	rank int
+	// standing is how the request stands to its team's fair share.
+	standing coltsfootlink.Standing
 	deadline time.Time
 	body     []byte
 	// fingerprint identifies requests that are alike by path, team and body.
@@ -145,14 +154,34 @@
 		current.refuse(http.StatusServiceUnavailable, coltsfootlink.Refuse(coltsfootlink.InstanceStopping, "the instance stops").WithRetryAt(current.arrived.Add(stoppingPause)))
 		return false
 	}
-	return current.readBody(catalog.Table.Limits.BodyBytes)
-}
-
-func (current *exchange) readBody(most int64) bool {
+	most := catalog.Table.Limits.BodyBytes
 	if most <= 0 {
 		most = defaultBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(current.writer, current.incoming.Body, most))
+	return current.standsIn(most) && current.readBody(most)
+}
+
+// standsIn says whether the request is to be offered to targets by what its team gets; the body of one that is not
+// takes no memory.
+func (current *exchange) standsIn(most int64) bool {
+	if current.team == "" {
+		return true
+	}
+	var offered bool
+	current.standing, offered = current.service.Gate.Standings().Of(current.arrived, current.pool, current.team, rand.Float64(), rand.Float64())
+	if offered {
+		return true
+	}
+	current.service.Dispatch.Put(coltsfootlink.Delivery{Message: dispatch.Shed{Pool: current.pool, Team: current.team, Work: current.head.Work}})
+	// An answer before the end of the body would reach a caller that still sends it. Whether all of it came does not
+	// matter here.
+	_, _ = io.Copy(io.Discard, io.LimitReader(current.incoming.Body, most))
+	current.refuse(http.StatusServiceUnavailable, coltsfootlink.Refuse(coltsfootlink.OverShare, "others of the pool get far less").WithRetryAt(current.arrived.Add(sharePause)))
+	return false
+}
+
+func (current *exchange) readBody(most int64) bool {
+	body, err := readWhole(http.MaxBytesReader(current.writer, current.incoming.Body, most), min(preparedBytes, current.incoming.ContentLength))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -171,6 +200,15 @@
 	return true
 }
 
+// readWhole reads to the end; length is the expected number of bytes, negative if unknown.
+func readWhole(reader io.Reader, length int64) ([]byte, error) {
+	var buffer bytes.Buffer
+	// ReadFrom wants this much room to find the end without growing.
+	buffer.Grow(int(max(0, length)) + bytes.MinRead)
+	_, err := buffer.ReadFrom(reader)
+	return buffer.Bytes(), err
+}
+
 // serve sends the request to targets until one has answered or it is given up.
 func (current *exchange) serve(ctx context.Context) {
 	for {
--- a/ingress/service_test.go
+++ b/ingress/service_test.go
@@ -19,6 +19,7 @@
 	"coltsfootlink"
 	"coltsfootlink/dispatch"
 	"coltsfootlink/mailbox"
+	"coltsfootlink/share"
 	"coltsfootlink/upstream"
 )
 
@@ -82,9 +83,12 @@
 	endsAt time.Time
 	// most is how many requests the service takes at once.
 	most int
+	// shares is what is known of the teams' shares.
+	shares coltsfootlink.Shares
 
 	mutex   sync.Mutex
 	reports []dispatch.Report
+	sheds   []dispatch.Shed
 }
 
 func (offer *offer) run(done <-chan struct{}) {
@@ -102,6 +106,10 @@
 				offer.mutex.Lock()
 				offer.reports = append(offer.reports, message)
 				offer.mutex.Unlock()
+			case dispatch.Shed:
+				offer.mutex.Lock()
+				offer.sheds = append(offer.sheds, message)
+				offer.mutex.Unlock()
 			}
 		}
 	}
@@ -132,6 +140,13 @@
 	return results
 }
 
+// shed returns the requests that were not offered.
+func (offer *offer) shed() []dispatch.Shed {
+	offer.mutex.Lock()
+	defer offer.mutex.Unlock()
+	return offer.sheds
+}
+
 // rules has one rule for each kind of request.
 func rules() []coltsfootlink.RoutingRule {
 	rule := func(name string, kind coltsfootlink.RequestKind, attempts int) coltsfootlink.RoutingRule {
@@ -164,6 +179,8 @@
 		table = table.WithRules(rules()).WithKeys("team", []string{"key"})
 		gate.follow(coltsfootlink.Catalog{}.WithTable(table))
 	}
+	standings := share.Standings{}.WithShares(time.Now(), offered.shares)
+	gate.standings.Store(&standings)
 	if !offered.endsAt.IsZero() {
 		gate.endsAt.Store(&offered.endsAt)
 	}
@@ -394,6 +411,36 @@
 	})
 }
 
+// TestShares holds for requests of a team that asks for more than its share.
+func TestShares(t *testing.T) {
+	cases := map[string]struct {
+		path   string
+		share  coltsfootlink.TeamShare
+		status int
+		sheds  []dispatch.Shed
+	}{
+		"none of the surplus is offered": {"/private/a", coltsfootlink.TeamShare{Team: "team"}, 503, []dispatch.Shed{{Pool: "p", Team: "team"}}},
+		"all of it is offered":           {"/private/a", coltsfootlink.TeamShare{Team: "team", Surplus: 1}, 200, nil},
+		"all is within the share":        {"/private/a", coltsfootlink.TeamShare{Team: "team", Entitled: 1}, 200, nil},
+		"another team":                   {"/private/a", coltsfootlink.TeamShare{Team: "other"}, 200, nil},
+		"a rule without teams":           {"/safe/a", coltsfootlink.TeamShare{}, 200, nil},
+	}
+	for name, test := range cases {
+		Convey(name, t, func() {
+			offered := &offer{
+				targets: []*fakeTarget{startTarget(t, "t", good)},
+				shares:  coltsfootlink.Shares{Pool: "p", Teams: []coltsfootlink.TeamShare{test.share}},
+			}
+			status, header, _, err := request(t, start(t, offered, true), test.path, strings.Repeat("plan", 200), "key")
+			So(err, ShouldBeNil)
+			So(status, ShouldEqual, test.status)
+			So(header.Get("Retry-After") != "", ShouldEqual, test.status == 503)
+			So(offered.shed(), ShouldResemble, test.sheds)
+			So(offered.targets[0].seen(), ShouldHaveLength, map[int]int{200: 1, 503: 0}[test.status])
+		})
+	}
+}
+
 func TestTimeouts(t *testing.T) {
 	Convey("a target that never answers is given up at the caller's deadline", t, func() {
 		listener, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -38,6 +38,7 @@
 		Objective:   current.arrived.Add(current.rule.Objective),
 		Deadline:    current.deadline,
 		Rank:        current.rank,
+		Standing:    current.standing,
 		Retry:       current.attempts > 0,
 		Fingerprint: current.fingerprint,
 		Avoid:       current.avoid,
--- a/peer/router.go
+++ b/peer/router.go
@@ -18,6 +18,7 @@
 	Admission  *mailbox.Deliveries
 	Dispatch   *mailbox.Deliveries
 	Shares     *mailbox.Deliveries
+	Gate       *mailbox.Deliveries
 	Catalog    *mailbox.Deliveries
 }
 
@@ -62,7 +63,9 @@
 		router.Admission.Put(delivery)
 	case coltsfootlink.Offered:
 		router.Shares.Put(delivery)
-	case coltsfootlink.Verdict, coltsfootlink.Shares:
+	case coltsfootlink.Shares:
+		router.Gate.Put(delivery)
+	case coltsfootlink.Verdict:
 		router.Dispatch.Put(delivery)
 	case coltsfootlink.News, coltsfootlink.NewsRequest:
 		router.Catalog.Put(delivery)
--- /dev/null
+++ b/share/standings.go
@@ -0,0 +1,51 @@
+package share
+
+import (
+	"maps"
+	"time"
+
+	"coltsfootlink"
+)
+
+// wordSpan is how long what a keeper has said of the shares holds.
+const wordSpan = 2 * time.Second
+
+// word is what the keeper of one pool has said last.
+type word struct {
+	teams map[coltsfootlink.TeamName]coltsfootlink.TeamShare
+	until time.Time
+}
+
+// Standings is what an instance knows of the teams' shares; it is immutable.
+type Standings struct {
+	words map[coltsfootlink.PoolName]word
+}
+
+// WithShares returns the standings after a keeper's word.
+func (standings Standings) WithShares(now time.Time, shares coltsfootlink.Shares) Standings {
+	teams := make(map[coltsfootlink.TeamName]coltsfootlink.TeamShare, len(shares.Teams))
+	for _, team := range shares.Teams {
+		teams[team.Team] = team
+	}
+	words := maps.Clone(standings.words)
+	if words == nil {
+		words = make(map[coltsfootlink.PoolName]word)
+	}
+	words[shares.Pool] = word{teams: teams, until: now.Add(wordSpan)}
+	return Standings{words: words}
+}
+
+// Of returns how a request stands to its team's share, and whether it is to be offered to targets at all. The two
+// draws are numbers from 0 to 1.
+func (standings Standings) Of(now time.Time, pool coltsfootlink.PoolName, team coltsfootlink.TeamName, draw, surplusDraw float64) (coltsfootlink.Standing, bool) {
+	said := standings.words[pool]
+	share, over := said.teams[team]
+	switch {
+	case !over, now.After(said.until), draw < share.Entitled:
+		return coltsfootlink.Entitled, true
+	case draw < share.Bearable:
+		return coltsfootlink.Bearable, true
+	default:
+		return coltsfootlink.Surplus, surplusDraw < share.Surplus
+	}
+}
--- a/web/server.go
+++ b/web/server.go
@@ -42,7 +42,8 @@
 
 // Run answers clients until the context ends, and then lets running requests finish.
 func (server *Server) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", server.Address)
+	// Idle connections are closed by the server's own limit, so that probes would only cost system calls.
+	listener, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", server.Address)
 	if err != nil {
 		return errors.Wrap(err, server.Part)
 	}
