Let the instance that drained first be the least loaded one

TestLeastWait failed once: the case of a full target that has drained left two targets with a wait of zero, and the map's order chose. 40 runs of it fail in about one of ten. Waits that are over are now compared by when they ended; 60 runs of the package pass.

--- a/dispatch/waits.go
+++ b/dispatch/waits.go
@@ -44,7 +44,7 @@
 			continue
 		}
 		known := waits[target.Name]
-		left := max(0, known.until.Sub(now))
+		left := known.until.Sub(now)
 		switch {
 		case now.After(known.known):
 			left = unknownWait
