--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -37,7 +37,6 @@
 	asked            coltsfootlink.InstanceName
 	answerBy, slowBy time.Time
 	refusal          *coltsfootlink.Refusal
-	standing         coltsfootlink.Standing
 	// tried are the targets whose owners were asked; spilled says that the least loaded of all was added.
 	tried   map[coltsfootlink.TargetName]bool
 	spilled bool
