Follow moves to other versions on the platform

Cause: orders to move a pool to another version were not decoded, targets of all versions served at once, and no state was written, so a bad version would have got its full share.

Change: orders are facts of the catalog; one coordinator for each pool raises the new version's share by time and evidence, takes it back on a fault, and records states under the condition that nothing was recorded since. Requests are drawn by their identifiers, so that all attempts go to one version.

The tests of a move's requests learn what is usual from all samples at first (a fixed weight of 0.05 took good versions back where 14 % of failures are usual), and their alarms rise with the number of samples.

--- a/catalog.go
+++ b/catalog.go
@@ -47,6 +47,17 @@
 // ZoneOutFact says that a zone is to get no new work.
 type ZoneOutFact struct{ Zone ZoneName }
 
+// MoveFact says that the traffic of a pool is to be moved to another version.
+type MoveFact struct {
+	Pool PoolName
+	To   Version
+	// Started identifies the order.
+	Started Revision
+	// Span is how long the move may take, counted from the order.
+	Span time.Duration
+}
+
+func (MoveFact) isFact()    {}
 func (TableFact) isFact()   {}
 func (TargetFact) isFact()  {}
 func (ZoneOutFact) isFact() {}
@@ -65,6 +76,8 @@
 	Targets map[TargetName]Target
 	// ZonesOut are the zones that get no new work.
 	ZonesOut map[ZoneName]bool
+	// Moves are the operators' orders to move pools to other versions, and by when.
+	Moves map[PoolName]Move
 }
 
 // WithTable returns the catalog with another routing table.
@@ -93,6 +106,12 @@
 	return catalog
 }
 
+// WithTargets returns the catalog with these targets and no others; they are not changed afterwards.
+func (catalog Catalog) WithTargets(targets map[TargetName]Target) Catalog {
+	catalog.Targets = targets
+	return catalog
+}
+
 // WithZoneOut returns the catalog with a zone taken out or brought back.
 func (catalog Catalog) WithZoneOut(zone ZoneName, out bool) Catalog {
 	zones := maps.Clone(catalog.ZonesOut)
@@ -108,7 +127,26 @@
 	return catalog
 }
 
-// Signature is the same for catalogs that say the same of targets, zones and the version of the table.
+// WithMove returns the catalog with a pool's order to move added or replaced.
+func (catalog Catalog) WithMove(move Move) Catalog {
+	moves := maps.Clone(catalog.Moves)
+	if moves == nil {
+		moves = make(map[PoolName]Move)
+	}
+	moves[move.Pool] = move
+	catalog.Moves = moves
+	return catalog
+}
+
+// WithoutMove returns the catalog without a pool's order to move.
+func (catalog Catalog) WithoutMove(pool PoolName) Catalog {
+	moves := maps.Clone(catalog.Moves)
+	delete(moves, pool)
+	catalog.Moves = moves
+	return catalog
+}
+
+// Signature is the same for catalogs that say the same of targets, zones, moves and the version of the table.
 func (catalog Catalog) Signature() uint64 {
 	signature := xxhash.Sum64String("table " + strconv.FormatUint(catalog.Table.Version, 10))
 	for zone := range catalog.ZonesOut {
@@ -117,6 +155,9 @@
 	for _, target := range catalog.Targets {
 		signature ^= target.signature()
 	}
+	for _, move := range catalog.Moves {
+		signature ^= xxhash.Sum64String("move " + string(move.Pool) + " " + string(move.To) + " " + move.Started.String())
+	}
 	return signature
 }
 
--- a/catalog/state.go
+++ b/catalog/state.go
@@ -117,18 +117,34 @@
 		return catalog.WithTable(fact.Table), Difference
 	case coltsfootlink.ZoneOutFact:
 		return catalog.WithZoneOut(fact.Zone, true), Difference
+	case coltsfootlink.MoveFact:
+		return withMove(catalog, now, fact), Difference
 	case coltsfootlink.TargetFact:
 		return withTarget(catalog, now, fact)
 	}
 	switch fact := before.(type) {
 	case coltsfootlink.ZoneOutFact:
 		return withZoneBack(catalog, now, fact.Zone), Difference
+	case coltsfootlink.MoveFact:
+		return catalog.WithoutMove(fact.Pool), Difference
 	case coltsfootlink.TargetFact:
 		return catalog.WithoutTarget(coltsfootlink.TargetName(key)), Difference
 	}
 	return catalog, Renewal
 }
 
+// withMove notes an order to move; its time counts from when it is first known.
+func withMove(catalog coltsfootlink.Catalog, now time.Time, fact coltsfootlink.MoveFact) coltsfootlink.Catalog {
+	return catalog.WithMove(coltsfootlink.Move{
+		Pool:      fact.Pool,
+		To:        fact.To,
+		Started:   fact.Started,
+		OrderedAt: now,
+		FinishBy:  now.Add(fact.Span),
+		State:     coltsfootlink.MoveRunning,
+	})
+}
+
 // withTarget notes what a target says of itself.
 func withTarget(catalog coltsfootlink.Catalog, now time.Time, fact coltsfootlink.TargetFact) (coltsfootlink.Catalog, Change) {
 	target := fact.Target
--- a/catalog/state_test.go
+++ b/catalog/state_test.go
@@ -14,7 +14,7 @@
 	"coltsfootlink"
 )
 
-// words decodes records of the form "version 3", "out zone", "target address slots" for these tests.
+// words decodes records of the form "version 3", "out zone", "move version 2", "target address slots" for these tests.
 type words struct{}
 
 // Decode returns what a record says.
@@ -28,6 +28,9 @@
 		version, err := strconv.ParseUint(parts[1], 10, 64)
 		table := coltsfootlink.RoutingTable{Version: version}
 		return coltsfootlink.TableFact{Table: table.WithPool(coltsfootlink.PoolTraits{Name: "p", ColdSpan: time.Second})}, err
+	case "move":
+		started, err := strconv.ParseUint(parts[2], 10, 64)
+		return coltsfootlink.MoveFact{Pool: "p", To: coltsfootlink.Version(parts[1]), Started: coltsfootlink.Revision(started), Span: time.Minute}, err
 	case "out":
 		return coltsfootlink.ZoneOutFact{Zone: coltsfootlink.ZoneName(parts[1])}, nil
 	default:
@@ -112,6 +115,33 @@
 	}
 }
 
+// TestMoves holds for operators' orders to move.
+func TestMoves(t *testing.T) {
+	cases := map[string]struct {
+		records  []coltsfootlink.CatalogRecord
+		to       coltsfootlink.Version
+		finishBy time.Time
+	}{
+		"an order":                     {[]coltsfootlink.CatalogRecord{operator(3, "rollout/p", "move v2 3")}, "v2", at.Add(time.Minute)},
+		"an order that is read twice":  {[]coltsfootlink.CatalogRecord{operator(3, "rollout/p", "move v2 3"), operator(3, "rollout/p", "move v2 3")}, "v2", at.Add(time.Minute)},
+		"another order":                {[]coltsfootlink.CatalogRecord{operator(3, "rollout/p", "move v2 3"), operator(4, "rollout/p", "move v3 4")}, "v3", at.Add(time.Minute + time.Second)},
+		"an order that was taken away": {[]coltsfootlink.CatalogRecord{operator(3, "rollout/p", "move v2 3"), operator(4, "rollout/p", "")}, "", time.Time{}},
+	}
+	for name, test := range cases {
+		Convey(name, t, func() {
+			state := NewState(words{})
+			before := state.Catalog().Signature()
+			for place, record := range test.records {
+				state, _, _ = state.WithRecord(at.Add(time.Duration(place)*time.Second), record)
+			}
+			move := state.Catalog().Moves["p"]
+			So(move.To, ShouldEqual, test.to)
+			So(move.FinishBy, ShouldEqual, test.finishBy)
+			So(state.Catalog().Signature() == before, ShouldEqual, test.to == "")
+		})
+	}
+}
+
 // TestMergeIsOrderFree: instances that have seen the same records in any order, some of them twice, agree.
 func TestMergeIsOrderFree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -10,9 +10,11 @@
 type Want struct {
 	coltsfootlink.Local
 
-	ID        coltsfootlink.RequestID
-	Pool      coltsfootlink.PoolName
-	Team      coltsfootlink.TeamName
+	ID   coltsfootlink.RequestID
+	Pool coltsfootlink.PoolName
+	Team coltsfootlink.TeamName
+	// Rule is the name of the routing rule.
+	Rule      string
 	Work      coltsfootlink.Work
 	Objective time.Time
 	Deadline  time.Time
--- a/dispatch/offer.go
+++ b/dispatch/offer.go
@@ -52,7 +52,7 @@
 		return waiting
 	}
 	waiting.spilled = true
-	if target, found := task.waits.least(now, task.catalog, waiting.want.Pool, waiting.tried); found {
+	if target, found := task.waits.least(now, task.movable(waiting.want), waiting.want.Pool, waiting.tried); found {
 		waiting.candidates = []coltsfootlink.Target{target}
 	}
 	return waiting
@@ -72,7 +72,7 @@
 		if !waiting.want.Retry {
 			task.offers.count(waiting.want.Pool, waiting.want.Team, 0, tokensOf(waiting.want.Work))
 		}
-		task.running[verdict.Serial] = running{want: waiting.want, target: target.Name, owner: from}
+		task.running[verdict.Serial] = running{want: waiting.want, target: target.Name, version: target.Version, owner: from}
 		waiting.want.Reply <- Choice{Serial: verdict.Serial, Owner: from, Target: target, ExpectedMillis: verdict.ExpectedMillis}
 		return
 	}
--- a/dispatch/offered.go
+++ b/dispatch/offered.go
@@ -47,12 +47,13 @@
 	return float64(work.PromptTokens + outputWeight*work.OutputTokens)
 }
 
-// tell tells the keepers of the shares what callers have asked for.
+// tell tells the keepers of the shares what callers have asked for, and the coordinators of moves how it went.
 func (task *Task) tell(now time.Time) {
 	if now.Before(task.offers.tellAt) {
 		return
 	}
 	task.offers.tellAt = now.Add(offerInterval)
+	task.tellCoordinators(now)
 	for pool, teams := range task.offers.teams {
 		keeper, found := share.Keeper(pool, task.view)
 		if !found {
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -44,10 +44,13 @@
 
 // running is a request that has a target.
 type running struct {
-	want   Want
-	target coltsfootlink.TargetName
-	owner  coltsfootlink.InstanceName
-	read   bool
+	want    Want
+	target  coltsfootlink.TargetName
+	version coltsfootlink.Version
+	owner   coltsfootlink.InstanceName
+	read    bool
+	// firstMillis is the time to the first event in milliseconds; zero before.
+	firstMillis int
 }
 
 // Task owns the requests of an instance that have no target yet, and knows which targets the others have.
@@ -63,6 +66,7 @@
 
 	strikes health.Strikes
 	offers  offers
+	moves   moves
 	waits   waits
 	budgets map[coltsfootlink.PoolName]retry.Budget
 	catalog coltsfootlink.Catalog
@@ -113,6 +117,7 @@
 	task.running = make(map[uint64]running)
 	task.strikes = health.NewStrikes()
 	task.offers = newOffers()
+	task.moves = newMoves()
 	task.waits = make(waits)
 	task.budgets = make(map[coltsfootlink.PoolName]retry.Budget)
 	task.distrusted = make(map[coltsfootlink.InstanceName]time.Time)
@@ -136,6 +141,8 @@
 	case Shed:
 		task.earn(message.Pool)
 		task.offers.count(message.Pool, message.Team, tokensOf(message.Work), 0)
+	case coltsfootlink.MoveWord:
+		task.moves.words[message.Move.Pool] = moveWord{MoveWord: message, until: task.Clock.Now().Add(moveWordSpan)}
 	case coltsfootlink.CatalogChanged:
 		task.catalog = message.Catalog
 		task.followOwners()
@@ -166,7 +173,7 @@
 	waiting := pending{
 		want:       want,
 		tried:      maps.Clone(want.Avoid),
-		candidates: Candidates(task.catalog, task.live, want.Pool, want.Work, task.Self.Zone, draw, want.Avoid),
+		candidates: Candidates(task.movable(want), task.live, want.Pool, want.Work, task.Self.Zone, draw, want.Avoid),
 		refusal:    coltsfootlink.Refuse(coltsfootlink.NoTarget, "the pool has no target in service").WithRetryAt(task.Clock.Now().Add(busyPause)),
 	}
 	if waiting.tried == nil {
@@ -209,11 +216,13 @@
 	}
 	if report.Stage == coltsfootlink.Ended {
 		delete(task.running, report.Serial)
+		task.noteUsage(held, report)
 		if report.Result == coltsfootlink.Crashed {
 			task.strike(held)
 		}
 	} else {
 		held.read = true
+		held.firstMillis = report.Millis
 		task.running[report.Serial] = held
 	}
 	task.Sender.Send(held.owner, coltsfootlink.Progress{
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"coltsfootlink/mailbox"
 	"coltsfootlink/membership"
 	"coltsfootlink/metrics"
+	"coltsfootlink/move"
 	"coltsfootlink/operator"
 	"coltsfootlink/peer"
 	"coltsfootlink/platform"
@@ -68,6 +69,7 @@
 	clock    coltsfootlink.Clock
 	boxes    boxes
 	router   *peer.Router
+	store    *platform.Store
 	hybrid   *timeline.Hybrid
 	recorder timeline.Recorder
 	gate     *ingress.Gate
@@ -76,7 +78,7 @@
 
 // boxes are the mailboxes of the tasks.
 type boxes struct {
-	admission, catalog, dispatch, gate, keeper, links, membership, prober, shares, timeline *mailbox.Deliveries
+	admission, catalog, dispatch, gate, keeper, links, membership, moves, prober, shares, timeline *mailbox.Deliveries
 }
 
 // Run runs the daemon until the context ends, and then stops it without cutting a request.
@@ -158,6 +160,7 @@
 		keeper:     mailbox.NewDeliveries(),
 		links:      mailbox.NewDeliveries(),
 		membership: mailbox.NewDeliveries(),
+		moves:      mailbox.NewDeliveries(),
 		prober:     mailbox.NewDeliveries(),
 		shares:     mailbox.NewDeliveries(),
 		timeline:   mailbox.NewDeliveries(),
@@ -172,8 +175,10 @@
 		Dispatch:   gateway.boxes.dispatch,
 		Shares:     gateway.boxes.shares,
 		Gate:       gateway.boxes.gate,
+		Moves:      gateway.boxes.moves,
 		Catalog:    gateway.boxes.catalog,
 	}
+	gateway.store = platform.NewStore("http://" + gateway.Settings.Store.Address)
 	gateway.gate = &ingress.Gate{Inbox: gateway.boxes.gate, Clock: gateway.clock, Log: gateway.Log}
 	gateway.service = &ingress.Service{
 		Gate:     gateway.gate,
@@ -224,7 +229,7 @@
 		Inbox:    gateway.boxes.membership,
 		Subscribers: []*mailbox.Deliveries{
 			gateway.boxes.links, gateway.boxes.catalog, gateway.boxes.admission, gateway.boxes.dispatch, gateway.boxes.shares,
-			gateway.boxes.keeper,
+			gateway.boxes.keeper, gateway.boxes.moves,
 		},
 	})
 	branch.Add("timeline", &timeline.Task{
@@ -238,7 +243,7 @@
 func (gateway *Gateway) addRoles(branch *supervisor.Branch) {
 	branch.Add("catalog", &catalog.Task{
 		Self:    gateway.self,
-		Source:  platform.Catalog{Store: platform.NewStore("http://" + gateway.Settings.Store.Address)},
+		Source:  platform.Catalog{Store: gateway.store},
 		Decoder: platform.Documents{},
 		Clock:   gateway.clock,
 		Sender:  gateway.router,
@@ -247,7 +252,7 @@
 		Inbox:   gateway.boxes.catalog,
 		Subscribers: []*mailbox.Deliveries{
 			gateway.boxes.admission, gateway.boxes.dispatch, gateway.boxes.gate, gateway.boxes.keeper,
-			gateway.boxes.shares,
+			gateway.boxes.moves, gateway.boxes.shares,
 		},
 	})
 	branch.Add("admission", &admission.Task{
@@ -282,6 +287,14 @@
 		Log:            gateway.Log,
 		Inbox:          gateway.boxes.shares,
 	})
+	branch.Add("moves", &move.Task{
+		Self:    gateway.self.Name,
+		Records: platform.Moves{Store: gateway.store},
+		Clock:   gateway.clock,
+		Sender:  gateway.router,
+		Log:     gateway.Log,
+		Inbox:   gateway.boxes.moves,
+	})
 	branch.Add("keeper", &upstream.Keeper{Clock: gateway.clock, Inbox: gateway.boxes.keeper})
 	branch.Add("settings", &reloader{file: gateway.File, current: gateway.Settings, membership: gateway.boxes.membership, log: gateway.Log})
 }
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -144,7 +144,7 @@
 		}
 		current.team = team
 	}
-	current.pool = rule.Pool(draw(current.head.ID))
+	current.pool = rule.Pool(current.head.ID.Draw(""))
 	current.rank = catalog.Table.Rank(current.pool, rule, current.team)
 	current.deadline = current.arrived.Add(rule.Timeout)
 	if left := current.head.Deadline; !left.IsZero() && left.Before(current.deadline) {
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"coltsfootlink"
@@ -15,17 +14,8 @@
 	"coltsfootlink/upstream"
 )
 
-const (
-	// maxPlainBytes is the largest answer of a plain service that is held until it is whole.
-	maxPlainBytes = 1 << 20
-	// drawRange is the number of values that a draw may have.
-	drawRange = 1 << 32
-)
-
-// draw returns a number from 0 to 1 that is the same for all attempts of a request.
-func draw(id coltsfootlink.RequestID) float64 {
-	return float64(xxhash.Sum64String(string(id))%drawRange) / drawRange
-}
+// maxPlainBytes is the largest answer of a plain service that is held until it is whole.
+const maxPlainBytes = 1 << 20
 
 // choose asks for a target and waits for it.
 func (current *exchange) choose() dispatch.Choice {
@@ -34,6 +24,7 @@
 		ID:          current.head.ID,
 		Pool:        current.pool,
 		Team:        current.team,
+		Rule:        current.rule.Name,
 		Work:        current.head.Work,
 		Objective:   current.arrived.Add(current.rule.Objective),
 		Deadline:    current.deadline,
--- a/integration/gateways_test.go
+++ b/integration/gateways_test.go
@@ -33,8 +33,10 @@
 
 // siteTarget is a target that notes what it runs.
 type siteTarget struct {
-	name, zone string
-	server     *httptest.Server
+	name, zone, version string
+	server              *httptest.Server
+	// fails says that requests are answered with an error.
+	fails bool
 
 	mutex sync.Mutex
 	// runs are the times at which requests were run.
@@ -57,6 +59,10 @@
 	target.runs[id] = append(target.runs[id], time.Now())
 	target.mutex.Unlock()
 	writer.Header().Set("Answer-Stamp", "stamp-"+id)
+	if target.fails {
+		writer.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	if !strings.HasPrefix(request.URL.Path, "/stream/") {
 		_, _ = writer.Write(append([]byte(target.name+" "), body...))
 		return
@@ -79,14 +85,14 @@
 	return count
 }
 
-// newestRun returns when the targets of a zone last ran anything.
-func (staged *site) newestRun(zone string) time.Time {
+// newestRun returns when targets that a condition holds for last ran anything.
+func (staged *site) newestRun(holds func(*siteTarget) bool) time.Time {
 	var newest time.Time
 	for _, target := range staged.targets {
 		target.mutex.Lock()
 		for _, times := range target.runs {
 			for _, at := range times {
-				if target.zone == zone && at.After(newest) {
+				if holds(target) && at.After(newest) {
 					newest = at
 				}
 			}
@@ -96,6 +102,14 @@
 	return newest
 }
 
+func inZone(zone string) func(*siteTarget) bool {
+	return func(target *siteTarget) bool { return target.zone == zone }
+}
+
+func withVersion(version string) func(*siteTarget) bool {
+	return func(target *siteTarget) bool { return target.version == version }
+}
+
 // startSite starts a store, targets in two zones and four gateways.
 func startSite(t *testing.T) *site {
 	t.Helper()
@@ -111,13 +125,7 @@
 	go func() { _ = (&standin.Platform{Address: address, Store: store}).Run(ctx) }()
 	staged := &site{store: platform.NewStore("http://" + address), address: address, targets: make(map[string]*siteTarget)}
 	for index := range 4 {
-		target := &siteTarget{name: fmt.Sprint("t-", index), zone: zones[index%2], runs: make(map[string][]time.Time)}
-		target.server = httptest.NewServer(target)
-		t.Cleanup(target.server.Close)
-		staged.targets[target.name] = target
-		staged.put(t, platform.TargetTopic, target.name, platform.TargetDocument{
-			Service: "p", Address: strings.TrimPrefix(target.server.URL, "http://"), Zone: target.zone, Version: "v1", Slots: 8, State: platform.ReadyState,
-		})
+		staged.add(t, &siteTarget{name: fmt.Sprint("t-", index), zone: zones[index%2], version: "v1"})
 	}
 	staged.configure(t, "key")
 	staged.gateways, err = rig.StartGateways(ctx, programs.Daemon, t.TempDir(), address, zones[:2], 4)
@@ -135,6 +143,24 @@
 	return staged
 }
 
+// add starts a target that is ready.
+func (staged *site) add(t *testing.T, target *siteTarget) {
+	t.Helper()
+	target.runs = make(map[string][]time.Time)
+	target.server = httptest.NewServer(target)
+	t.Cleanup(target.server.Close)
+	staged.targets[target.name] = target
+	staged.enter(t, target, platform.ReadyState)
+}
+
+// enter writes a target's entry.
+func (staged *site) enter(t *testing.T, target *siteTarget, state string) {
+	t.Helper()
+	staged.put(t, platform.TargetTopic, target.name, platform.TargetDocument{
+		Service: "p", Address: strings.TrimPrefix(target.server.URL, "http://"), Zone: target.zone, Version: target.version, Slots: 8, State: state,
+	})
+}
+
 // put writes a document into the store; nil removes the key.
 func (staged *site) put(t *testing.T, topic, key string, document any) {
 	t.Helper()
@@ -329,10 +355,10 @@
 		time.Sleep(time.Second)
 		quiet := time.Now()
 		time.Sleep(500 * time.Millisecond)
-		So(staged.newestRun(zones[0]), ShouldHappenBefore, quiet)
-		So(staged.newestRun(zones[1]), ShouldHappenAfter, quiet)
+		So(staged.newestRun(inZone(zones[0])), ShouldHappenBefore, quiet)
+		So(staged.newestRun(inZone(zones[1])), ShouldHappenAfter, quiet)
 		staged.put(t, platform.OperatorTopic, "evacuate/"+zones[0], nil)
-		eventually(t, "the zone gets work again", func() bool { return staged.newestRun(zones[0]).After(quiet) })
+		eventually(t, "the zone gets work again", func() bool { return staged.newestRun(inZone(zones[0])).After(quiet) })
 		stop()
 	})
 	Convey("a target that drains gets nothing more", t, func() {
@@ -340,15 +366,13 @@
 		stop := staged.load("/safe/a", 0, 1, 2, 3)
 		for _, target := range staged.targets {
 			if target.zone == zones[1] {
-				staged.put(t, platform.TargetTopic, target.name, platform.TargetDocument{
-					Service: "p", Address: strings.TrimPrefix(target.server.URL, "http://"), Zone: target.zone, Version: "v1", Slots: 8, State: platform.DrainingState,
-				})
+				staged.enter(t, target, platform.DrainingState)
 			}
 		}
 		time.Sleep(time.Second)
 		quiet := time.Now()
 		time.Sleep(500 * time.Millisecond)
-		So(staged.newestRun(zones[1]), ShouldHappenBefore, quiet)
+		So(staged.newestRun(inZone(zones[1])), ShouldHappenBefore, quiet)
 		stop()
 	})
 }
--- a/message.go
+++ b/message.go
@@ -267,6 +267,33 @@
 	Surplus float64
 }
 
+// MoveUsages tells the coordinator of a move how requests of the pool have ended since the last time.
+type MoveUsages struct {
+	Pool    PoolName
+	Started Revision
+	Usages  []MoveUsage
+	// RunningNew and RunningOld are the numbers of the sender's requests that run on targets of the new version and
+	// of others.
+	RunningNew, RunningOld int
+}
+
+// MoveUsage is how one request of a moving pool has ended.
+type MoveUsage struct {
+	// New says that a target of the new version had the request.
+	New    bool
+	Route  string
+	Failed bool
+	// Millis is the time to the first event of a stream, or to the whole answer, in milliseconds.
+	Millis float64
+}
+
+// MoveWord is what the coordinator of a move says of it.
+type MoveWord struct {
+	Move Move
+	// Share is the share of the requests that go to the new version.
+	Share float64
+}
+
 // Verdict answers an Ask.
 type Verdict struct {
 	Serial uint64
@@ -398,6 +425,8 @@
 type Leave struct{}
 
 func (Ask) isMessage()                  {}
+func (MoveUsages) isMessage()           {}
+func (MoveWord) isMessage()             {}
 func (Offered) isMessage()              {}
 func (Shares) isMessage()               {}
 func (Verdict) isMessage()              {}
--- a/move.go
+++ b/move.go
@@ -1,6 +1,9 @@
 package coltsfootlink
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // MoveState is how far a version move has come.
 type MoveState string
@@ -17,10 +20,13 @@
 
 // Move takes the traffic of a pool from one version to another.
 type Move struct {
-	Pool     PoolName
+	Pool PoolName
+	// From is empty if all other versions are meant.
 	From, To Version
 	// Started is the revision that started the move; it identifies the move.
 	Started Revision
+	// OrderedAt is when the order to move was first known; zero on our own interface, which does not need it.
+	OrderedAt time.Time
 	// FinishBy is when the move has to be done or taken back.
 	FinishBy time.Time
 	State    MoveState
@@ -41,6 +47,20 @@
 	return move
 }
 
+// MoveRecord is what is recorded of a pool's newest move.
+type MoveRecord struct {
+	To    Version
+	State MoveState
+}
+
+// MoveRecords keeps on the platform how far moves have come.
+type MoveRecords interface {
+	// Moves returns what is recorded of each pool, and the offset at which the next change is to be recorded.
+	Moves(ctx context.Context) (map[PoolName]MoveRecord, uint64, error)
+	// Record records a move's state, unless something was recorded since the offset was read.
+	Record(ctx context.Context, move Move, at uint64) error
+}
+
 // Rollout decides how much of a shard's traffic goes to the new version of a move; its values are immutable.
 type Rollout interface {
 	// Move returns the move that is followed.
@@ -63,6 +83,8 @@
 	Complete() bool
 	// Healthy says whether requests of the new version have ended, and none of the tests has found a fault.
 	Healthy() bool
+	// Doubtful says that one of the tests leans to a fault.
+	Doubtful() bool
 	// Fault returns what is wrong with the new version; empty if nothing is known.
 	Fault() string
 	// WithFault stops all traffic to the new version.
--- a/move/rollout.go
+++ b/move/rollout.go
@@ -22,8 +22,11 @@
 	// slowTimes and slowSlackMillis tell a slow answer from the old version's usual one.
 	slowTimes       = 2
 	slowSlackMillis = 50
-	// oldWeight is the weight of a new sample of the old version.
-	oldWeight = 0.05
+	// oldWeight is the least weight of a new sample of the old version; until there are more, all weigh the same.
+	oldWeight = 0.01
+	// usualSamples is the number of samples after which it is known what is usual; without the old version's, the new
+	// one's first samples have to do.
+	usualSamples = 20
 )
 
 // stages are the shares of the traffic that the new version gets, one after the other.
@@ -45,6 +48,7 @@
 
 // route is what is known of both versions on one route.
 type route struct {
+	oldEnded    int
 	oldFailures float64
 	oldSlow     float64
 	oldMillis   float64
@@ -123,7 +127,7 @@
 	case rollout.move.From:
 		known = known.withOld(failed, usage.FirstByteMillis)
 	case rollout.move.To:
-		known = known.withNew(failed, usage.FirstByteMillis)
+		known = known.withNew(failed, usage.FirstByteMillis, rollout.allEnded < warmSamples)
 		rollout = rollout.withEnd(failed).withTests(usage.Route, known)
 	}
 	rollout.routes = rollout.routes.Set(usage.Route, known)
@@ -151,6 +155,16 @@
 // Healthy says whether requests of the new version have ended, and none of the tests has found a fault.
 func (rollout Rollout) Healthy() bool { return rollout.allEnded > 0 && rollout.fault == "" }
 
+// Doubtful says that one of the tests leans to a fault.
+func (rollout Rollout) Doubtful() bool {
+	for iterator := rollout.routes.Iterator(); !iterator.Done(); {
+		if _, known, _ := iterator.Next(); known.failures.doubtful() || known.slow.doubtful() {
+			return true
+		}
+	}
+	return false
+}
+
 // Fault returns what is wrong with the new version; empty if nothing is known.
 func (rollout Rollout) Fault() string { return rollout.fault }
 
@@ -188,32 +202,43 @@
 
 // withOld learns what is usual from a request of the old version.
 func (known route) withOld(failed bool, millis float64) route {
-	known.oldFailures += oldWeight * (indicator(failed) - known.oldFailures)
+	known.oldEnded++
+	weight := max(oldWeight, 1/float64(known.oldEnded))
+	known.oldFailures += weight * (indicator(failed) - known.oldFailures)
 	if failed || millis <= 0 {
 		return known
 	}
-	known.oldSlow += oldWeight * (indicator(known.isSlow(millis)) - known.oldSlow)
+	known.oldSlow += weight * (indicator(known.isSlow(millis)) - known.oldSlow)
 	if known.oldMillis == 0 {
 		known.oldMillis = millis
 		return known
 	}
-	known.oldMillis += oldWeight * (millis - known.oldMillis)
+	known.oldMillis += weight * (millis - known.oldMillis)
 	return known
 }
 
-// withNew tests a request of the new version.
-func (known route) withNew(failed bool, millis float64) route {
+// withNew tests a request of the new version; one of the first, while it may be cold, is not tested for slowness.
+func (known route) withNew(failed bool, millis float64, warming bool) route {
 	known.newEnded++
-	usualFailures := max(leastFailures, known.oldFailures)
+	if known.oldEnded < usualSamples && known.newEnded < usualSamples {
+		return known
+	}
+	usualFailures := known.usual(leastFailures, known.oldFailures)
 	known.failures = known.failures.withUsual(usualFailures, bad(usualFailures, failureFactor)).withSample(failed)
-	if failed || known.newEnded <= warmSamples || known.oldMillis == 0 {
+	if failed || warming || known.oldMillis == 0 {
 		return known
 	}
-	usualSlow := max(leastSlow, known.oldSlow)
+	usualSlow := known.usual(leastSlow, known.oldSlow)
 	known.slow = known.slow.withUsual(usualSlow, bad(usualSlow, slowFactor)).withSample(known.isSlow(millis))
 	return known
 }
 
+// usual returns the share that is taken for usual where another was seen: few samples may not have shown all.
+func (known route) usual(least, seen float64) float64 {
+	samples := min(float64(known.oldEnded), 1/oldWeight)
+	return max(least, (seen*samples+1)/(samples+2))
+}
+
 func (known route) isSlow(millis float64) bool {
 	return known.oldMillis > 0 && millis > slowTimes*known.oldMillis+slowSlackMillis
 }
--- a/ownership/rendezvous.go
+++ b/ownership/rendezvous.go
@@ -90,6 +90,11 @@
 	return highest(string(target.Name), candidates)
 }
 
+// Keeper returns the instance that looks after something of which the fleet has one: a live one that does not leave.
+func Keeper(name string, view coltsfootlink.View) (coltsfootlink.InstanceName, bool) {
+	return highest(name, staying(view.Live()))
+}
+
 // highest returns the member with the highest weight for a name.
 func highest(name string, members []coltsfootlink.Member) (coltsfootlink.InstanceName, bool) {
 	var best coltsfootlink.InstanceName
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -63,6 +63,10 @@
 		return &peerpb.Message{Kind: &peerpb.Message_Offered{Offered: stream.encodeOffered(message)}}, nil
 	case coltsfootlink.Shares:
 		return &peerpb.Message{Kind: &peerpb.Message_Shares{Shares: stream.encodeShares(message)}}, nil
+	case coltsfootlink.MoveUsages:
+		return &peerpb.Message{Kind: &peerpb.Message_MoveUsages{MoveUsages: stream.encodeMoveUsages(message)}}, nil
+	case coltsfootlink.MoveWord:
+		return &peerpb.Message{Kind: &peerpb.Message_MoveWord{MoveWord: stream.encodeMoveWord(message)}}, nil
 	case coltsfootlink.NewsRequest:
 		return &peerpb.Message{Kind: &peerpb.Message_NewsRequest{NewsRequest: &peerpb.NewsRequest{}}}, nil
 	default:
@@ -134,6 +138,10 @@
 		return stream.decodeNews(kind.News), nil
 	case *peerpb.Message_Offered:
 		return stream.decodeOffered(kind.Offered), nil
+	case *peerpb.Message_MoveUsages:
+		return stream.decodeMoveUsages(kind.MoveUsages), nil
+	case *peerpb.Message_MoveWord:
+		return stream.decodeMoveWord(kind.MoveWord), nil
 	case *peerpb.Message_Shares:
 		return stream.decodeShares(kind.Shares), nil
 	case *peerpb.Message_NewsRequest:
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -34,6 +34,12 @@
 	"grant":    coltsfootlink.Grant{Permits: []coltsfootlink.Permit{permit(1), permit(2)}},
 	"takeover": coltsfootlink.Takeover{Shard: shard, Epoch: 8, Owner: "a"},
 	"holdings": coltsfootlink.Holdings{Shard: shard, Epoch: 8, LastSerial: 2, Permits: []coltsfootlink.Permit{permit(1)}},
+	"move usages": coltsfootlink.MoveUsages{Pool: "p", Started: 7, RunningOld: 3, RunningNew: 2, Usages: []coltsfootlink.MoveUsage{
+		{New: true, Route: "r", Failed: true, Millis: 12.5}, {Route: "q"},
+	}},
+	"move word": coltsfootlink.MoveWord{Share: 0.25, Move: coltsfootlink.Move{
+		Pool: "p", To: "v2", Started: 7, OrderedAt: at, FinishBy: at, State: coltsfootlink.MoveTakenBack, Reason: "requests fail",
+	}},
 	"counters": coltsfootlink.Counters{
 		Pool:  "p",
 		Parts: []coltsfootlink.CounterPart{{Team: "x", Instance: "a", Incarnation: 3, Charged: 1.5, Refunded: 0.25}},
--- a/peer/router.go
+++ b/peer/router.go
@@ -19,6 +19,7 @@
 	Dispatch   *mailbox.Deliveries
 	Shares     *mailbox.Deliveries
 	Gate       *mailbox.Deliveries
+	Moves      *mailbox.Deliveries
 	Catalog    *mailbox.Deliveries
 }
 
@@ -65,6 +66,11 @@
 		router.Shares.Put(delivery)
 	case coltsfootlink.Shares:
 		router.Gate.Put(delivery)
+	case coltsfootlink.MoveUsages:
+		router.Moves.Put(delivery)
+	case coltsfootlink.MoveWord:
+		router.Moves.Put(delivery)
+		router.Dispatch.Put(delivery)
 	case coltsfootlink.Verdict:
 		router.Dispatch.Put(delivery)
 	case coltsfootlink.News, coltsfootlink.NewsRequest:
--- a/request.go
+++ b/request.go
@@ -1,10 +1,22 @@
 package coltsfootlink
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// drawRange is the number of values that a draw may have.
+const drawRange = 1 << 32
 
 // RequestID identifies one request of a caller.
 type RequestID string
 
+// Draw returns a number from 0 to 1 that is the same for all attempts of a request, and another one for each purpose.
+func (id RequestID) Draw(purpose string) float64 {
+	return float64(xxhash.Sum64String(string(id)+purpose)%drawRange) / drawRange
+}
+
 // Request is what a caller asks of a pool.
 type Request struct {
 	ID    RequestID
--- a/share/task.go
+++ b/share/task.go
@@ -31,17 +31,7 @@
 
 // Keeper returns the instance that keeps the shares of a pool.
 func Keeper(pool coltsfootlink.PoolName, view coltsfootlink.View) (coltsfootlink.InstanceName, bool) {
-	var staying []coltsfootlink.Member
-	for _, member := range view.Live() {
-		if !member.Leaving {
-			staying = append(staying, member)
-		}
-	}
-	ranked := ownership.Ranked("shares "+string(pool), staying)
-	if len(ranked) == 0 {
-		return "", false
-	}
-	return ranked[0], true
+	return ownership.Keeper("shares "+string(pool), view)
 }
 
 // Run keeps shares until the context ends.
