Cut a resumed stream when the next target fails it

The report shows it: a resumable stream broke in the middle, the last target allowed answered the resumed request with a failure of its own (500), and its body was written behind the events as the end of a whole answer.

Change: once a stream has begun, an answer that is no success is a failure of that attempt, and the stream is cut.

--- a/ingress/service_test.go
+++ b/ingress/service_test.go
@@ -302,22 +302,32 @@
 }
 
 func TestBrokenStreams(t *testing.T) {
+	broken := events(1, 2, "9\r\nid: 3")
 	cases := map[string]struct {
-		path string
-		text string
+		path    string
+		targets []string
 	}{
-		"cut between events":               {"/stream/a", events(1, 2, "")},
-		"cut in the middle of one":         {"/stream/a", events(1, 2, "9\r\nid: 3")},
-		"cut, and nobody else can go on":   {"/resumable/a", events(1, 2, "9\r\nid: 3")},
-		"ended in the middle of one event": {"/resumable/a", events(1, 2, "5\r\nid: 3\r\n0\r\n\r\n")},
+		"cut between events":                   {"/stream/a", []string{events(1, 2, "")}},
+		"cut in the middle of one":             {"/stream/a", []string{broken}},
+		"cut, and nobody else can go on":       {"/resumable/a", []string{broken}},
+		"ended in the middle of one event":     {"/resumable/a", []string{events(1, 2, "5\r\nid: 3\r\n0\r\n\r\n")}},
+		"cut, and the next target fails":       {"/resumable/a", []string{broken, failed}},
+		"cut, and the next answers in one":     {"/resumable/a", []string{broken, good}},
+		"cut, and the next has not run it":     {"/resumable/a", []string{broken, shed}},
+		"cut, and the next is cut before it":   {"/resumable/a", []string{broken, reset}},
+		"cut, and the next is not who it says": {"/resumable/a", []string{broken, bare}},
 	}
 	for name, test := range cases {
 		Convey("a broken stream does not look whole: "+name, t, func() {
-			offered := &offer{targets: []*fakeTarget{startTarget(t, "t", test.text)}}
+			offered := new(offer)
+			for index, text := range test.targets {
+				offered.targets = append(offered.targets, startTarget(t, coltsfootlink.TargetName(fmt.Sprint("t-", index)), text))
+			}
 			status, _, body, err := request(t, start(t, offered, true), test.path, "plan", "")
 			So(status, ShouldEqual, 200)
 			So(err, ShouldNotBeNil)
 			So(body, ShouldStartWith, eventText(1))
+			So(eventText(1)+eventText(2)+eventText(3), ShouldStartWith, body)
 		})
 	}
 	Convey("the next target is told after which event the stream goes on", t, func() {
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -105,7 +105,8 @@
 	switch {
 	case answer.Head.Encoded, !answer.Head.Stamped:
 		return failed, coltsfootlink.Failed
-	case status >= http.StatusInternalServerError && canRepeat:
+	case status >= http.StatusInternalServerError && canRepeat, current.started && status != http.StatusOK:
+		// What does not go on with a stream that has begun would look like its end.
 		return failed, coltsfootlink.Failed
 	case current.rule.Kind == coltsfootlink.StreamRequest && status == http.StatusOK:
 		return current.passStream(choice, answer, sentAt)
