--- a/admission/book.go
+++ b/admission/book.go
@@ -1,3 +1,4 @@
+// Package admission decides which requests the targets that an instance owns get, and when.
 package admission
 
 import (
@@ -7,6 +8,7 @@
 	"github.com/benbjohnson/immutable"
 
 	"coltsfootlink"
+	"coltsfootlink/engine"
 )
 
 const (
@@ -50,7 +52,7 @@
 
 // Policy is how much is let in.
 type Policy struct {
-	Rates Rates
+	Rates engine.Rates
 	// ObjectiveShare is the part of the time to the first event that the expected time may take.
 	ObjectiveShare float64
 	// LargeShare is the same for the wait before a prompt that takes longer to read than that.
@@ -93,7 +95,7 @@
 	policy Policy
 
 	runs   *immutable.Map[runID, run]
-	cache  Cache
+	cache  engine.Cache
 	grants []time.Time
 	// ownedAt is when the owner began to own the target.
 	ownedAt time.Time
@@ -135,7 +137,7 @@
 		traits:     traits,
 		policy:     policy,
 		runs:       immutable.NewMap[runID, run](runHasher{}),
-		cache:      NewCache(),
+		cache:      engine.NewCache(),
 		ownedAt:    now,
 		probeAt:    now,
 		probeUntil: now.Add(probeSpan),
@@ -148,7 +150,7 @@
 // WithTarget follows what the target says of itself.
 func (book Book) WithTarget(target coltsfootlink.Target, traits coltsfootlink.PoolTraits) Book {
 	if target.Incarnation != book.target.Incarnation {
-		book.cache = NewCache()
+		book.cache = engine.NewCache()
 		book.runs = immutable.NewMap[runID, run](runHasher{})
 		book.blockedUntil = time.Time{}
 	}
--- a/admission/book_test.go
+++ b/admission/book_test.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"strconv"
 	"testing"
 	"time"
 
@@ -9,17 +8,18 @@
 	"pgregory.net/rapid"
 
 	"coltsfootlink"
+	"coltsfootlink/engine"
 )
 
 var (
 	start  = time.UnixMilli(1_700_000_000_000)
-	rates  = Rates{PromptTokensPerMilli: 100, StepMillis: 4, StepMillisPerRun: 0.1, ChunkTokens: 1000, FirstMillis: 30}
+	rates  = engine.Rates{PromptTokensPerMilli: 100, StepMillis: 4, StepMillisPerRun: 0.1, ChunkTokens: 1000, FirstMillis: 30}
 	policy = Policy{
 		Rates: rates, ObjectiveShare: 0.75, LargeShare: 0.25, BearableShare: 0.2, SurplusShare: 0.05,
 		MemoryShare: 0.9, ColdOverage: 1.5, ColdSlack: 5,
 	}
-	engine = coltsfootlink.PoolTraits{Name: "p", Engine: true, MemoryTokens: 500_000, ColdSpan: 3 * time.Second, ColdPerSecond: 14}
-	plain  = coltsfootlink.PoolTraits{Name: "q"}
+	servedByEngine = coltsfootlink.PoolTraits{Name: "p", Engine: true, MemoryTokens: 500_000, ColdSpan: 3 * time.Second, ColdPerSecond: 14}
+	plain          = coltsfootlink.PoolTraits{Name: "q"}
 )
 
 // settled returns a book whose owner has heard from all others.
@@ -49,39 +49,39 @@
 		work   coltsfootlink.Work
 		reason coltsfootlink.Reason
 	}{
-		"an idle engine":        {engine, 128, nil, prompt(500, 1000, 1), ""},
+		"an idle engine":        {servedByEngine, 128, nil, prompt(500, 1000, 1), ""},
 		"an idle plain service": {plain, 6, nil, coltsfootlink.Work{}, ""},
-		"an owner that is new": {engine, 128, func(book Book, _ time.Time) (Book, time.Time) {
+		"an owner that is new": {servedByEngine, 128, func(book Book, _ time.Time) (Book, time.Time) {
 			return book, start.Add(settleSpan / 2)
 		}, prompt(500, 1000, 1), coltsfootlink.OwnerNew},
-		"a target that accepts no connections": {engine, 128, func(book Book, now time.Time) (Book, time.Time) {
+		"a target that accepts no connections": {servedByEngine, 128, func(book Book, now time.Time) (Book, time.Time) {
 			book, _ = book.WithAsk(now, "a", ask(now, 1, prompt(0, 100, 9), time.Second))
 			return book.WithProgress(now, "a", coltsfootlink.Progress{Serial: 1, Stage: coltsfootlink.Ended, Result: coltsfootlink.Refused}), now
 		}, prompt(500, 1000, 1), coltsfootlink.TargetDown},
-		"a target whose connections break all at once": {engine, 128, func(book Book, now time.Time) (Book, time.Time) {
+		"a target whose connections break all at once": {servedByEngine, 128, func(book Book, now time.Time) (Book, time.Time) {
 			for serial := range uint64(burstCrashes) {
 				book, _ = book.WithAsk(now, "a", ask(now, serial, prompt(0, 100, 9), time.Second))
 				book = book.WithProgress(now, "a", coltsfootlink.Progress{Serial: serial, Stage: coltsfootlink.Ended, Result: coltsfootlink.Crashed})
 			}
 			return book, now
 		}, prompt(500, 1000, 1), coltsfootlink.TargetDown},
-		"one broken connection among many": {engine, 128, func(book Book, now time.Time) (Book, time.Time) {
+		"one broken connection among many": {servedByEngine, 128, func(book Book, now time.Time) (Book, time.Time) {
 			book, _ = book.WithAsk(now, "a", ask(now, 1, prompt(0, 100, 9), time.Second))
 			return book.WithProgress(now, "a", coltsfootlink.Progress{Serial: 1, Stage: coltsfootlink.Ended, Result: coltsfootlink.Crashed}), now
 		}, prompt(500, 1000, 1), ""},
-		"an engine with much to read": {engine, 128, func(book Book, now time.Time) (Book, time.Time) {
+		"an engine with much to read": {servedByEngine, 128, func(book Book, now time.Time) (Book, time.Time) {
 			for serial := range uint64(3) {
 				book, _ = book.WithAsk(now, "a", ask(now, serial, prompt(0, 20_000, serial+10), 10*time.Second))
 			}
 			return book, now
 		}, prompt(500, 1000, 1), coltsfootlink.TargetFull},
-		"an engine that owes an event for long": {engine, 128, func(book Book, now time.Time) (Book, time.Time) {
+		"an engine that owes an event for long": {servedByEngine, 128, func(book Book, now time.Time) (Book, time.Time) {
 			book, _ = book.WithAsk(now, "a", ask(now, 1, prompt(0, 1000, 9), time.Second))
 			now = now.Add(3 * time.Second)
 			book, _ = book.WithAsk(now.Add(-probeInterval/2), "a", ask(now, 2, prompt(0, 1000, 9), time.Second))
 			return book, now
 		}, prompt(500, 1000, 1), coltsfootlink.TargetSilent},
-		"all slots taken": {engine, 2, func(book Book, now time.Time) (Book, time.Time) {
+		"all slots taken": {servedByEngine, 2, func(book Book, now time.Time) (Book, time.Time) {
 			for serial := range uint64(2) {
 				book, _ = book.WithAsk(now, "a", ask(now, serial, prompt(0, 10, 9), time.Second))
 			}
@@ -126,7 +126,7 @@
 	}
 	for name, test := range cases {
 		Convey(name, t, func() {
-			book, now := settled(engine, 128)
+			book, now := settled(servedByEngine, 128)
 			if name != "beyond, on an idle target" {
 				book, _ = book.WithAsk(now, "a", ask(now, 1, prompt(0, 10_000, 9), 10*time.Second))
 			}
@@ -141,9 +141,9 @@
 // TestColdPace: in no second does a cold target get more than half of what it bears, so that two instances
 // that both take themselves for its owner do it no harm.
 func TestColdPace(t *testing.T) {
-	bearable := engine.ColdPerSecond*policy.ColdOverage + policy.ColdSlack
+	bearable := servedByEngine.ColdPerSecond*policy.ColdOverage + policy.ColdSlack
 	rapid.Check(t, func(t *rapid.T) {
-		book := NewBook(start, coltsfootlink.Target{Name: "t", Slots: 128, ColdUntil: start.Add(time.Hour)}, engine, policy)
+		book := NewBook(start, coltsfootlink.Target{Name: "t", Slots: 128, ColdUntil: start.Add(time.Hour)}, servedByEngine, policy)
 		now := start
 		var granted []time.Time
 		for serial := range uint64(rapid.IntRange(1, 200).Draw(t, "questions")) {
@@ -178,7 +178,7 @@
 	}
 	for name, test := range cases {
 		Convey(name, t, func() {
-			book, now := settled(engine, 128)
+			book, now := settled(servedByEngine, 128)
 			free := now
 			var worst time.Duration
 			for serial := range uint64(200) {
@@ -221,7 +221,7 @@
 	}
 	for name, test := range cases {
 		Convey(name, t, func() {
-			book, now := settled(engine, 128)
+			book, now := settled(servedByEngine, 128)
 			for serial := range uint64(test.running) {
 				book, _ = book.WithAsk(now, "a", ask(now, serial, prompt(0, 10, serial), time.Second))
 			}
@@ -251,7 +251,7 @@
 	}
 	for name, test := range cases {
 		Convey(name, t, func() {
-			book, now := settled(engine, test.slots)
+			book, now := settled(servedByEngine, test.slots)
 			book, _ = book.WithAsk(now, "a", ask(now, 1, prompt(0, 10, 9), time.Second))
 			book = book.WithReport(now, test.report)
 			_, verdict := book.WithAsk(now, "b", ask(now, 2, prompt(0, 1000, 1), 400*time.Millisecond))
@@ -259,7 +259,7 @@
 		})
 	}
 	Convey("a new owner asks, and goes on while others' work is left", t, func() {
-		book, _ := settled(engine, 128)
+		book, _ := settled(servedByEngine, 128)
 		book, wanted := book.WithProbe(start)
 		So(wanted, ShouldBeTrue)
 		book, wanted = book.WithProbe(start.Add(reportInterval / 2))
@@ -274,7 +274,7 @@
 
 func TestTakeover(t *testing.T) {
 	Convey("a new owner counts what others hold, and forgets it with them", t, func() {
-		book, now := settled(engine, 2)
+		book, now := settled(servedByEngine, 2)
 		held := coltsfootlink.Held{Target: "t", Runs: []coltsfootlink.HeldRun{
 			{Serial: 1, Work: prompt(0, 1000, 1), Deadline: now.Add(time.Minute)},
 			{Serial: 2, Work: prompt(0, 1000, 2), Deadline: now.Add(time.Second), Read: true},
@@ -289,61 +289,11 @@
 		So(verdict.Reason, ShouldEqual, coltsfootlink.Reason(""))
 	})
 	Convey("a target that started again runs nothing and keeps nothing", t, func() {
-		book, now := settled(engine, 1)
+		book, now := settled(servedByEngine, 1)
 		book, _ = book.WithAsk(now, "a", ask(now, 1, prompt(0, 100, 3), time.Second))
-		book = book.WithTarget(coltsfootlink.Target{Name: "t", Slots: 1, Incarnation: 7}, engine)
+		book = book.WithTarget(coltsfootlink.Target{Name: "t", Slots: 1, Incarnation: 7}, servedByEngine)
 		So(book.cache.Kept(prompt(0, 100, 3)), ShouldEqual, 0)
 		_, verdict := book.WithAsk(now, "b", ask(now, 2, prompt(0, 100, 3), time.Second))
 		So(verdict.Reason, ShouldEqual, coltsfootlink.Reason(""))
 	})
 }
-
-func TestCache(t *testing.T) {
-	part := func(key uint64) coltsfootlink.CachePart { return coltsfootlink.CachePart{Key: key, Tokens: 100} }
-	work := func(keys ...uint64) coltsfootlink.Work {
-		var made coltsfootlink.Work
-		for _, key := range keys {
-			made.Prompt = append(made.Prompt, part(key))
-		}
-		return made
-	}
-	cases := map[string]struct {
-		read  []coltsfootlink.Work
-		asked coltsfootlink.Work
-		kept  int
-	}{
-		"nothing was read":             {nil, work(1, 2), 0},
-		"all was read":                 {[]coltsfootlink.Work{work(1, 2)}, work(1, 2), 200},
-		"the beginning was read":       {[]coltsfootlink.Work{work(1, 2)}, work(1, 3), 100},
-		"only a later part was read":   {[]coltsfootlink.Work{work(2)}, work(1, 2), 0},
-		"the oldest part has yielded":  {[]coltsfootlink.Work{work(1), work(2), work(3), work(4)}, work(1), 0},
-		"a part used since is kept":    {[]coltsfootlink.Work{work(1), work(2), work(1), work(3), work(4)}, work(1), 100},
-		"a part counts once in memory": {[]coltsfootlink.Work{work(1), work(1), work(1), work(2), work(3)}, work(1), 100},
-	}
-	for name, test := range cases {
-		Convey(name, t, func() {
-			cache := NewCache()
-			for place, read := range test.read {
-				cache = cache.WithPrompt(start.Add(time.Duration(place)*time.Second), read, 300)
-			}
-			So(cache.Kept(test.asked), ShouldEqual, test.kept)
-		})
-	}
-}
-
-func TestReadMillis(t *testing.T) {
-	cases := map[string]struct {
-		kept, fresh, running int
-		millis               float64
-	}{
-		"nothing to read":       {100, 0, 0, 0},
-		"one chunk":             {0, 1000, 0, 14},
-		"beside other requests": {0, 1000, 10, 15},
-		"several chunks":        {0, 2500, 0, 37},
-	}
-	for name, test := range cases {
-		Convey(name+" "+strconv.Itoa(test.fresh), t, func() {
-			So(rates.ReadMillis(test.kept, test.fresh, test.running), ShouldAlmostEqual, test.millis, 1e-9)
-		})
-	}
-}
--- a/admission/refusal.go
+++ b/admission/refusal.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"coltsfootlink"
+	"coltsfootlink/engine"
 )
 
 // refusal returns why a request may not be sent now, and when it may come again.
@@ -75,7 +76,7 @@
 	if book.running() >= book.target.Slots {
 		return coltsfootlink.TargetFull, now.Add(minRetry)
 	}
-	if book.memory()+tokensOf(ask.Work) > int(book.policy.MemoryShare*float64(book.traits.MemoryTokens)) && book.runs.Len() > 0 {
+	if book.memory()+engine.OwnTokens(ask.Work) > int(book.policy.MemoryShare*float64(book.traits.MemoryTokens)) && book.runs.Len() > 0 {
 		return coltsfootlink.TargetFull, now.Add(minRetry)
 	}
 	own := book.readMillis(ask.Work) + book.policy.Rates.FirstMillis
@@ -114,7 +115,7 @@
 	sum := 0
 	for iterator := book.runs.Iterator(); !iterator.Done(); {
 		_, held, _ := iterator.Next()
-		sum += tokensOf(held.work)
+		sum += engine.OwnTokens(held.work)
 	}
 	return sum
 }
--- a/admission/cache.go
+++ b/engine/cache.go
@@ -1,4 +1,4 @@
-package admission
+package engine
 
 import (
 	"time"
--- a/admission/rates.go
+++ b/engine/rates.go
@@ -1,5 +1,6 @@
-// Package admission decides which requests the targets that an instance owns get, and when.
-package admission
+// Package engine models a model engine: how long prompts and tokens take, and what its memory keeps. Owners of targets
+// predict with it, and the stand-in engine runs it.
+package engine
 
 import (
 	"math"
@@ -29,16 +30,19 @@
 // ReadMillis returns how long an engine takes to read the fresh tokens of a prompt, in milliseconds, while
 // other requests run beside it.
 func (rates Rates) ReadMillis(kept, fresh, running int) float64 {
+	chunks := math.Ceil(float64(fresh) / rates.ChunkTokens)
+	return rates.chunkMillis(kept, fresh) + chunks*(rates.StepMillis+rates.StepMillisPerRun*float64(running))
+}
+
+// chunkMillis returns what reading some tokens behind those that are known adds to steps, in milliseconds.
+func (rates Rates) chunkMillis(known, fresh int) float64 {
 	tokens := float64(fresh)
-	pairs := tokens * (float64(kept) + tokens/2)
-	chunks := math.Ceil(tokens / rates.ChunkTokens)
-	return tokens/rates.PromptTokensPerMilli +
-		pairs/millionPairs*rates.PairsMillis +
-		chunks*(rates.StepMillis+rates.StepMillisPerRun*float64(running))
+	pairs := tokens * (float64(known) + tokens/2)
+	return tokens/rates.PromptTokensPerMilli + pairs/millionPairs*rates.PairsMillis
 }
 
-// tokensOf returns the memory that a request takes besides the parts that it shares.
-func tokensOf(work coltsfootlink.Work) int {
+// OwnTokens returns the memory that a request takes besides the parts that it shares.
+func OwnTokens(work coltsfootlink.Work) int {
 	tokens := work.OutputTokens
 	if last := len(work.Prompt) - 1; last >= 0 {
 		tokens += work.Prompt[last].Tokens
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"coltsfootlink/admission"
 	"coltsfootlink/catalog"
 	"coltsfootlink/dispatch"
+	"coltsfootlink/engine"
 	"coltsfootlink/ingress"
 	"coltsfootlink/mailbox"
 	"coltsfootlink/membership"
@@ -316,7 +317,7 @@
 // policyOf returns how much the settings let in.
 func policyOf(gateway settings.Gateway) admission.Policy {
 	return admission.Policy{
-		Rates:          admission.Rates(gateway.Engine),
+		Rates:          engine.Rates(gateway.Engine),
 		ObjectiveShare: gateway.Admission.ObjectiveShare,
 		LargeShare:     gateway.Admission.LargeShare,
 		BearableShare:  gateway.Admission.BearableShare,
