--- a/cmd/surge/run.go
+++ b/cmd/surge/run.go
@@ -23,6 +23,7 @@
 	slopesSuite     = "slopes"
 	takeoverSuite   = "takeover"
 	resilienceSuite = "resilience"
+	overloadSuite   = "overload"
 )
 
 // messages takes what is said while measuring.
@@ -43,8 +44,10 @@
 	flags := ff.NewFlagSet("surge")
 	short := flags.BoolLong("short", "measure for a shorter time")
 	asJSON := flags.BoolLong("json", "print one JSON object last")
-	suite := flags.StringEnumLong("suite", "what to measure", fairnessSuite, operationsSuite, slopesSuite, takeoverSuite, resilienceSuite)
+	suite := flags.StringEnumLong("suite", "what to measure", fairnessSuite, operationsSuite, slopesSuite, takeoverSuite, resilienceSuite, overloadSuite)
 	chosenOnly := flags.BoolLong("chosen-only", "leave the baselines out")
+	dayFile := flags.StringLong("day", "", "the day of the overload suite, a TOML file; the one that comes with the program if empty")
+	plots := flags.StringLong("plots", "", "a folder for the plot of the overload suite; none if empty")
 	seed := flags.Uint64Long("seed", 1, "seed of the load")
 	err := ff.Parse(flags, arguments, ff.WithEnvVarPrefix("SURGE"))
 	if errors.Is(err, ff.ErrHelp) {
@@ -66,6 +69,9 @@
 		return err
 	}
 	measuring := &bench{programs: programs, folder: folder, seed: *seed, short: *short, chosenOnly: *chosenOnly}
+	if *suite == overloadSuite {
+		return measuring.printOverload(ctx, *dayFile, *plots, *asJSON)
+	}
 	measures, err := measuring.suite(ctx, *suite)
 	if err != nil {
 		return err
@@ -76,6 +82,18 @@
 	return printTable(measures)
 }
 
+// printOverload plays a day with all of its policies and prints how they compare.
+func (measuring *bench) printOverload(ctx context.Context, file, plots string, asJSON bool) error {
+	compared, err := measuring.overload(ctx, file, plots)
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		return json.NewEncoder(os.Stdout).Encode(compared)
+	}
+	return printOutcomes(compared)
+}
+
 func (measuring *bench) suite(ctx context.Context, suite string) ([]measure, error) {
 	switch suite {
 	case operationsSuite:
--- a/integration/gateways_test.go
+++ b/integration/gateways_test.go
@@ -128,7 +128,7 @@
 		staged.add(t, &siteTarget{name: fmt.Sprint("t-", index), zone: zones[index%2], version: "v1"})
 	}
 	staged.configure(t, "key")
-	staged.gateways, err = rig.StartGateways(ctx, programs.Daemon, t.TempDir(), address, zones[:2], 4)
+	staged.gateways, err = rig.GatewayFleet{Daemon: programs.Daemon, Folder: t.TempDir(), Store: address, Zones: zones[:2], Count: 4}.Start(ctx)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/rig/gateways.go
+++ b/rig/gateways.go
@@ -50,21 +50,33 @@
 [timing]
 stop-seconds = 6
 drain-delay = "500ms"
-`))
+{{.Extra}}`))
 
-// StartGateways starts the daemons of a fleet, one after the other over the zones, and waits until all are ready.
-// They run until the context ends.
-func StartGateways(ctx context.Context, daemon, folder, store string, zones []string, count int) ([]*Gateway, error) {
+// GatewayFleet describes gateways on one store.
+type GatewayFleet struct {
+	// Daemon is the program, and Folder where settings and logs go.
+	Daemon, Folder string
+	// Store is the address of the store.
+	Store string
+	// Zones get gateways in turn.
+	Zones []string
+	Count int
+	// Extra is added to the settings of each gateway.
+	Extra string
+}
+
+// Start starts the daemons and waits until all are ready. They run until the context ends.
+func (fleet GatewayFleet) Start(ctx context.Context) ([]*Gateway, error) {
 	var gateways []*Gateway
-	for index := range count {
-		gateway := &Gateway{Process: &Process{Name: fmt.Sprint("gateway-", index)}, Zone: zones[index%len(zones)]}
+	for index := range fleet.Count {
+		gateway := &Gateway{Process: &Process{Name: fmt.Sprint("gateway-", index)}, Zone: fleet.Zones[index%len(fleet.Zones)]}
 		if err := addresses(&gateway.Callers, &gateway.Ready, &gateway.Peers, &gateway.Metrics); err != nil {
 			return nil, err
 		}
 		gateways = append(gateways, gateway)
 	}
 	for _, gateway := range gateways {
-		if err := gateway.start(daemon, folder, store, gateways[0].Peers); err != nil {
+		if err := gateway.start(fleet, gateways[0].Peers); err != nil {
 			return nil, err
 		}
 		context.AfterFunc(ctx, func() { _ = gateway.Kill() })
@@ -77,22 +89,22 @@
 	return gateways, nil
 }
 
-func (gateway *Gateway) start(daemon, folder, store, seed string) error {
+func (gateway *Gateway) start(fleet GatewayFleet, seed string) error {
 	var text bytes.Buffer
 	err := gatewaySettings.Execute(&text, map[string]any{
 		"Name": gateway.Name, "Zone": gateway.Zone, "Seeds": []string{seed}, "Callers": gateway.Callers, "Ready": gateway.Ready,
-		"Peers": gateway.Peers, "Metrics": gateway.Metrics, "Store": store,
+		"Peers": gateway.Peers, "Metrics": gateway.Metrics, "Store": fleet.Store, "Extra": fleet.Extra,
 	})
 	if err != nil {
 		return errors.Wrap(err, "rig")
 	}
-	file := filepath.Join(folder, gateway.Name+".toml")
+	file := filepath.Join(fleet.Folder, gateway.Name+".toml")
 	if err := os.WriteFile(file, text.Bytes(), 0o600); err != nil {
 		return errors.Wrap(err, "rig")
 	}
-	gateway.program = daemon
+	gateway.program = fleet.Daemon
 	gateway.arguments = []string{"--gateway", "--settings", file}
-	gateway.logFile = filepath.Join(folder, gateway.Name+".log")
+	gateway.logFile = filepath.Join(fleet.Folder, gateway.Name+".log")
 	return gateway.Start()
 }
 
