Let what lies beyond shares wait longer while nothing within them is refused

Change: instances tell the keeper what within shares was offered and what full targets refused of it; while that is at most 2 in 100, the part of the objective that the rest may wait rises from a tenth to two fifths.

--- a/admission/refusal.go
+++ b/admission/refusal.go
@@ -95,11 +95,12 @@
 func (book Book) allowedWait(ask coltsfootlink.Ask, objective, own float64) float64 {
 	allowed := max(book.policy.ObjectiveShare*objective-own, book.policy.LargeShare*objective)
 	allowed *= math.Pow(rankShare, float64(ask.Rank))
+	patience := max(1, ask.Patience/book.policy.BearableShare)
 	switch ask.Standing {
 	case coltsfootlink.Bearable:
-		return min(allowed, book.policy.BearableShare*objective)
+		return min(allowed, patience*book.policy.BearableShare*objective)
 	case coltsfootlink.Surplus:
-		return min(allowed, book.policy.SurplusShare*objective)
+		return min(allowed, patience*book.policy.SurplusShare*objective)
 	default:
 		return allowed
 	}
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -22,6 +22,8 @@
 	Rank int
 	// Standing is how the request stands to its team's fair share.
 	Standing coltsfootlink.Standing
+	// Patience is the part of its objective that a bearable request may wait; zero for the owners' own setting.
+	Patience float64
 	// Retry says that the request has been sent before.
 	Retry bool
 	// Fingerprint identifies requests that are alike.
--- a/dispatch/offer.go
+++ b/dispatch/offer.go
@@ -39,9 +39,11 @@
 			Deadline:  waiting.want.Deadline,
 			Rank:      waiting.want.Rank,
 			Standing:  waiting.want.Standing,
+			Patience:  waiting.want.Patience,
 		})
 		return
 	}
+	task.offers.try(waiting.want, waiting.refusal)
 	waiting.want.Reply <- Choice{Serial: waiting.serial, Owner: waiting.asked, Refusal: waiting.refusal}
 }
 
@@ -69,6 +71,7 @@
 	target := waiting.candidates[0]
 	task.waits.note(task.Clock.Now(), target.Name, verdict)
 	if verdict.Reason == "" {
+		task.offers.try(waiting.want, nil)
 		if !waiting.want.Retry {
 			task.offers.count(waiting.want.Pool, waiting.want.Team, 0, tokensOf(waiting.want.Work))
 		}
--- a/dispatch/offered.go
+++ b/dispatch/offered.go
@@ -17,12 +17,18 @@
 // offers is what the keepers of the shares are to be told of the teams' requests.
 type offers struct {
 	teams map[coltsfootlink.PoolName]map[coltsfootlink.TeamName]coltsfootlink.TeamOffer
+	// tried is the work within shares that was offered to targets, full the part of it that full ones refused.
+	tried, full map[coltsfootlink.PoolName]float64
 	// tellAt is when the keepers are next told.
 	tellAt time.Time
 }
 
 func newOffers() offers {
-	return offers{teams: make(map[coltsfootlink.PoolName]map[coltsfootlink.TeamName]coltsfootlink.TeamOffer)}
+	return offers{
+		teams: make(map[coltsfootlink.PoolName]map[coltsfootlink.TeamName]coltsfootlink.TeamOffer),
+		tried: make(map[coltsfootlink.PoolName]float64),
+		full:  make(map[coltsfootlink.PoolName]float64),
+	}
 }
 
 // count adds work that a team has asked for, and work that it got.
@@ -42,6 +48,17 @@
 	teams[team] = offer
 }
 
+// try counts work within a team's share that was offered to targets.
+func (offers *offers) try(want Want, refusal *coltsfootlink.Refusal) {
+	if want.Standing != coltsfootlink.Entitled || want.Team == "" {
+		return
+	}
+	offers.tried[want.Pool] += tokensOf(want.Work)
+	if refusal != nil && refusal.Reason == coltsfootlink.TargetFull {
+		offers.full[want.Pool] += tokensOf(want.Work)
+	}
+}
+
 // tokensOf is the work of a request that counts for its team's share.
 func tokensOf(work coltsfootlink.Work) float64 {
 	return float64(work.PromptTokens + outputWeight*work.OutputTokens)
@@ -59,11 +76,13 @@
 		if !found {
 			continue
 		}
-		offered := coltsfootlink.Offered{Pool: pool}
+		offered := coltsfootlink.Offered{Pool: pool, Tried: task.offers.tried[pool], Full: task.offers.full[pool]}
 		for _, offer := range teams {
 			offered.Teams = append(offered.Teams, offer)
 		}
 		task.Sender.Send(keeper, offered)
 		delete(task.offers.teams, pool)
+		delete(task.offers.tried, pool)
+		delete(task.offers.full, pool)
 	}
 }
--- a/dispatch/task_test.go
+++ b/dispatch/task_test.go
@@ -317,17 +317,19 @@
 	tells := map[string]struct {
 		act     func(task *Task, question Want, ask func() coltsfootlink.Ask)
 		offered coltsfootlink.TeamOffer
+		// tried is the work that was offered to targets.
+		tried float64
 	}{
 		"a request": {func(task *Task, question Want, _ func() coltsfootlink.Ask) {
 			task.handle(coltsfootlink.Delivery{Message: question})
-		}, coltsfootlink.TeamOffer{Team: "x", Tokens: 150}},
+		}, coltsfootlink.TeamOffer{Team: "x", Tokens: 150}, 0},
 		"a request that was not offered": {func(task *Task, question Want, _ func() coltsfootlink.Ask) {
 			task.handle(coltsfootlink.Delivery{Message: Shed{Pool: question.Pool, Team: question.Team, Work: question.Work}})
-		}, coltsfootlink.TeamOffer{Team: "x", Tokens: 150}},
+		}, coltsfootlink.TeamOffer{Team: "x", Tokens: 150}, 0},
 		"a request with a permit": {func(task *Task, question Want, ask func() coltsfootlink.Ask) {
 			task.handle(coltsfootlink.Delivery{Message: question})
 			task.handle(coltsfootlink.Delivery{From: "i-b", Message: coltsfootlink.Verdict{Serial: ask().Serial}})
-		}, coltsfootlink.TeamOffer{Team: "x", Tokens: 150, Granted: 150}},
+		}, coltsfootlink.TeamOffer{Team: "x", Tokens: 150, Granted: 150}, 150},
 	}
 	for name, test := range tells {
 		Convey("the keeper of the shares is told once of "+name, t, func() {
@@ -338,7 +340,7 @@
 			kept.sent = nil
 			task.tell(clock.now)
 			So(kept.sent, ShouldHaveLength, 1)
-			So(kept.sent[0].Message, ShouldResemble, coltsfootlink.Offered{Pool: "p", Teams: []coltsfootlink.TeamOffer{test.offered}})
+			So(kept.sent[0].Message, ShouldResemble, coltsfootlink.Offered{Pool: "p", Teams: []coltsfootlink.TeamOffer{test.offered}, Tried: test.tried})
 			clock.now = clock.now.Add(time.Second)
 			task.tell(clock.now)
 			So(kept.sent, ShouldHaveLength, 1)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -283,6 +283,7 @@
 	branch.Add("share", &share.Task{
 		Self:           gateway.self.Name,
 		BearableFactor: gateway.Settings.Admission.BearableFactor,
+		LeastPatience:  gateway.Settings.Admission.BearableShare,
 		Clock:          gateway.clock,
 		Sender:         gateway.router,
 		Log:            gateway.Log,
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -71,6 +71,8 @@
 	rank int
 	// standing is how the request stands to its team's fair share.
 	standing coltsfootlink.Standing
+	// patience is the part of its objective that it may wait if it lies beyond what is promised.
+	patience float64
 	deadline time.Time
 	body     []byte
 	// fingerprint identifies requests that are alike by path, team and body.
@@ -168,7 +170,9 @@
 		return true
 	}
 	var offered bool
-	current.standing, offered = current.service.Gate.Standings().Of(current.arrived, current.pool, current.team, rand.Float64(), rand.Float64())
+	standings := current.service.Gate.Standings()
+	current.patience = standings.Patience(current.arrived, current.pool)
+	current.standing, offered = standings.Of(current.arrived, current.pool, current.team, rand.Float64(), rand.Float64())
 	if offered {
 		return true
 	}
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -30,6 +30,7 @@
 		Deadline:    current.deadline,
 		Rank:        current.rank,
 		Standing:    current.standing,
+		Patience:    current.patience,
 		Retry:       current.attempts > 0,
 		Fingerprint: current.fingerprint,
 		Avoid:       current.avoid,
--- a/message.go
+++ b/message.go
@@ -222,6 +222,8 @@
 	Rank int
 	// Standing is how the request stands to its team's fair share.
 	Standing Standing
+	// Patience is the part of its objective that a bearable request may wait; zero for the owner's own setting.
+	Patience float64
 }
 
 // Standing says how a request stands to its team's fair share.
@@ -240,6 +242,9 @@
 type Offered struct {
 	Pool  PoolName
 	Teams []TeamOffer
+	// Tried is the work within teams' shares that was offered to targets, and Full the part of it that was refused
+	// because they were full; in tokens.
+	Tried, Full float64
 }
 
 // TeamOffer is the work that a team has asked for and got, in tokens.
@@ -254,6 +259,9 @@
 type Shares struct {
 	Pool  PoolName
 	Teams []TeamShare
+	// Patience is the part of its objective that a request beyond what is promised, but within what targets bear, may
+	// wait.
+	Patience float64
 }
 
 // TeamShare is the part of a team's requests that lies within its share, from 0 to 1.
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -57,7 +57,7 @@
 	}},
 	"move fault":    coltsfootlink.MoveFault{Pool: "p", Started: 4, Reason: "slow"},
 	"move progress": coltsfootlink.MoveProgress{Shard: shard, Started: 4, Complete: true, Healthy: true},
-	"ask": coltsfootlink.Ask{Serial: 1 << 40, Target: "t", Team: "x", Rank: 2, Standing: coltsfootlink.Bearable, Work: coltsfootlink.Work{
+	"ask": coltsfootlink.Ask{Serial: 1 << 40, Target: "t", Team: "x", Rank: 2, Standing: coltsfootlink.Bearable, Patience: 0.5, Work: coltsfootlink.Work{
 		Prompt: []coltsfootlink.CachePart{{Key: 1 << 63, Tokens: 512}, {Key: 7, Tokens: 9}}, PromptTokens: 521, OutputTokens: 300,
 	}},
 	"verdict":  coltsfootlink.Verdict{Serial: 9, Reason: coltsfootlink.TargetFull, ExpectedMillis: 120, WaitMillis: 80},
@@ -66,8 +66,8 @@
 		{Serial: 9, Team: "x", Work: coltsfootlink.Work{PromptTokens: 5}, Read: true}, {Serial: 10},
 	}},
 	"news request":     coltsfootlink.NewsRequest{},
-	"offered":          coltsfootlink.Offered{Pool: "p", Teams: []coltsfootlink.TeamOffer{{Team: "x", Tokens: 1000, Granted: 250}}},
-	"shares":           coltsfootlink.Shares{Pool: "p", Teams: []coltsfootlink.TeamShare{{Team: "x", Entitled: 0.25, Bearable: 0.5, Surplus: 1}}},
+	"offered":          coltsfootlink.Offered{Pool: "p", Tried: 128, Full: 64, Teams: []coltsfootlink.TeamOffer{{Team: "x", Tokens: 1000, Granted: 250}}},
+	"shares":           coltsfootlink.Shares{Pool: "p", Patience: 0.25, Teams: []coltsfootlink.TeamShare{{Team: "x", Entitled: 0.25, Bearable: 0.5, Surplus: 1}}},
 	"revision request": coltsfootlink.RevisionRequest{},
 	"revision reply":   coltsfootlink.RevisionReply{Revision: 3, Offset: 4, Document: "[[team]]"},
 }
--- a/peer/dispatch.go
+++ b/peer/dispatch.go
@@ -53,6 +53,7 @@
 		LeftMillis:      untilMillis(ask.Deadline),
 		Rank:            uint32(ask.Rank),
 		Standing:        uint32(ask.Standing),
+		Patience:        float32(ask.Patience),
 	}
 }
 
@@ -66,6 +67,7 @@
 		Deadline:  inMillis(ask.GetLeftMillis()),
 		Rank:      int(ask.GetRank()),
 		Standing:  coltsfootlink.Standing(ask.GetStanding()),
+		Patience:  float64(ask.GetPatience()),
 	}
 }
 
@@ -173,6 +175,8 @@
 
 func (stream *encoder) encodeOffered(offered coltsfootlink.Offered) *peerpb.Offered {
 	return &peerpb.Offered{
+		Tried:   float32(offered.Tried),
+		Full:    float32(offered.Full),
 		PoolRef: stream.ref(string(offered.Pool)),
 		Teams: convertAll(offered.Teams, func(team coltsfootlink.TeamOffer) *peerpb.TeamOffer {
 			return &peerpb.TeamOffer{TeamRef: stream.ref(string(team.Team)), Tokens: float32(team.Tokens), Granted: float32(team.Granted)}
@@ -182,7 +186,9 @@
 
 func (stream *decoder) decodeOffered(offered *peerpb.Offered) coltsfootlink.Offered {
 	return coltsfootlink.Offered{
-		Pool: coltsfootlink.PoolName(stream.name(offered.GetPoolRef())),
+		Tried: float64(offered.GetTried()),
+		Full:  float64(offered.GetFull()),
+		Pool:  coltsfootlink.PoolName(stream.name(offered.GetPoolRef())),
 		Teams: convertAll(offered.GetTeams(), func(team *peerpb.TeamOffer) coltsfootlink.TeamOffer {
 			return coltsfootlink.TeamOffer{Team: coltsfootlink.TeamName(stream.name(team.GetTeamRef())), Tokens: float64(team.GetTokens()), Granted: float64(team.GetGranted())}
 		}),
@@ -191,7 +197,8 @@
 
 func (stream *encoder) encodeShares(shares coltsfootlink.Shares) *peerpb.Shares {
 	return &peerpb.Shares{
-		PoolRef: stream.ref(string(shares.Pool)),
+		Patience: float32(shares.Patience),
+		PoolRef:  stream.ref(string(shares.Pool)),
 		Teams: convertAll(shares.Teams, func(team coltsfootlink.TeamShare) *peerpb.TeamShare {
 			return &peerpb.TeamShare{TeamRef: stream.ref(string(team.Team)), Entitled: float32(team.Entitled), Bearable: float32(team.Bearable), Surplus: float32(team.Surplus)}
 		}),
@@ -200,7 +207,8 @@
 
 func (stream *decoder) decodeShares(shares *peerpb.Shares) coltsfootlink.Shares {
 	return coltsfootlink.Shares{
-		Pool: coltsfootlink.PoolName(stream.name(shares.GetPoolRef())),
+		Patience: float64(shares.GetPatience()),
+		Pool:     coltsfootlink.PoolName(stream.name(shares.GetPoolRef())),
 		Teams: convertAll(shares.GetTeams(), func(team *peerpb.TeamShare) coltsfootlink.TeamShare {
 			return coltsfootlink.TeamShare{
 				Team:     coltsfootlink.TeamName(stream.name(team.GetTeamRef())),
--- a/share/maxmin.go
+++ b/share/maxmin.go
@@ -55,13 +55,22 @@
 type Ledger struct {
 	teams *immutable.Map[coltsfootlink.TeamName, rate]
 	at    time.Time
+	// tried and full are what came since the means were last brought forward, see coltsfootlink.Offered; pressure is the
+	// mean of their quotient.
+	tried, full, pressure float64
+	// patience is the part of its objective that a request beyond what is promised may wait, and least what it may wait
+	// in any case.
+	patience, least float64
 }
 
-// NewLedger returns a ledger without teams.
-func NewLedger(now time.Time) Ledger {
+// NewLedger returns a ledger without teams; what lies beyond what is promised may wait the given part of its objective
+// in any case.
+func NewLedger(now time.Time, patience float64) Ledger {
 	return Ledger{
-		teams: immutable.NewMap[coltsfootlink.TeamName, rate](nil),
-		at:    now,
+		teams:    immutable.NewMap[coltsfootlink.TeamName, rate](nil),
+		at:       now,
+		patience: patience,
+		least:    patience,
 	}
 }
 
@@ -76,6 +85,12 @@
 	// surplusFall and surplusRise change the part of the surplus that is offered, at each look.
 	surplusFall = 0.6
 	surplusRise = 0.1
+	// pressureAllowed is the part of the work within shares that full targets may refuse; above it requests beyond what is
+	// promised may wait less at each look, and otherwise longer, up to mostPatience of their objective.
+	pressureAllowed = 0.02
+	patienceFall    = 0.8
+	patienceRise    = 1.05
+	mostPatience    = 0.4
 	// forgotten is the rate, in tokens a second, below which a team is forgotten.
 	forgotten = 1.0
 )
@@ -91,6 +106,8 @@
 		known.granted += offer.Granted
 		ledger.teams = ledger.teams.Set(offer.Team, known)
 	}
+	ledger.tried += offered.Tried
+	ledger.full += offered.Full
 	return ledger
 }
 
@@ -102,6 +119,7 @@
 	}
 	ledger.at = now
 	weight := min(1, span/memory.Seconds())
+	ledger = ledger.withPatience(weight)
 	for iterator := ledger.teams.Iterator(); !iterator.Done(); {
 		team, known, _ := iterator.Next()
 		known.asks += weight * (known.asked/span - known.asks)
@@ -116,6 +134,20 @@
 	return ledger.withSurplus()
 }
 
+// withPatience lets requests beyond what is promised wait longer while those within it are not refused.
+func (ledger Ledger) withPatience(weight float64) Ledger {
+	if ledger.tried > 0 {
+		ledger.pressure += weight * (ledger.full/ledger.tried - ledger.pressure)
+	}
+	ledger.tried, ledger.full = 0, 0
+	if ledger.pressure > pressureAllowed {
+		ledger.patience = max(ledger.least, ledger.patience*patienceFall)
+	} else {
+		ledger.patience = min(max(ledger.least, mostPatience), ledger.patience*patienceRise)
+	}
+	return ledger
+}
+
 // withSurplus lets teams have less beyond their shares that get much more than a team that is refused, and the
 // others more.
 func (ledger Ledger) withSurplus() Ledger {
@@ -147,7 +179,7 @@
 	}
 	entitledLevel := Level(demands, promised)
 	bearableLevel := Level(demands, max(promised, bearable))
-	shares := coltsfootlink.Shares{Pool: pool}
+	shares := coltsfootlink.Shares{Pool: pool, Patience: ledger.patience}
 	// More than what targets can bear is not worth asking for.
 	offered := min(1, max(promised, bearable)/max(1, sum(demands)))
 	for iterator := ledger.teams.Iterator(); !iterator.Done(); {
--- a/share/maxmin_test.go
+++ b/share/maxmin_test.go
@@ -62,7 +62,7 @@
 	}
 	for name, test := range cases {
 		Convey(name, t, func() {
-			ledger := NewLedger(start)
+			ledger := NewLedger(start, 0.1)
 			now := start
 			for range 20 {
 				now = now.Add(500 * time.Millisecond)
@@ -88,14 +88,28 @@
 			}
 			return ledger
 		}
-		ledger := play(NewLedger(start), start, 100)
+		ledger := play(NewLedger(start, 0.1), start, 100)
 		So(ledger.Shares("p", 100, 150).Teams[1].Surplus, ShouldBeLessThan, 0.01)
 		ledger = play(ledger, start.Add(10*time.Second), 25)
 		So(ledger.Shares("p", 100, 2000).Teams[1].Surplus, ShouldEqual, 1.0)
 		So(ledger.Shares("p", 100, 150).Teams[1].Surplus, ShouldBeLessThan, 0.2)
 	})
+	patience := map[string]struct{ refused, patience float64 }{
+		"nothing within shares is refused": {0, mostPatience},
+		"hardly anything is":               {0.01, mostPatience},
+		"a tenth is":                       {0.1, 0.1},
+	}
+	for name, test := range patience {
+		Convey("what lies beyond shares may wait longer while "+name, t, func() {
+			ledger := NewLedger(start, 0.1)
+			for look := range 60 {
+				ledger = ledger.WithOffered(coltsfootlink.Offered{Pool: "p", Tried: 100, Full: 100 * test.refused}).WithTime(start.Add(time.Duration(look+1) * 250 * time.Millisecond))
+			}
+			So(ledger.Shares("p", 100, 150).Patience, ShouldEqual, test.patience)
+		})
+	}
 	Convey("a team that is silent is forgotten", t, func() {
-		ledger := NewLedger(start).WithOffered(offer("a", 1000))
+		ledger := NewLedger(start, 0.1).WithOffered(offer("a", 1000))
 		for second := range 20 {
 			ledger = ledger.WithTime(start.Add(time.Duration(second+1) * time.Second))
 		}
--- a/share/standings.go
+++ b/share/standings.go
@@ -12,8 +12,9 @@
 
 // word is what the keeper of one pool has said last.
 type word struct {
-	teams map[coltsfootlink.TeamName]coltsfootlink.TeamShare
-	until time.Time
+	teams    map[coltsfootlink.TeamName]coltsfootlink.TeamShare
+	patience float64
+	until    time.Time
 }
 
 // Standings is what an instance knows of the teams' shares; it is immutable.
@@ -31,7 +32,7 @@
 	if words == nil {
 		words = make(map[coltsfootlink.PoolName]word)
 	}
-	words[shares.Pool] = word{teams: teams, until: now.Add(wordSpan)}
+	words[shares.Pool] = word{teams: teams, patience: shares.Patience, until: now.Add(wordSpan)}
 	return Standings{words: words}
 }
 
@@ -49,3 +50,12 @@
 		return coltsfootlink.Surplus, surplusDraw < share.Surplus
 	}
 }
+
+// Patience returns the part of its objective that a request beyond what is promised may wait; zero if nothing is known.
+func (standings Standings) Patience(now time.Time, pool coltsfootlink.PoolName) float64 {
+	said := standings.words[pool]
+	if now.After(said.until) {
+		return 0
+	}
+	return said.patience
+}
--- a/share/task.go
+++ b/share/task.go
@@ -19,10 +19,12 @@
 	Self coltsfootlink.InstanceName
 	// BearableFactor is what the targets can do over what the operators promise.
 	BearableFactor float64
-	Clock          coltsfootlink.Clock
-	Sender         coltsfootlink.Sender
-	Log            zerolog.Logger
-	Inbox          *mailbox.Deliveries
+	// LeastPatience is the part of its objective that a request beyond what is promised may wait in any case.
+	LeastPatience float64
+	Clock         coltsfootlink.Clock
+	Sender        coltsfootlink.Sender
+	Log           zerolog.Logger
+	Inbox         *mailbox.Deliveries
 
 	ledgers map[coltsfootlink.PoolName]Ledger
 	catalog coltsfootlink.Catalog
@@ -58,7 +60,7 @@
 	case coltsfootlink.Offered:
 		ledger, known := task.ledgers[message.Pool]
 		if !known {
-			ledger = NewLedger(task.Clock.Now())
+			ledger = NewLedger(task.Clock.Now(), task.LeastPatience)
 		}
 		task.ledgers[message.Pool] = ledger.WithOffered(message)
 	case coltsfootlink.CatalogChanged:
@@ -89,7 +91,7 @@
 		}
 		for _, team := range shares.Teams {
 			task.Log.Debug().Str("pool", string(pool)).Str("team", string(team.Team)).Float64("entitled", team.Entitled).
-				Float64("bearable", team.Bearable).Msg("share: team asks for more than its share")
+				Float64("bearable", team.Bearable).Float64("patience", shares.Patience).Msg("share: team asks for more than its share")
 		}
 	}
 }
