--- a/share/task.go
+++ b/share/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -11,8 +12,14 @@
 	"coltsfootlink/ownership"
 )
 
-// interval is the time between two looks at the shares.
-const interval = 250 * time.Millisecond
+const (
+	// interval is the time between two looks at the shares.
+	interval = 250 * time.Millisecond
+	// renewInterval is the longest time between two words on shares that stay about the same.
+	renewInterval = time.Second
+	// sameWithin is how far figures may differ that count as about the same, as a part of the larger one.
+	sameWithin = 0.1
+)
 
 // Task keeps the shares of the pools that fall to its instance.
 type Task struct {
@@ -27,10 +34,18 @@
 	Inbox         *mailbox.Deliveries
 
 	ledgers map[coltsfootlink.PoolName]Ledger
+	told    map[coltsfootlink.PoolName]told
 	catalog coltsfootlink.Catalog
 	view    coltsfootlink.View
 }
 
+// told is what all instances have been told last.
+type told struct {
+	shares coltsfootlink.Shares
+	// renewAt is when they are told again.
+	renewAt time.Time
+}
+
 // Keeper returns the instance that keeps the shares of a pool.
 func Keeper(pool coltsfootlink.PoolName, view coltsfootlink.View) (coltsfootlink.InstanceName, bool) {
 	return ownership.Keeper("shares "+string(pool), view)
@@ -38,7 +53,7 @@
 
 // Run keeps shares until the context ends.
 func (task *Task) Run(ctx context.Context) error {
-	task.ledgers = make(map[coltsfootlink.PoolName]Ledger)
+	task.reset()
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
@@ -55,6 +70,11 @@
 	}
 }
 
+func (task *Task) reset() {
+	task.ledgers = make(map[coltsfootlink.PoolName]Ledger)
+	task.told = make(map[coltsfootlink.PoolName]told)
+}
+
 func (task *Task) handle(message coltsfootlink.Message) {
 	switch message := message.(type) {
 	case coltsfootlink.Offered:
@@ -77,6 +97,7 @@
 		keeper, found := Keeper(pool, task.view)
 		if !found || keeper != task.Self {
 			delete(task.ledgers, pool)
+			delete(task.told, pool)
 			continue
 		}
 		ledger = ledger.WithTime(now)
@@ -86,6 +107,10 @@
 			continue
 		}
 		shares := ledger.Shares(pool, promised, promised*task.BearableFactor)
+		if last := task.told[pool]; now.Before(last.renewAt) && alike(shares, last.shares) {
+			continue
+		}
+		task.told[pool] = told{shares: shares, renewAt: now.Add(renewInterval)}
 		for _, member := range task.view.Live() {
 			task.Sender.Send(member.Name, shares)
 		}
@@ -95,3 +120,21 @@
 		}
 	}
 }
+
+// alike says whether two words on shares say about the same.
+func alike(one, other coltsfootlink.Shares) bool {
+	if len(one.Teams) != len(other.Teams) || !near(one.Patience, other.Patience) {
+		return false
+	}
+	for place, team := range one.Teams {
+		before := other.Teams[place]
+		if team.Team != before.Team || !near(team.Entitled, before.Entitled) || !near(team.Bearable, before.Bearable) || !near(team.Surplus, before.Surplus) {
+			return false
+		}
+	}
+	return true
+}
+
+func near(one, other float64) bool {
+	return math.Abs(one-other) <= sameWithin*max(one, other)
+}
