--- a/cmd/surge/callers.go
+++ b/cmd/surge/callers.go
@@ -158,7 +158,7 @@
 		kind := read.Classes[one.class]
 		earned := 0.0
 		switch {
-		case one.status == http.StatusOK && one.first <= time.Duration(kind.ObjectiveMs)*time.Millisecond:
+		case one.status == http.StatusOK && one.first <= time.Duration(kind.ObjectiveMillis)*time.Millisecond:
 			sum.InTime++
 			earned = kind.Worth
 		case one.status == http.StatusOK:
--- a/cmd/surge/day.go
+++ b/cmd/surge/day.go
@@ -54,14 +54,14 @@
 
 // class is a kind of request; sizes are means in tokens.
 type class struct {
-	Name          string  `toml:"name"`
-	PerSecond     float64 `toml:"per-second"`
-	SharedTokens  int     `toml:"shared-tokens"`
-	OwnTokens     float64 `toml:"own-tokens"`
-	OutputTokens  float64 `toml:"output-tokens"`
-	Subjects      int     `toml:"subjects"`
-	ObjectiveMs   float64 `toml:"objective-ms"`
-	TimeoutMillis float64 `toml:"timeout-ms"`
+	Name            string  `toml:"name"`
+	PerSecond       float64 `toml:"per-second"`
+	SharedTokens    int     `toml:"shared-tokens"`
+	OwnTokens       float64 `toml:"own-tokens"`
+	OutputTokens    float64 `toml:"output-tokens"`
+	Subjects        int     `toml:"subjects"`
+	ObjectiveMillis float64 `toml:"objective-ms"`
+	TimeoutMillis   float64 `toml:"timeout-ms"`
 	// Worth is earned by a whole answer whose first event comes within the objective, Late by a later one.
 	Worth float64 `toml:"worth"`
 	Late  float64 `toml:"late"`
@@ -135,7 +135,7 @@
 		}
 	}
 	for _, one := range read.Classes {
-		if one.PerSecond <= 0 || one.Subjects <= 0 || one.OutputTokens <= 0 || one.ObjectiveMs <= 0 || one.TimeoutMillis <= 0 {
+		if one.PerSecond <= 0 || one.Subjects <= 0 || one.OutputTokens <= 0 || one.ObjectiveMillis <= 0 || one.TimeoutMillis <= 0 {
 			findings = append(findings, "class."+one.Name+": rates, subjects, outputs and times must be positive")
 		}
 	}
--- a/cmd/surge/day_test.go
+++ b/cmd/surge/day_test.go
@@ -63,7 +63,7 @@
 
 func TestAccounts(t *testing.T) {
 	Convey("whole answers in time earn their worth, late ones less, others nothing", t, func() {
-		played := day{Seconds: 2, Teams: 2, Classes: []class{{ObjectiveMs: 100, Worth: 4, Late: 1}}}
+		played := day{Seconds: 2, Teams: 2, Classes: []class{{ObjectiveMillis: 100, Worth: 4, Late: 1}}}
 		sum := played.add("p", []served{
 			{arrival: arrival{team: 0}, status: http.StatusOK, first: 50 * time.Millisecond},
 			{arrival: arrival{team: 0, at: time.Second}, status: http.StatusOK, first: 150 * time.Millisecond},
--- a/cmd/surge/overload.go
+++ b/cmd/surge/overload.go
@@ -149,7 +149,7 @@
 	for _, one := range read.Classes {
 		routes = append(routes, map[string]any{
 			"name": one.Name, "host": "day", "path_prefix": "/" + one.Name + "/", "kind": "streaming", "service": "models",
-			"timeout_ms": one.TimeoutMillis, "target_latency_ms": one.ObjectiveMs, "max_attempts": 1,
+			"timeout_ms": one.TimeoutMillis, "target_latency_ms": one.ObjectiveMillis, "max_attempts": 1,
 		})
 	}
 	for team := range read.Teams {
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -160,12 +160,12 @@
 	if most <= 0 {
 		most = defaultBodyBytes
 	}
-	return current.standsIn(most) && current.readBody(most)
+	return current.isOffered(most) && current.readBody(most)
 }
 
-// standsIn says whether the request is to be offered to targets by what its team gets; the body of one that is not
+// isOffered says whether the request is to be offered to targets by what its team gets; the body of one that is not
 // takes no memory.
-func (current *exchange) standsIn(most int64) bool {
+func (current *exchange) isOffered(most int64) bool {
 	if current.team == "" {
 		return true
 	}
