Take the platform's names out of surge, and one way to find a free address

The overload suite wrote callers' headers and a configuration with the platform's names by itself, and had a copy of rig's search for a free address. Stand-ins hold these names now (standin.SetCaller, standin.EngineTable), and rig.FreeAddress serves both.

--- a/cmd/surge/callers.go
+++ b/cmd/surge/callers.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"coltsfootlink"
+	"coltsfootlink/platform"
 	"coltsfootlink/standin"
 )
 
@@ -85,23 +87,27 @@
 func (read day) call(ctx context.Context, transport *http.Transport, number int, one arrival, address, engine string) served {
 	result := served{arrival: one}
 	kind := read.Classes[one.class]
-	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(time.Duration(kind.TimeoutMillis)*time.Millisecond))
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(millis(kind.TimeoutMillis)))
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/"+kind.Name+"/"+fmt.Sprint(number), strings.NewReader("plan"))
 	if err != nil {
 		return result
 	}
-	request.Host = "day"
-	for name, value := range map[string]string{
-		"Attempt-Id": fmt.Sprint("r-", number), "Time-Left-Ms": fmt.Sprint(kind.TimeoutMillis), "Authorization": "Bearer " + dayTeam(one.team),
-		"Model": "m", "Token-Counts": fmt.Sprintf("%d,%d", one.shared+one.own, one.output),
-		"Prompt-Prefix": fmt.Sprintf("%x:%d,%x:%d", one.class<<20|one.subject, one.shared, 1<<40|number, one.own),
-	} {
-		request.Header.Set(name, value)
-	}
-	if engine != "" {
-		request.Header.Set("Expect-Instance", engine)
-	}
+	request.Host = dayHost
+	deadline, _ := ctx.Deadline()
+	standin.SetCaller(request.Header, platform.CallerHead{
+		ID:       coltsfootlink.RequestID(fmt.Sprint("r-", number)),
+		Key:      dayTeam(one.team),
+		Deadline: deadline,
+		Work: coltsfootlink.Work{
+			Prompt: []coltsfootlink.CachePart{
+				{Key: uint64(one.class<<20 | one.subject), Tokens: one.shared},
+				{Key: uint64(1<<40 | number), Tokens: one.own},
+			},
+			PromptTokens: one.shared + one.own,
+			OutputTokens: one.output,
+		},
+	}, engine)
 	begun := time.Now()
 	response, err := transport.RoundTrip(request)
 	if err != nil {
@@ -118,6 +124,9 @@
 	return result
 }
 
+// millis is a number of milliseconds as a span.
+func millis(count float64) time.Duration { return time.Duration(count * float64(time.Millisecond)) }
+
 // dayTeam is the name of a team, which is its key too.
 func dayTeam(team int) string { return fmt.Sprint("team-", team) }
 
@@ -158,7 +167,7 @@
 		kind := read.Classes[one.class]
 		earned := 0.0
 		switch {
-		case one.status == http.StatusOK && one.first <= time.Duration(kind.ObjectiveMillis)*time.Millisecond:
+		case one.status == http.StatusOK && one.first <= millis(kind.ObjectiveMillis):
 			sum.InTime++
 			earned = kind.Worth
 		case one.status == http.StatusOK:
--- a/cmd/surge/overload.go
+++ b/cmd/surge/overload.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"sync/atomic"
@@ -26,6 +25,10 @@
 const (
 	// daySettle is the time from the gateways' start to the day's: owners ask engines for their reports first.
 	daySettle = 2 * time.Second
+	// dayHost is the host that callers name, dayPool the pool of all engines, and dayConnections what each accepts.
+	dayHost        = "day"
+	dayPool        = "models"
+	dayConnections = 1000
 	// plotWidth and plotHeight are the size of a plot.
 	plotWidth  = 16 * vg.Centimeter
 	plotHeight = 9 * vg.Centimeter
@@ -84,7 +87,7 @@
 func startEngines(ctx context.Context, played day) ([]*standin.Engine, error) {
 	var engines []*standin.Engine
 	for number := range played.Engines {
-		address, err := freeAddress()
+		address, err := rig.FreeAddress()
 		if err != nil {
 			return nil, err
 		}
@@ -99,21 +102,12 @@
 	return engines, nil
 }
 
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "surge")
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
-}
-
 // aimAt starts what a policy needs before the engines.
 func (measuring *bench) aimAt(ctx context.Context, played day, policy string, engines []*standin.Engine) (aim, error) {
 	if policy == leastLoaded {
 		return &leastLoadedAim{engines: engines, running: make([]atomic.Int64, len(engines))}, nil
 	}
-	address, err := freeAddress()
+	address, err := rig.FreeAddress()
 	if err != nil {
 		return nil, err
 	}
@@ -145,31 +139,29 @@
 
 // publish writes the configuration and the engines' entries into the store.
 func (read day) publish(ctx context.Context, store *platform.Store, policy string, engines []*standin.Engine) error {
-	var routes, teams []any
+	var rules []coltsfootlink.RoutingRule
 	for _, one := range read.Classes {
-		routes = append(routes, map[string]any{
-			"name": one.Name, "host": "day", "path_prefix": "/" + one.Name + "/", "kind": "streaming", "service": "models",
-			"timeout_ms": one.TimeoutMillis, "target_latency_ms": one.ObjectiveMillis, "max_attempts": 1,
+		rules = append(rules, coltsfootlink.RoutingRule{
+			Name: one.Name, Host: dayHost, Prefix: "/" + one.Name + "/", MaxAttempts: 1, Timeout: millis(one.TimeoutMillis), Objective: millis(one.ObjectiveMillis),
 		})
 	}
+	var teams []string
 	for team := range read.Teams {
-		teams = append(teams, map[string]any{"name": dayTeam(team), "api_keys": []string{dayTeam(team)}})
+		teams = append(teams, dayTeam(team))
 	}
-	limits := map[string]any{"max_body_bytes": 1 << 20, "idle_timeout_ms": 15000}
+	promised := 0.0
 	if policy == inForce {
-		limits["tokens_per_s"] = read.TokensPerSecond
+		promised = read.TokensPerSecond
 	}
-	documents := map[string]any{"config": map[string]any{
-		"version": 1, "routes": routes, "tenants": teams, "limits": limits,
-		"services": []any{map[string]any{"name": "models", "connection_limit": 1000, "engine": map[string]any{"kv_capacity_tokens": read.Engine.MemoryTokens}}},
-	}}
+	pool := coltsfootlink.PoolTraits{Name: dayPool, ConnectionLimit: dayConnections, MemoryTokens: read.Engine.MemoryTokens}
+	documents := map[string]any{"config": standin.EngineTable(rules, pool, teams, promised)}
 	if err := write(ctx, store, platform.OperatorTopic, documents); err != nil {
 		return err
 	}
 	entries := make(map[string]any)
 	for _, served := range engines {
 		entries[served.Name] = platform.TargetDocument{
-			Service: "models", Address: served.Address, Zone: zones[0], Version: "v1", Slots: read.Engine.Slots, State: platform.ReadyState,
+			Service: dayPool, Address: served.Address, Zone: zones[0], Version: "v1", Slots: read.Engine.Slots, State: platform.ReadyState,
 		}
 	}
 	return write(ctx, store, platform.TargetTopic, entries)
--- a/rig/address.go
+++ b/rig/address.go
@@ -11,8 +11,8 @@
 // addressTries is the number of loopback addresses that are tried.
 const addressTries = 16
 
-// freeAddress returns an unused port on a loopback address that hardly any other process uses.
-func freeAddress() (string, error) {
+// FreeAddress returns an unused port on a loopback address that hardly any other process uses.
+func FreeAddress() (string, error) {
 	var last error
 	for range addressTries {
 		host := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
--- a/rig/fleet.go
+++ b/rig/fleet.go
@@ -320,7 +320,7 @@
 // addresses fills in unused addresses.
 func addresses(places ...*string) error {
 	for _, place := range places {
-		address, err := freeAddress()
+		address, err := FreeAddress()
 		if err != nil {
 			return err
 		}
--- a/rig/proxy.go
+++ b/rig/proxy.go
@@ -46,7 +46,7 @@
 
 // startProxy starts a proxy before an address; it ends with the context.
 func startProxy(ctx context.Context, target string) (*Proxy, error) {
-	address, err := freeAddress()
+	address, err := FreeAddress()
 	if err != nil {
 		return nil, err
 	}
