Cut a resumed stream whose events do not go on behind the last one

Callers got pieces twice in a stream that was framed as complete, where the next target began anew or repeated events. Cause: what a next target sends was passed on without a look at its identifiers. They increase, so an event that does not follow breaks the attempt.

--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -95,16 +96,27 @@
 		if len(bytes.TrimRight(line, "\r\n")) > 0 {
 			continue
 		}
+		id, found := platform.EventID(event)
+		if found && !follows(current.lastEvent, id) {
+			return errors.Newf("event %s came after event %s", id, current.lastEvent)
+		}
 		if err := pass(current.writer, event); err != nil {
 			return err
 		}
-		if id, found := platform.EventID(event); found {
+		if found {
 			current.lastEvent = id
 		}
 		event = event[:0]
 	}
 }
 
+// follows says whether an event may come behind the last one: where identifiers are numbers, they increase.
+func follows(last, next string) bool {
+	lastNumber, lastErr := strconv.ParseUint(last, 10, 64)
+	nextNumber, nextErr := strconv.ParseUint(next, 10, 64)
+	return lastErr != nil || nextErr != nil || lastNumber < nextNumber
+}
+
 // pass writes bytes to a caller at once.
 func pass(writer http.ResponseWriter, fresh []byte) error {
 	if _, err := writer.Write(fresh); err != nil {
