Pass long answers on as they come instead of ending them at a bound of ours

Callers got the first MiB of a longer answer with a length of our own, framed as complete. Cause: answers of plain services are held until they are whole, but were read through a limit whose end looks like theirs. What is longer than what is held now goes on as it comes, with the target's own length, and is cut if it breaks. TestLongAnswersComeWhole failed before (all five cases).

--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -34,34 +34,31 @@
 	}
 	current.report(choice, coltsfootlink.FirstEvent, "", sentAt)
 	if !current.started {
-		current.started = true
-		current.firstAt = current.service.Clock.Now()
-		platform.CopyAnswerHeader(current.writer.Header(), answer.Response.Header)
+		current.start(answer.Response)
 		current.writer.WriteHeader(answer.Response.StatusCode)
 	}
 	var err error
 	if current.rule.Resumable {
 		err = current.copyEvents(reader)
 	} else {
-		err = copyBytes(current.writer, reader)
+		err = copyBytes(current.writer, reader, maxAnswerBytes)
 	}
-	switch {
-	case err == nil:
-		current.note("answered", answer.Response.StatusCode, "")
-		return nil, coltsfootlink.Succeeded
-	case current.incoming.Context().Err() != nil || errors.Is(err, errCaller):
-		current.note("caller left", answer.Response.StatusCode, err.Error())
-		return nil, coltsfootlink.Cancelled
-	default:
-		return coltsfootlink.Refuse(coltsfootlink.AnswerCut, err.Error()).WithOutcome(coltsfootlink.MayHaveRun), coltsfootlink.Crashed
+	if err != nil {
+		return current.broken(answer.Response, err)
 	}
+	current.note("answered", answer.Response.StatusCode, "")
+	return nil, coltsfootlink.Succeeded
 }
 
-// copyBytes passes bytes on as they come; an error if the stream has not ended whole.
-func copyBytes(writer http.ResponseWriter, reader *bufio.Reader) error {
+// copyBytes passes at most that many bytes on as they come; an error if the answer has not ended whole.
+func copyBytes(writer http.ResponseWriter, reader io.Reader, most int64) error {
 	buffer := make([]byte, streamBytes)
 	for {
 		count, err := reader.Read(buffer)
+		most -= int64(count)
+		if most < 0 {
+			return errAnswerTooLong
+		}
 		if count > 0 {
 			if err := pass(writer, buffer[:count]); err != nil {
 				return err
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -14,8 +15,15 @@
 	"coltsfootlink/upstream"
 )
 
-// maxPlainBytes is the largest answer of a plain service that is held until it is whole.
-const maxPlainBytes = 1 << 20
+const (
+	// heldBytes is the largest answer of a plain service that is held until it is whole; of a larger one this much is held.
+	heldBytes = 1 << 20
+	// maxAnswerBytes is the most of an answer that is passed on; a target that sends more does not end.
+	maxAnswerBytes = 64 << 20
+)
+
+// errAnswerTooLong tells that an answer does not end where answers do.
+var errAnswerTooLong = errors.New("the answer is too long")
 
 // choose asks for a target and waits for it.
 func (current *exchange) choose() dispatch.Choice {
@@ -116,19 +124,31 @@
 	}
 }
 
-// passWhole passes an answer on once it has come whole.
+// passWhole passes an answer on once it has come whole, or as it comes if it is long.
 func (current *exchange) passWhole(answer upstream.Answer) (*coltsfootlink.Refusal, coltsfootlink.Result) {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxPlainBytes))
+	length := answer.Response.ContentLength
+	held, err := readWhole(io.LimitReader(answer.Body, heldBytes), min(preparedBytes, length))
+	whole := len(held) < heldBytes
+	switch {
+	case length > maxAnswerBytes:
+		err = errAnswerTooLong
+	case whole:
+		length = int64(len(held))
+	}
 	if err != nil {
 		return coltsfootlink.Refuse(coltsfootlink.AnswerCut, err.Error()).WithOutcome(coltsfootlink.MayHaveRun), coltsfootlink.Crashed
 	}
-	current.started = true
-	current.firstAt = current.service.Clock.Now()
-	platform.CopyAnswerHeader(current.writer.Header(), answer.Response.Header)
-	platform.SetLength(current.writer.Header(), len(body))
+	current.start(answer.Response)
+	if length >= 0 {
+		platform.SetLength(current.writer.Header(), length)
+	}
 	current.writer.WriteHeader(answer.Response.StatusCode)
-	// An error means that the caller has left.
-	_, _ = current.writer.Write(body)
+	if whole {
+		// An error means that the caller has left.
+		_, _ = current.writer.Write(held)
+	} else if err := copyBytes(current.writer, io.MultiReader(bytes.NewReader(held), answer.Body), maxAnswerBytes); err != nil {
+		return current.broken(answer.Response, err)
+	}
 	result := coltsfootlink.Succeeded
 	if answer.Response.StatusCode >= http.StatusInternalServerError {
 		result = coltsfootlink.Failed
@@ -136,3 +156,19 @@
 	current.note("answered", answer.Response.StatusCode, "")
 	return nil, result
 }
+
+// start notes that the answer begins, and copies the target's headers.
+func (current *exchange) start(response *http.Response) {
+	current.started = true
+	current.firstAt = current.service.Clock.Now()
+	platform.CopyAnswerHeader(current.writer.Header(), response.Header)
+}
+
+// broken says what it means that an answer that has begun did not come to its end.
+func (current *exchange) broken(response *http.Response, err error) (*coltsfootlink.Refusal, coltsfootlink.Result) {
+	if current.incoming.Context().Err() != nil || errors.Is(err, errCaller) {
+		current.note("caller left", response.StatusCode, err.Error())
+		return nil, coltsfootlink.Cancelled
+	}
+	return coltsfootlink.Refuse(coltsfootlink.AnswerCut, err.Error()).WithOutcome(coltsfootlink.MayHaveRun), coltsfootlink.Crashed
+}
