--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -77,11 +77,15 @@
 // another target behind it; an error if the stream has not ended whole.
 func (current *exchange) copyEvents(reader *bufio.Reader) error {
 	var event []byte
+	most := maxAnswerBytes
 	for {
 		line, err := reader.ReadSlice('\n')
 		event = append(event, line...)
+		most -= len(line)
 		switch {
-		case err == bufio.ErrBufferFull && len(event) <= maxEventBytes:
+		case len(event) > maxEventBytes, most < 0:
+			return errAnswerTooLong
+		case err == bufio.ErrBufferFull:
 			continue
 		case err == io.EOF && len(event) == 0:
 			return nil
@@ -93,20 +97,28 @@
 		if len(bytes.TrimRight(line, "\r\n")) > 0 {
 			continue
 		}
-		id, found := platform.EventID(event)
-		if found && !follows(current.lastEvent, id) {
-			return errors.Newf("event %s came after event %s", id, current.lastEvent)
-		}
-		if err := pass(current.writer, event); err != nil {
+		if err := current.passEvent(event); err != nil {
 			return err
 		}
-		if found {
-			current.lastEvent = id
-		}
 		event = event[:0]
 	}
 }
 
+// passEvent passes an event on if it goes on behind the last one.
+func (current *exchange) passEvent(event []byte) error {
+	id, found := platform.EventID(event)
+	if found && !follows(current.lastEvent, id) {
+		return errors.Newf("event %s came after event %s", id, current.lastEvent)
+	}
+	if err := pass(current.writer, event); err != nil {
+		return err
+	}
+	if found {
+		current.lastEvent = id
+	}
+	return nil
+}
+
 // follows says whether an event may come behind the last one: where identifiers are numbers, they increase.
 func follows(last, next string) bool {
 	lastNumber, lastErr := strconv.ParseUint(last, 10, 64)
--- a/target/client.go
+++ b/target/client.go
@@ -19,6 +19,8 @@
 const (
 	// loadBytes is the largest report that is read.
 	loadBytes = 4 << 10
+	// maxHeadBytes is the largest head of an answer.
+	maxHeadBytes = 64 << 10
 	// idleConnections is the number of idle connections kept to each target.
 	idleConnections = 64
 )
@@ -35,8 +37,8 @@
 // NewClient returns a client with transports of its own.
 func NewClient(clock coltsfootlink.Clock) *Client {
 	return &Client{
-		Reuse: &http.Transport{MaxIdleConnsPerHost: idleConnections, DisableCompression: true},
-		Fresh: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+		Reuse: &http.Transport{MaxIdleConnsPerHost: idleConnections, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes},
+		Fresh: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes},
 		Clock: clock,
 	}
 }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -116,7 +116,7 @@
 // receive reads the head of the answer and passes over late answers of other requests.
 func (client *Client) receive(conn *conn, id coltsfootlink.RequestID, method string, written <-chan error) (Answer, error) {
 	for range maxStrays {
-		response, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
+		response, err := conn.readHead(method)
 		if err != nil {
 			return Answer{}, sendError(written, err)
 		}
@@ -130,8 +130,11 @@
 		if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			return Answer{}, errors.Newf("answer of request %s", head.ID)
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes)); err != nil {
+		switch skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes+1)); {
+		case err != nil:
 			return Answer{}, err
+		case skipped > maxStrayBytes:
+			return Answer{}, errors.Newf("the answer of request %s is too long", head.ID)
 		}
 	}
 	return Answer{}, errors.New("too many answers of other requests")
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -5,9 +5,11 @@
 	"bufio"
 	"context"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
 	"coltsfootlink"
@@ -24,6 +26,8 @@
 	probeCount    = 3
 	// readBytes is the size of the read buffer of a connection.
 	readBytes = 4 << 10
+	// maxHeadBytes is the largest head of an answer.
+	maxHeadBytes = 64 << 10
 )
 
 // conn is a connection to a target. It belongs to the keeper while it is idle, and otherwise to the exchange
@@ -33,6 +37,8 @@
 
 	target coltsfootlink.TargetName
 	reader *bufio.Reader
+	// allowance is the most bytes that may be read before the head of the answer has ended; negative if there is no bound.
+	allowance int64
 	// reused says that the connection has carried a request before.
 	reused bool
 	// idleSince is when the last answer ended, and idleUntil when the connection is too old to be used.
@@ -50,7 +56,35 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: socket, target: target.Name, reader: bufio.NewReaderSize(socket, readBytes)}, nil
+	opened := &conn{Conn: socket, target: target.Name, allowance: -1}
+	opened.reader = bufio.NewReaderSize(opened, readBytes)
+	return opened, nil
+}
+
+// errHeadTooLong tells that the head of an answer does not end where heads do.
+var errHeadTooLong = errors.New("the head of the answer is too long")
+
+// Read reads from the target, in the head of an answer up to the allowance.
+func (conn *conn) Read(buffer []byte) (int, error) {
+	if conn.allowance == 0 {
+		return 0, errHeadTooLong
+	}
+	if conn.allowance > 0 {
+		buffer = buffer[:min(int64(len(buffer)), conn.allowance)]
+	}
+	count, err := conn.Conn.Read(buffer)
+	if conn.allowance > 0 {
+		conn.allowance -= int64(count)
+	}
+	return count, err
+}
+
+// readHead reads the head of an answer.
+func (conn *conn) readHead(method string) (*http.Response, error) {
+	conn.allowance = maxHeadBytes
+	response, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
+	conn.allowance = -1
+	return response, err
 }
 
 // abort closes a connection whose exchange has not ended. Bytes that wait to be sent are dropped, so that the
