Take a line as long as the buffer for no end of an event

A line of 4,096 bytes or a multiple was followed by what looked like an empty line, so that a part of an event was passed on and counted as one; resumed behind it, the stream lacked the rest.

--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -77,11 +77,13 @@
 // another target behind it; an error if the stream has not ended whole.
 func (current *exchange) copyEvents(reader *bufio.Reader) error {
 	var event []byte
+	// lineAt is where the newest line begins in the event.
+	lineAt := 0
 	most := maxAnswerBytes
 	for {
-		line, err := reader.ReadSlice('\n')
-		event = append(event, line...)
-		most -= len(line)
+		part, err := reader.ReadSlice('\n')
+		event = append(event, part...)
+		most -= len(part)
 		switch {
 		case len(event) > maxEventBytes, most < 0:
 			return errAnswerTooLong
@@ -94,13 +96,14 @@
 		case err != nil:
 			return err
 		}
-		if len(bytes.TrimRight(line, "\r\n")) > 0 {
+		if len(bytes.TrimRight(event[lineAt:], "\r\n")) > 0 {
+			lineAt = len(event)
 			continue
 		}
 		if err := current.passEvent(event); err != nil {
 			return err
 		}
-		event = event[:0]
+		event, lineAt = event[:0], 0
 	}
 }
 
--- a/ingress/wholeness_test.go
+++ b/ingress/wholeness_test.go
@@ -138,3 +138,20 @@
 		})
 	}
 }
+
+func TestLongLinesAreNoEvents(t *testing.T) {
+	cases := map[string]int{"as long as the buffer": streamBytes, "one shorter": streamBytes - 1, "one longer": streamBytes + 1, "twice as long": 2 * streamBytes}
+	for name, length := range cases {
+		Convey("an event is passed on whole or not at all: a line "+name, t, func() {
+			line := "data: " + strings.Repeat("x", length-len("data: ")) + "\n"
+			piece := "id: 2\n" + line
+			broken := events(1, 1, fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece))
+			next := startTarget(t, "u", events(2, 3, "0\r\n\r\n"))
+			offered := &offer{targets: []*fakeTarget{startTarget(t, "t", broken), next}}
+			_, _, body, err := request(t, start(t, offered, true), "/resumable/a", "plan", "")
+			So(err, ShouldBeNil)
+			So(body, ShouldEqual, eventText(1)+eventText(2)+eventText(3))
+			So(next.seen()[0].Header.Get("Last-Event-Id"), ShouldEqual, "1")
+		})
+	}
+}
