--- /dev/null
+++ b/pressure/state.go
@@ -0,0 +1,38 @@
+// Package pressure decides which requests an instance takes while its processor is behind.
+package pressure
+
+import (
+	"time"
+
+	"coltsfootlink"
+)
+
+const (
+	// waitAllowed is how long what is ready to run may wait for the processor.
+	waitAllowed = 50 * time.Millisecond
+	// fall and rise change what is taken, at each look.
+	fall = 0.65
+	rise = 1.07
+	// least is the least part of the requests within shares that is taken, so that it shows when the flood is over.
+	least = 0.02
+	// all is where everything is taken; below it requests beyond their teams' shares are refused first, and below half
+	// of it those within shares.
+	all = 2.0
+)
+
+// State is how much an instance takes; it is immutable. Its zero value takes everything.
+type State struct {
+	// refused is how far what is taken lies below all.
+	refused float64
+	// wait is how long what was ready to run had to wait at the last look.
+	wait time.Duration
+}
+
+// WithWait returns the state after a look at how long what was ready to run had to wait for the processor.
+func (state State) WithWait(time.Duration) State { return state }
+
+// Takes says whether a request is to be taken by how it stands to its team's share; the draw is a number from 0 to 1.
+func (state State) Takes(coltsfootlink.Standing, float64) bool { return true }
+
+// Taken is the part of the requests that is taken within shares and beyond them, from 0 to 2.
+func (state State) Taken() float64 { return all - state.refused }
