Refuse at once what an instance's processor cannot serve

Callers of a team whose requests all come to one small instance waited until they left: the instance took up to four requests for each megabyte of its memory, and what waited for the processor left nothing for answers. A task now reads from the runtime how long what is ready to run waits for the processor, and the instance takes less while that grows: first less of what lies beyond shares, then less of the rest. The refusal is 'not run' and asks the caller back 50 ms later, for retries reach other instances.

TestFloodedInstanceStillServes and TestStandingsUnderPressure failed before.

--- a/clock.go
+++ b/clock.go
@@ -27,3 +27,9 @@
 		return true
 	}
 }
+
+// WaitMeter tells how long what is ready to run waits for the processor.
+type WaitMeter interface {
+	// Wait returns what nine in ten waits since the last call did not exceed.
+	Wait() time.Duration
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"coltsfootlink/operator"
 	"coltsfootlink/peer"
 	"coltsfootlink/platform"
+	"coltsfootlink/pressure"
 	"coltsfootlink/settings"
 	"coltsfootlink/share"
 	"coltsfootlink/supervisor"
@@ -303,6 +304,12 @@
 
 func (gateway *Gateway) addReadiness(branch *supervisor.Branch) {
 	branch.Add("gate", gateway.gate)
+	branch.Add("pressure", &pressure.Task{
+		Meter:       &pressure.Meter{},
+		Clock:       gateway.clock,
+		Log:         gateway.Log,
+		Subscribers: []*mailbox.Deliveries{gateway.boxes.gate},
+	})
 	ready := http.NewServeMux()
 	ready.Handle(platform.ReadinessPath, gateway.gate)
 	branch.Add("server", gateway.server("readiness", gateway.Settings.Listen.Ready, ready))
--- a/ingress/gate.go
+++ b/ingress/gate.go
@@ -12,11 +12,12 @@
 
 	"coltsfootlink"
 	"coltsfootlink/mailbox"
+	"coltsfootlink/pressure"
 	"coltsfootlink/share"
 )
 
-// Gate publishes the catalog in force and the teams' shares to the requests, and whether the instance is ready for
-// more callers.
+// Gate publishes the catalog in force, the teams' shares and how much the instance takes to the requests, and whether
+// the instance is ready for more callers.
 type Gate struct {
 	Inbox *mailbox.Deliveries
 	Clock coltsfootlink.Clock
@@ -24,6 +25,7 @@
 
 	catalog   atomic.Pointer[coltsfootlink.Catalog]
 	standings atomic.Pointer[share.Standings]
+	pressure  atomic.Pointer[pressure.State]
 	leaving   atomic.Bool
 	// endsAt is when the instance ends; nil while it takes all requests.
 	endsAt atomic.Pointer[time.Time]
@@ -50,6 +52,8 @@
 			case coltsfootlink.Shares:
 				standings := gate.Standings().WithShares(gate.Clock.Now(), message)
 				gate.standings.Store(&standings)
+			case pressure.Changed:
+				gate.pressure.Store(&message.State)
 			case coltsfootlink.Leave:
 				gate.leaving.Store(true)
 			case Close:
@@ -86,6 +90,14 @@
 	return share.Standings{}
 }
 
+// Pressure returns how much the instance takes while its processor is behind.
+func (gate *Gate) Pressure() pressure.State {
+	if state := gate.pressure.Load(); state != nil {
+		return *state
+	}
+	return pressure.State{}
+}
+
 // Takes says whether the instance takes a request that may last until the given time.
 func (gate *Gate) Takes(until time.Time) bool {
 	endsAt := gate.endsAt.Load()
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -23,8 +23,9 @@
 const (
 	// unknownPause is how long a caller should stay away from an instance that knows no configuration yet.
 	unknownPause = time.Second
-	// stoppingPause is how long a caller should stay away that came to an instance which stops; others are there.
-	stoppingPause = 50 * time.Millisecond
+	// elsewherePause is how long a caller should stay away that came to an instance which stops or is behind; others
+	// are there.
+	elsewherePause = 50 * time.Millisecond
 	// sharePause is how long a caller should stay away whose team asks for far more than its share.
 	sharePause = 500 * time.Millisecond
 	// defaultBodyBytes bounds a request's body where the configuration does not.
@@ -114,7 +115,7 @@
 		writer.Header().Set("Connection", "close")
 	}
 	if service.active.Load() > service.MaxActive {
-		current.refuse(http.StatusServiceUnavailable, coltsfootlink.Refuse(coltsfootlink.InstanceBusy, "too many requests at once").WithRetryAt(arrived.Add(unknownPause)))
+		current.refuse(http.StatusServiceUnavailable, coltsfootlink.Refuse(coltsfootlink.InstanceBusy, "too many requests at once").WithRetryAt(arrived.Add(elsewherePause)))
 		return
 	}
 	if current.admit(service.Gate.Catalog()) {
@@ -153,14 +154,14 @@
 		current.deadline = left
 	}
 	if !current.service.Gate.Takes(current.deadline) {
-		current.refuse(http.StatusServiceUnavailable, coltsfootlink.Refuse(coltsfootlink.InstanceStopping, "the instance stops").WithRetryAt(current.arrived.Add(stoppingPause)))
+		current.refuse(http.StatusServiceUnavailable, coltsfootlink.Refuse(coltsfootlink.InstanceStopping, "the instance stops").WithRetryAt(current.arrived.Add(elsewherePause)))
 		return false
 	}
 	most := catalog.Table.Limits.BodyBytes
 	if most <= 0 {
 		most = defaultBodyBytes
 	}
-	return current.isOffered(most) && current.readBody(most)
+	return current.isOffered(most) && current.isTaken(most) && current.readBody(most)
 }
 
 // isOffered says whether the request is to be offered to targets by what its team gets; the body of one that is not
@@ -177,11 +178,26 @@
 		return true
 	}
 	current.service.Dispatch.Put(coltsfootlink.Delivery{Message: dispatch.Shed{Pool: current.pool, Team: current.team, Work: current.head.Work}})
+	current.refuseUnread(most, coltsfootlink.Refuse(coltsfootlink.OverShare, "others of the pool get far less").WithRetryAt(current.arrived.Add(sharePause)))
+	return false
+}
+
+// isTaken says whether the instance takes the request while its processor is behind; what waits for the processor until
+// its caller leaves helps nobody.
+func (current *exchange) isTaken(most int64) bool {
+	if current.service.Gate.Pressure().Takes(current.standing, rand.Float64()) {
+		return true
+	}
+	current.refuseUnread(most, coltsfootlink.Refuse(coltsfootlink.InstanceBusy, "the processor is behind").WithRetryAt(current.arrived.Add(elsewherePause)))
+	return false
+}
+
+// refuseUnread refuses a request whose body is not needed.
+func (current *exchange) refuseUnread(most int64, refusal *coltsfootlink.Refusal) {
 	// An answer before the end of the body would reach a caller that still sends it. Whether all of it came does not
 	// matter here.
 	_, _ = io.Copy(io.Discard, io.LimitReader(current.incoming.Body, most))
-	current.refuse(http.StatusServiceUnavailable, coltsfootlink.Refuse(coltsfootlink.OverShare, "others of the pool get far less").WithRetryAt(current.arrived.Add(sharePause)))
-	return false
+	current.refuse(http.StatusServiceUnavailable, refusal)
 }
 
 func (current *exchange) readBody(most int64) bool {
--- a/pressure/state.go
+++ b/pressure/state.go
@@ -29,10 +29,26 @@
 }
 
 // WithWait returns the state after a look at how long what was ready to run had to wait for the processor.
-func (state State) WithWait(time.Duration) State { return state }
+func (state State) WithWait(wait time.Duration) State {
+	taken := all - state.refused
+	switch {
+	case wait <= waitAllowed:
+		taken = min(all, taken*rise)
+	case wait >= state.wait:
+		taken = max(least, taken*fall)
+	}
+	// While the wait gets shorter, too much was taken before and not now.
+	return State{refused: all - taken, wait: wait}
+}
 
 // Takes says whether a request is to be taken by how it stands to its team's share; the draw is a number from 0 to 1.
-func (state State) Takes(coltsfootlink.Standing, float64) bool { return true }
+func (state State) Takes(standing coltsfootlink.Standing, draw float64) bool {
+	taken := all - state.refused
+	if standing != coltsfootlink.Entitled {
+		taken -= all / 2
+	}
+	return draw < taken
+}
 
 // Taken is the part of the requests that is taken within shares and beyond them, from 0 to 2.
 func (state State) Taken() float64 { return all - state.refused }
--- a/pressure/state_test.go
+++ b/pressure/state_test.go
@@ -23,7 +23,7 @@
 func (instance *instance) run(at time.Duration, standing coltsfootlink.Standing, draw float64, flood flood) bool {
 	for instance.lookAt <= at {
 		instance.state = instance.state.WithWait(instance.wait)
-		instance.lookAt += 50 * time.Millisecond
+		instance.lookAt += lookInterval
 		instance.wait = 0
 	}
 	instance.freeAt = max(instance.freeAt, at)
--- /dev/null
+++ b/pressure/task.go
@@ -0,0 +1,64 @@
+package pressure
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"coltsfootlink"
+	"coltsfootlink/mailbox"
+)
+
+const (
+	// lookInterval is the time between two looks at the processor.
+	lookInterval = 50 * time.Millisecond
+	// tellStep is how much what is taken has changed when it is told.
+	tellStep = 0.02
+	// logInterval is the time between two lines of the log while the processor is behind.
+	logInterval = time.Second
+)
+
+// Changed tells how much the instance takes.
+type Changed struct {
+	coltsfootlink.Local
+	State State
+}
+
+// Task looks at the processor and tells what the instance takes.
+type Task struct {
+	Meter coltsfootlink.WaitMeter
+	Clock coltsfootlink.Clock
+	Log   zerolog.Logger
+	// Subscribers are told of each change.
+	Subscribers []*mailbox.Deliveries
+
+	state, told State
+	// logAt is when the next line of the log is due while the processor is behind.
+	logAt time.Time
+}
+
+// Run looks until the context ends.
+func (task *Task) Run(ctx context.Context) error {
+	task.state, task.told = State{}, State{}
+	for coltsfootlink.Pause(ctx, lookInterval) {
+		task.look()
+	}
+	return nil
+}
+
+func (task *Task) look() {
+	wait := task.Meter.Wait()
+	task.state = task.state.WithWait(wait)
+	if change := task.state.refused - task.told.refused; change < tellStep && -change < tellStep && task.state.refused > 0 || task.state == task.told {
+		return
+	}
+	task.told = task.state
+	for _, box := range task.Subscribers {
+		box.Put(coltsfootlink.Delivery{Message: Changed{State: task.state}})
+	}
+	if now := task.Clock.Now(); !now.Before(task.logAt) {
+		task.logAt = now.Add(logInterval)
+		task.Log.Info().Int64("wait-ms", wait.Milliseconds()).Float64("taken", task.state.Taken()).Msg("pressure: the processor is behind, or catches up")
+	}
+}
