Take no owner for silent while this instance's own processor is behind

Callers of a small instance were refused for owners that had answered: 44 owners within a second at the start of a flood, for their verdicts waited unread. Each was then passed over for half a second, which kept the rest from being served. TestSlowOwners: two of the four new cases failed before.

--- a/dispatch/owners.go
+++ b/dispatch/owners.go
@@ -52,9 +52,8 @@
 		if now.Before(waiting.answerBy) {
 			continue
 		}
-		// An owner that answers others is not silent: what is late is this instance, or the owner's mailbox.
-		if answersBy := task.heard[waiting.asked].Add(askLimit); now.Before(answersBy) && now.Before(waiting.slowBy) {
-			waiting.answerBy = answersBy
+		if by := task.lateBy(waiting); now.Before(by) {
+			waiting.answerBy = by
 			task.pending[serial] = waiting
 			continue
 		}
@@ -63,9 +62,19 @@
 	}
 }
 
+// lateBy returns until when an owner that is late is waited for: one that answers others is not silent, and while the
+// processor of this instance is behind, answers wait here.
+func (task *Task) lateBy(waiting pending) time.Time {
+	answersBy := task.heard[waiting.asked].Add(askLimit)
+	if task.pressure.Refuses() || waiting.slowBy.Before(answersBy) {
+		return waiting.slowBy
+	}
+	return answersBy
+}
+
 // passOver asks the owner of another target.
 func (task *Task) passOver(now time.Time, serial uint64, waiting pending) {
-	if now.After(task.heard[waiting.asked].Add(askLimit)) {
+	if !task.pressure.Refuses() && now.After(task.heard[waiting.asked].Add(askLimit)) {
 		if now.After(task.distrusted[waiting.asked]) {
 			task.Log.Warn().Str("owner", string(waiting.asked)).Msg("dispatch: owner does not answer")
 		}
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -11,6 +11,7 @@
 	"coltsfootlink"
 	"coltsfootlink/health"
 	"coltsfootlink/mailbox"
+	"coltsfootlink/pressure"
 	"coltsfootlink/retry"
 )
 
@@ -71,8 +72,10 @@
 	moves   moves
 	waits   waits
 	budgets map[coltsfootlink.PoolName]retry.Budget
-	catalog coltsfootlink.Catalog
-	view    coltsfootlink.View
+	// pressure is how far the processor of the instance is behind.
+	pressure pressure.State
+	catalog  coltsfootlink.Catalog
+	view     coltsfootlink.View
 	// live are the zones with live instances.
 	live    map[coltsfootlink.ZoneName]bool
 	serial  uint64
@@ -145,6 +148,8 @@
 		task.offers.count(message.Pool, message.Team, tokensOf(message.Work), 0)
 	case coltsfootlink.MoveWord:
 		task.moves.words[message.Move.Pool] = moveWord{MoveWord: message, until: task.Clock.Now().Add(moveWordSpan)}
+	case pressure.Changed:
+		task.pressure = message.State
 	case coltsfootlink.CatalogChanged:
 		task.catalog = message.Catalog
 		task.followOwners()
--- a/dispatch/task_test.go
+++ b/dispatch/task_test.go
@@ -9,6 +9,7 @@
 
 	"coltsfootlink"
 	"coltsfootlink/mailbox"
+	"coltsfootlink/pressure"
 )
 
 // wire keeps the messages that a task sends.
@@ -200,18 +201,27 @@
 		// heard is how long before the look another verdict of the owner came; zero for none.
 		heard time.Duration
 		// after is the time from the question to the look.
-		after          time.Duration
+		after time.Duration
+		// behind says that the processor of the instance that asks is behind.
+		behind         bool
 		waits, trusted bool
 	}{
-		"it answers nobody":                      {0, askLimit, false, false},
-		"it answers others":                      {askLimit / 4, askLimit, true, true},
-		"it answered others long ago":            {askLimit + 1, 2 * askLimit, false, false},
-		"it answers others, and takes too long":  {askLimit / 4, slowLimit, false, true},
-		"it answers others, and is not yet late": {askLimit / 4, askLimit / 2, true, true},
+		"it answers nobody":                                {0, askLimit, false, false, false},
+		"it answers others":                                {askLimit / 4, askLimit, false, true, true},
+		"it answered others long ago":                      {askLimit + 1, 2 * askLimit, false, false, false},
+		"it answers others, and takes too long":            {askLimit / 4, slowLimit, false, false, true},
+		"it answers others, and is not yet late":           {askLimit / 4, askLimit / 2, false, true, true},
+		"it answers nobody, and who asks is behind":        {0, askLimit, true, true, true},
+		"it takes too long, and who asks is behind":        {0, slowLimit, true, false, true},
+		"it is not yet late, and who asks is behind":       {0, askLimit / 2, true, true, true},
+		"it answers others, and who asks is behind, a lot": {askLimit / 4, slowLimit, true, false, true},
 	}
 	for name, test := range cases {
 		Convey(name, t, func() {
 			task, kept, clock := newTask()
+			if test.behind {
+				task.handle(coltsfootlink.Delivery{Message: pressure.Changed{State: pressure.State{}.WithWait(time.Second)}})
+			}
 			task.handle(coltsfootlink.Delivery{Message: want(clock, make(chan Choice, 1))})
 			asked := kept.sent[0]
 			serial := kept.asks()[0].Serial
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -308,7 +308,7 @@
 		Meter:       &pressure.Meter{},
 		Clock:       gateway.clock,
 		Log:         gateway.Log,
-		Subscribers: []*mailbox.Deliveries{gateway.boxes.gate},
+		Subscribers: []*mailbox.Deliveries{gateway.boxes.gate, gateway.boxes.dispatch},
 	})
 	ready := http.NewServeMux()
 	ready.Handle(platform.ReadinessPath, gateway.gate)
--- a/pressure/state.go
+++ b/pressure/state.go
@@ -50,5 +50,8 @@
 	return draw < taken
 }
 
+// Refuses says whether anything may be refused, for the processor was behind lately.
+func (state State) Refuses() bool { return state.refused > 0 }
+
 // Taken is the part of the requests that is taken within shares and beyond them, from 0 to 2.
 func (state State) Taken() float64 { return all - state.refused }
