Send more callers elsewhere while an instance is overloaded

Callers of a team whose requests all come to one instance got what that one instance could serve, a small part of their share, and their retries came back to it. An instance that refuses most of what lies within shares now says that it is not ready, until it takes nearly all again; connections that are open stay. The balancer sends new ones to others of the zone, and to all if fewer than half are ready.

--- a/ingress/gate.go
+++ b/ingress/gate.go
@@ -109,7 +109,7 @@
 
 // ServeHTTP answers whether the instance is ready for more callers.
 func (gate *Gate) ServeHTTP(writer http.ResponseWriter, _ *http.Request) {
-	if gate.Leaving() || !gate.Catalog().Known {
+	if gate.Leaving() || !gate.Catalog().Known || gate.Pressure().Overloaded() {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/pressure/state.go
+++ b/pressure/state.go
@@ -18,6 +18,9 @@
 	// all is where everything is taken; below it requests beyond their teams' shares are refused first, and below half
 	// of it those within shares.
 	all = 2.0
+	// overloadedBelow is what is taken below which an instance counts as overloaded, until calmAbove is taken again.
+	overloadedBelow = 0.5
+	calmAbove       = 1.5
 )
 
 // State is how much an instance takes; it is immutable. Its zero value takes everything.
@@ -25,7 +28,8 @@
 	// refused is how far what is taken lies below all.
 	refused float64
 	// wait is how long what was ready to run had to wait at the last look.
-	wait time.Duration
+	wait       time.Duration
+	overloaded bool
 }
 
 // WithWait returns the state after a look at how long what was ready to run had to wait for the processor.
@@ -38,7 +42,8 @@
 		taken = max(least, taken*fall)
 	}
 	// While the wait gets shorter, too much was taken before and not now.
-	return State{refused: all - taken, wait: wait}
+	overloaded := taken < overloadedBelow || state.overloaded && taken < calmAbove
+	return State{refused: all - taken, wait: wait, overloaded: overloaded}
 }
 
 // Takes says whether a request is to be taken by how it stands to its team's share; the draw is a number from 0 to 1.
@@ -53,5 +58,8 @@
 // Refuses says whether anything may be refused, for the processor was behind lately.
 func (state State) Refuses() bool { return state.refused > 0 }
 
+// Overloaded says that more callers had better go to other instances.
+func (state State) Overloaded() bool { return state.overloaded }
+
 // Taken is the part of the requests that is taken within shares and beyond them, from 0 to 2.
 func (state State) Taken() float64 { return all - state.refused }
--- a/pressure/state_test.go
+++ b/pressure/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -111,3 +112,27 @@
 		})
 	}
 }
+
+func TestOverloadedInstanceSendsCallersElsewhere(t *testing.T) {
+	long, short := time.Second, time.Millisecond
+	cases := map[string]struct {
+		waits      []time.Duration
+		overloaded bool
+	}{
+		"calm":                              {[]time.Duration{short, short}, false},
+		"behind for a moment":               {[]time.Duration{long, long}, false},
+		"behind for long":                   {slices.Repeat([]time.Duration{long}, 10), true},
+		"calm again for a moment":           {append(slices.Repeat([]time.Duration{long}, 10), slices.Repeat([]time.Duration{short}, 20)...), true},
+		"calm again for long":               {append(slices.Repeat([]time.Duration{long}, 10), slices.Repeat([]time.Duration{short}, 80)...), false},
+		"behind once more, but not so much": {append(slices.Repeat([]time.Duration{long}, 10), append(slices.Repeat([]time.Duration{short}, 80), long)...), false},
+	}
+	for name, test := range cases {
+		Convey("an instance that refuses most within shares is not ready for more callers: "+name, t, func() {
+			var state State
+			for _, wait := range test.waits {
+				state = state.WithWait(wait)
+			}
+			So(state.Overloaded(), ShouldEqual, test.overloaded)
+		})
+	}
+}
--- a/pressure/task.go
+++ b/pressure/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -50,7 +51,7 @@
 func (task *Task) look() {
 	wait := task.Meter.Wait()
 	task.state = task.state.WithWait(wait)
-	if change := task.state.refused - task.told.refused; change < tellStep && -change < tellStep && task.state.refused > 0 || task.state == task.told {
+	if alike(task.state, task.told) {
 		return
 	}
 	task.told = task.state
@@ -62,3 +63,8 @@
 		task.Log.Info().Int64("wait-ms", wait.Milliseconds()).Float64("taken", task.state.Taken()).Msg("pressure: the processor is behind, or catches up")
 	}
 }
+
+// alike says whether two states let about the same in.
+func alike(one, other State) bool {
+	return one.Refuses() == other.Refuses() && one.overloaded == other.overloaded && math.Abs(one.refused-other.refused) < tellStep
+}
