Bound the requests that wait for a target by the processor, and drop those whose callers left

Callers of a flooded instance were held for 2.4 s until they left, since within its first 0.4 s it took hundreds of requests, each of which asked up to four owners, also after its caller had left or its deadline had passed. What may wait for a target now follows from the machine's processor (200 a core), and what is of no use any more asks nobody.

Tests: TestPressure (second case) and TestUselessRequestsAskNobody failed before.

--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -30,10 +30,25 @@
 	Fingerprint uint64
 	// Avoid are targets that the request is not to be sent to again.
 	Avoid map[coltsfootlink.TargetName]bool
+	// Gone is closed when the caller has left; nil if that is not known.
+	Gone <-chan struct{}
 	// Reply receives one Choice; it has room for it.
 	Reply chan<- Choice
 }
 
+// useless says why a target would be of no use to the request any more; nil if it would.
+func (want Want) useless(now time.Time) *coltsfootlink.Refusal {
+	select {
+	case <-want.Gone:
+		return coltsfootlink.Refuse(coltsfootlink.CallerGone, "the caller went away")
+	default:
+	}
+	if !want.Deadline.IsZero() && now.After(want.Deadline) {
+		return coltsfootlink.Refuse(coltsfootlink.PastDeadline, "no target was free before the deadline")
+	}
+	return nil
+}
+
 // Shed tells of a request that was refused because it lies too far beyond its team's share to be offered.
 type Shed struct {
 	coltsfootlink.Local
--- a/dispatch/offer.go
+++ b/dispatch/offer.go
@@ -10,6 +10,10 @@
 // askNext asks the owner of the next candidate, or refuses the request if none is left.
 func (task *Task) askNext(waiting pending) {
 	now := task.Clock.Now()
+	if refusal := waiting.want.useless(now); refusal != nil {
+		waiting.want.Reply <- Choice{Serial: waiting.serial, Owner: waiting.asked, Refusal: refusal}
+		return
+	}
 	for {
 		if len(waiting.candidates) == 0 {
 			waiting = task.spill(now, waiting)
--- a/dispatch/task_test.go
+++ b/dispatch/task_test.go
@@ -195,6 +195,41 @@
 	})
 }
 
+func TestUselessRequestsAskNobody(t *testing.T) {
+	gone := make(chan struct{})
+	close(gone)
+	cases := map[string]struct {
+		gone   <-chan struct{}
+		after  time.Duration
+		reason coltsfootlink.Reason
+	}{
+		"the caller is there":   {make(chan struct{}), 0, ""},
+		"the caller has left":   {gone, 0, coltsfootlink.CallerGone},
+		"the deadline has past": {make(chan struct{}), 2 * time.Minute, coltsfootlink.PastDeadline},
+	}
+	for name, test := range cases {
+		Convey("after a refusal the next owner is asked only if that is of use: "+name, t, func() {
+			task, kept, clock := newTask()
+			reply := make(chan Choice, 1)
+			wanted := want(clock, reply)
+			task.handle(coltsfootlink.Delivery{Message: wanted})
+			asked := kept.sent[0]
+			serial := kept.asks()[0].Serial
+			waiting := task.pending[serial]
+			waiting.want.Gone = test.gone
+			task.pending[serial] = waiting
+			clock.now = clock.now.Add(test.after)
+			task.handle(coltsfootlink.Delivery{From: asked.From, Message: coltsfootlink.Verdict{Serial: serial, Reason: coltsfootlink.TargetFull}})
+			if test.reason == "" {
+				So(len(kept.asks()), ShouldEqual, 1)
+				return
+			}
+			So(kept.asks(), ShouldBeEmpty)
+			So((<-reply).Refusal.Reason, ShouldEqual, test.reason)
+		})
+	}
+}
+
 // TestSlowOwners holds for an owner that has not answered one request in time.
 func TestSlowOwners(t *testing.T) {
 	cases := map[string]struct {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
@@ -48,6 +49,8 @@
 	// openPerMB and activePerMB bound callers' connections and requests by the memory of the machine.
 	openPerMB   = 8
 	activePerMB = 4
+	// choosingPerCore bounds the requests that wait for a target by the processor of the machine.
+	choosingPerCore = 200
 	// stopMargin is how much earlier than it has to a process ends.
 	stopMargin = 800 * time.Millisecond
 	// closeLimit is how long the servers wait for the last answers to be written.
@@ -189,9 +192,10 @@
 		Dispatch: gateway.boxes.dispatch,
 		Log:      gateway.Log,
 
-		Open:      new(atomic.Int64),
-		MaxOpen:   int64(gateway.Settings.MemoryMB * openPerMB),
-		MaxActive: int64(gateway.Settings.MemoryMB * activePerMB),
+		Open:        new(atomic.Int64),
+		MaxOpen:     int64(gateway.Settings.MemoryMB * openPerMB),
+		MaxActive:   int64(gateway.Settings.MemoryMB * activePerMB),
+		MaxChoosing: int64(math.Ceil(gateway.Settings.ProcessorShare * gateway.Settings.Cores * choosingPerCore)),
 	}
 }
 
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -50,9 +50,12 @@
 	// MaxActive is the most requests that are served at once; further ones are refused, for what piles up when
 	// callers press would take the memory of all.
 	MaxActive int64
+	// MaxChoosing is the most requests that wait for a target at once; if there are more, the processor is behind.
+	MaxChoosing int64
 
-	// active counts requests that are not yet answered, admitted those of them that may go to a target.
-	active, admitted atomic.Int64
+	// active counts requests that are not yet answered, admitted those of them that may go to a target, and choosing
+	// those that wait for one.
+	active, admitted, choosing atomic.Int64
 }
 
 // Admitted returns the number of requests that are on their way to a target or back.
@@ -185,7 +188,7 @@
 // isTaken says whether the instance takes the request while its processor is behind; what waits for the processor until
 // its caller leaves helps nobody.
 func (current *exchange) isTaken(most int64) bool {
-	if current.service.Gate.Pressure().Takes(current.standing, rand.Float64()) {
+	if current.service.choosing.Load() < current.service.MaxChoosing && current.service.Gate.Pressure().Takes(current.standing, rand.Float64()) {
 		return true
 	}
 	current.refuseUnread(most, coltsfootlink.Refuse(coltsfootlink.InstanceBusy, "the processor is behind").WithRetryAt(current.arrived.Add(elsewherePause)))
--- a/ingress/service_test.go
+++ b/ingress/service_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"cmp"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -83,6 +85,9 @@
 	endsAt time.Time
 	// most is how many requests the service takes at once.
 	most int
+	// mostChoosing is how many may wait for a target; slow says that none gets one.
+	mostChoosing int64
+	slow         bool
 	// shares is what is known of the teams' shares.
 	shares coltsfootlink.Shares
 
@@ -101,7 +106,14 @@
 		for _, delivery := range offer.inbox.Drain() {
 			switch message := delivery.Message.(type) {
 			case dispatch.Want:
-				message.Reply <- offer.choose(message)
+				if !offer.slow {
+					message.Reply <- offer.choose(message)
+					continue
+				}
+				go func() {
+					<-message.Gone
+					message.Reply <- dispatch.Choice{Refusal: coltsfootlink.Refuse(coltsfootlink.CallerGone, "gone")}
+				}()
 			case dispatch.Report:
 				offer.mutex.Lock()
 				offer.reports = append(offer.reports, message)
@@ -186,7 +198,7 @@
 	}
 	service := &Service{
 		Gate: gate, Clock: coltsfootlink.SystemClock{}, Dispatch: offered.inbox, Log: zerolog.Nop(),
-		Open: new(atomic.Int64), MaxOpen: 100, MaxActive: int64(offered.most),
+		Open: new(atomic.Int64), MaxOpen: 100, MaxActive: int64(offered.most), MaxChoosing: cmp.Or(offered.mostChoosing, 100),
 		Client: &upstream.Client{Clock: coltsfootlink.SystemClock{}, Keeper: keeper.Inbox},
 	}
 	ctx := t.Context()
@@ -419,6 +431,28 @@
 		So(header.Get("Retry-After"), ShouldNotBeEmpty)
 		So(<-held, ShouldEqual, 504)
 	})
+	Convey("requests beyond the most that wait for a target are refused before their bodies are read", t, func() {
+		url := start(t, &offer{slow: true, mostChoosing: 1}, true)
+		ctx, leave := context.WithCancel(t.Context())
+		held, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/safe/a", strings.NewReader("plan"))
+		So(err, ShouldBeNil)
+		held.Host = "h"
+		left := make(chan error, 1)
+		go func() {
+			response, err := http.DefaultTransport.RoundTrip(held)
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			left <- err
+		}()
+		time.Sleep(100 * time.Millisecond)
+		status, header, _, err := request(t, url, "/safe/a", "plan", "")
+		So(err, ShouldBeNil)
+		So(status, ShouldEqual, 503)
+		So(header.Get("Retry-After"), ShouldEqual, "0.050")
+		leave()
+		So(<-left, ShouldNotBeNil)
+	})
 }
 
 // TestShares holds for requests of a team that asks for more than its share.
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -27,6 +27,8 @@
 
 // choose asks for a target and waits for it.
 func (current *exchange) choose() dispatch.Choice {
+	current.service.choosing.Add(1)
+	defer current.service.choosing.Add(-1)
 	reply := make(chan dispatch.Choice, 1)
 	current.service.Dispatch.Put(coltsfootlink.Delivery{Message: dispatch.Want{
 		ID:          current.head.ID,
@@ -42,6 +44,7 @@
 		Retry:       current.attempts > 0,
 		Fingerprint: current.fingerprint,
 		Avoid:       current.avoid,
+		Gone:        current.incoming.Context().Done(),
 		Reply:       reply,
 	}})
 	return <-reply
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -12,7 +12,10 @@
 	Seeds    []string `toml:"seeds"`
 	// MemoryMB is the memory that the process may have, in megabytes.
 	MemoryMB float64 `toml:"memory-mb"`
-	Listen   struct {
+	// ProcessorShare is the part of a core that the process may have, and Cores how many times as fast it is.
+	ProcessorShare float64 `toml:"processor-share"`
+	Cores          float64 `toml:"cores"`
+	Listen         struct {
 		Callers string `toml:"callers"`
 		Ready   string `toml:"ready"`
 		Peers   string `toml:"peers"`
@@ -73,7 +76,7 @@
 
 // GatewayDefaults returns the settings that a document need not set.
 func GatewayDefaults() Gateway {
-	var gateway Gateway
+	gateway := Gateway{ProcessorShare: 1, Cores: 1}
 	gateway.Engine = EngineRates{
 		PromptTokensPerMilli: 112,
 		PairsMillis:          0.2,
@@ -123,6 +126,8 @@
 	stopSpan := time.Duration(gateway.Timing.StopSeconds * float64(time.Second))
 	doc.check(gateway.Timing.DrainDelay.Duration < stopSpan/2, "timing.drain-delay", "must be less than half of stop-seconds")
 	numbers := map[string]float64{
+		"processor-share":             gateway.ProcessorShare,
+		"cores":                       gateway.Cores,
 		"engine.prompt-tokens-per-ms": gateway.Engine.PromptTokensPerMilli,
 		"engine.step-ms":              gateway.Engine.StepMillis,
 		"engine.chunk-tokens":         gateway.Engine.ChunkTokens,
