Divide the retry budget by the instances there are

The slack of the fleet's budget was divided by eight for good: at 71 instances they could save up nine times what the users allow (1,207 retries for 136), enough to break the budget of a service with few requests; at seven a part was lost. Each instance now saves up its part by the members that it knows. TestFleetKeepsItsRetryBudget failed before (five of six cases).

--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -63,7 +63,7 @@
 	Sender coltsfootlink.Sender
 	Log    zerolog.Logger
 	Inbox  *mailbox.Deliveries
-	// RetryShare is the part of a retry that each request earns; RetrySlack is the most that is saved up.
+	// RetryShare is the part of a retry that each request earns; RetrySlack is the most that the fleet saves up.
 	RetryShare float64
 	RetrySlack float64
 
@@ -155,6 +155,9 @@
 		task.followOwners()
 	case coltsfootlink.ViewChanged:
 		task.view = message.View
+		for pool, budget := range task.budgets {
+			task.budgets[pool] = budget.WithMost(task.mostRetries())
+		}
 		task.live = make(map[coltsfootlink.ZoneName]bool)
 		for _, member := range message.View.Live() {
 			task.live[member.Zone] = true
@@ -212,7 +215,12 @@
 	if budget, known := task.budgets[pool]; known {
 		return budget
 	}
-	return retry.NewBudget(task.RetryShare, task.RetrySlack)
+	return retry.NewBudget(task.RetryShare, task.mostRetries())
+}
+
+// mostRetries is how many retries this instance saves up of what the fleet may.
+func (task *Task) mostRetries() float64 {
+	return max(1, task.RetrySlack/float64(max(1, len(task.view.Members))))
 }
 
 // report tells the owner of the target how far a request has come.
--- a/dispatch/task_test.go
+++ b/dispatch/task_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -423,3 +424,31 @@
 		})
 	}
 }
+
+func TestFleetKeepsItsRetryBudget(t *testing.T) {
+	const slack = 136.5
+	cases := map[string]struct{ instances int }{"one": {1}, "seven": {7}, "eight": {8}, "31": {31}, "71": {71}, "136": {136}}
+	for name, test := range cases {
+		Convey("what all instances save up is within the budget of the fleet: "+name, t, func() {
+			task, _, _ := newTask()
+			task.RetryShare, task.RetrySlack = 0.15, slack
+			var view coltsfootlink.View
+			for index := range test.instances {
+				view.Members = append(view.Members, member(coltsfootlink.InstanceName(fmt.Sprint("i-", index)), "a"))
+			}
+			task.budgets["p"] = task.budget("p")
+			task.handle(coltsfootlink.Delivery{Message: coltsfootlink.ViewChanged{View: view}})
+			for _, pool := range []coltsfootlink.PoolName{"p", "q"} {
+				saved := 0
+				for range 1000 {
+					task.earn(pool)
+				}
+				for task.pay(Want{Pool: pool, Retry: true}) == nil {
+					saved++
+				}
+				So(saved, ShouldBeGreaterThan, 0)
+				So(saved*test.instances, ShouldBeLessThanOrEqualTo, slack)
+			}
+		})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,10 +57,8 @@
 	closeLimit = 300 * time.Millisecond
 	// timelineEvents is the number of events that an instance keeps.
 	timelineEvents = 512
-	// retryPart is the part of the fleet's retry budget that is used, shared by the expected instances.
+	// retryPart is the part of the fleet's retry budget that is used.
 	retryPart = 0.75
-	// expectedInstances is the number of instances that share the slack of the retry budget.
-	expectedInstances = 8
 )
 
 // Gateway is one daemon on the users' platform.
@@ -283,7 +281,7 @@
 		Log:        gateway.Log,
 		Inbox:      gateway.boxes.dispatch,
 		RetryShare: gateway.Settings.Retry.Share * retryPart,
-		RetrySlack: gateway.Settings.Retry.Slack * retryPart / expectedInstances,
+		RetrySlack: gateway.Settings.Retry.Slack * retryPart,
 	})
 	branch.Add("share", &share.Task{
 		Self:           gateway.self.Name,
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -28,3 +28,10 @@
 	budget.retries--
 	return budget, true
 }
+
+// WithMost returns the budget with another bound of what can be saved up.
+func (budget Budget) WithMost(most float64) Budget {
+	budget.most = most
+	budget.retries = min(budget.retries, most)
+	return budget
+}
