Cut the answers of callers that leave instead of ending them

A caller that closed only its own direction got a 200 of length 0, or a short answer with the last chunk, framed as complete. Cause: net/http ends the context at the caller's FIN, which counts as the caller's leaving; the handler then returned, and the library ended the answer for it. A request whose caller left now aborts its connection after its one line of log, whether it is told by the context or by a write; it is not sent on, and its target is told and counts as cancelled, also while an answer is held, which counted as the target's crash. TestHalfClosedCallersGetNoFalseEnd failed before (all six cases).

--- a/ingress/end.go
+++ b/ingress/end.go
@@ -12,17 +12,18 @@
 
 // giveUp ends a request that no target answers.
 func (current *exchange) giveUp(ctx context.Context, failure *coltsfootlink.Refusal) {
-	if ctx.Err() != nil && current.incoming.Context().Err() == nil {
+	left := failure.Reason == coltsfootlink.CallerGone || current.incoming.Context().Err() != nil
+	if ctx.Err() != nil && !left {
 		failure = coltsfootlink.Refuse(coltsfootlink.PastDeadline, failure.Detail).WithOutcome(failure.Outcome)
 	}
 	switch {
-	case current.incoming.Context().Err() != nil:
+	case left:
 		current.note("caller left", 0, failure.Error())
+		abort()
 	case current.started:
 		current.note("cut", 0, failure.Error())
 		metrics.Count("answers-cut")
-		// The library closes the connection, so that the caller does not take the answer for a whole one.
-		panic(http.ErrAbortHandler)
+		abort()
 	case ctx.Err() != nil && current.mayHaveRun:
 		current.refuse(http.StatusGatewayTimeout, failure.WithOutcome(coltsfootlink.MayHaveRun))
 	case current.mayHaveRun:
@@ -32,6 +33,10 @@
 	}
 }
 
+// abort closes the connection, for the library would end the answer as a whole one: a caller that has closed only its
+// own direction would take it.
+func abort() { panic(http.ErrAbortHandler) }
+
 // refuse answers for the system itself.
 func (current *exchange) refuse(status int, refusal *coltsfootlink.Refusal) {
 	header := current.writer.Header()
--- /dev/null
+++ b/ingress/ends_test.go
@@ -0,0 +1,89 @@
+package ingress
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"coltsfootlink"
+)
+
+// lines is a log that a test reads.
+type lines chan string
+
+// Write notes a line.
+func (noted lines) Write(line []byte) (int, error) {
+	noted <- string(line)
+	return len(line), nil
+}
+
+// startSilent runs a target that writes text after a request and then keeps the connection open.
+func startSilent(t *testing.T, text string) *fakeTarget {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		_, _ = conn.Write([]byte(text))
+		_, _ = io.Copy(io.Discard, conn)
+	}()
+	return &fakeTarget{Target: coltsfootlink.Target{Name: "t", Pool: "p", Address: listener.Addr().String()}}
+}
+
+// resultsOf waits until that many requests have ended, and returns how.
+func (offer *offer) resultsOf(count int) []coltsfootlink.Result {
+	for end := time.Now().Add(time.Second); len(offer.results()) < count && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	return offer.results()
+}
+
+func TestHalfClosedCallersGetNoFalseEnd(t *testing.T) {
+	cases := map[string]struct{ path, text string }{
+		"before an answer":                {"/safe/a", ""},
+		"before one that may not repeat":  {"/unsafe/a", ""},
+		"while an answer is held":         {"/unsafe/a", stamped + "Content-Length: 9\r\n\r\nroof"},
+		"in a stream":                     {"/stream/a", events(1, 2, "")},
+		"in a stream that can be resumed": {"/resumable/a", events(1, 2, "7\r\nid: 3\nd")},
+		"in a long answer without length": {"/once/a", stamped + "\r\n" + strings.Repeat("plank ", 300_000)},
+	}
+	for name, test := range cases {
+		Convey("a caller that closes its own direction gets nothing that looks whole: "+name, t, func() {
+			noted := make(lines, 10)
+			offered := &offer{targets: []*fakeTarget{startSilent(t, test.text)}, log: zerolog.New(noted)}
+			conn, err := net.Dial("tcp4", strings.TrimPrefix(start(t, offered, true), "http://"))
+			So(err, ShouldBeNil)
+			defer func() { _ = conn.Close() }()
+			_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nAttempt-Id: r-1\r\nTime-Left-Ms: 1500\r\nContent-Length: 4\r\n\r\nplan", test.path)
+			So(err, ShouldBeNil)
+			time.AfterFunc(200*time.Millisecond, func() { _ = conn.(*net.TCPConn).CloseWrite() })
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err == nil && response.StatusCode == http.StatusOK {
+				So(response.Header.Get("Answer-Stamp"), ShouldNotBeEmpty)
+				_, err = io.Copy(io.Discard, response.Body)
+				So(err, ShouldNotBeNil)
+			}
+			So(noted, ShouldHaveLength, 1)
+			So(<-noted, ShouldContainSubstring, "caller left")
+			So(offered.resultsOf(1), ShouldResemble, []coltsfootlink.Result{coltsfootlink.Cancelled})
+		})
+	}
+}
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -237,7 +237,7 @@
 // goesOn says whether the request may be sent to another target after a failure.
 func (current *exchange) goesOn(ctx context.Context, failure *coltsfootlink.Refusal) bool {
 	switch {
-	case ctx.Err() != nil || current.started && current.lastEvent == "":
+	case ctx.Err() != nil, failure.Reason == coltsfootlink.CallerGone, current.started && current.lastEvent == "":
 		return false
 	case failure.Reason == coltsfootlink.TargetDown:
 		return current.unsent < maxUnsent
--- a/ingress/service_test.go
+++ b/ingress/service_test.go
@@ -85,6 +85,8 @@
 	most int
 	// shares is what is known of the teams' shares.
 	shares coltsfootlink.Shares
+	// log is the service's; by default nobody reads it.
+	log zerolog.Logger
 
 	mutex   sync.Mutex
 	reports []dispatch.Report
@@ -185,7 +187,7 @@
 		gate.endsAt.Store(&offered.endsAt)
 	}
 	service := &Service{
-		Gate: gate, Clock: coltsfootlink.SystemClock{}, Dispatch: offered.inbox, Log: zerolog.Nop(),
+		Gate: gate, Clock: coltsfootlink.SystemClock{}, Dispatch: offered.inbox, Log: offered.log,
 		Open: new(atomic.Int64), MaxOpen: 100, MaxActive: int64(offered.most),
 		Client: &upstream.Client{Clock: coltsfootlink.SystemClock{}, Keeper: keeper.Inbox},
 	}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -30,7 +30,7 @@
 func (current *exchange) passStream(choice dispatch.Choice, answer upstream.Answer, sentAt time.Time) (*coltsfootlink.Refusal, coltsfootlink.Result) {
 	reader := bufio.NewReaderSize(answer.Body, streamBytes)
 	if _, err := reader.Peek(1); err != nil && err != io.EOF {
-		return coltsfootlink.Refuse(coltsfootlink.AnswerCut, err.Error()).WithOutcome(coltsfootlink.MayHaveRun), coltsfootlink.Crashed
+		return current.broken(err)
 	}
 	current.report(choice, coltsfootlink.FirstEvent, "", sentAt)
 	if !current.started {
@@ -44,7 +44,7 @@
 		err = copyBytes(current.writer, reader, maxAnswerBytes)
 	}
 	if err != nil {
-		return current.broken(answer.Response, err)
+		return current.broken(err)
 	}
 	current.note("answered", answer.Response.StatusCode, "")
 	return nil, coltsfootlink.Succeeded
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -136,7 +136,7 @@
 		length = int64(len(held))
 	}
 	if err != nil {
-		return coltsfootlink.Refuse(coltsfootlink.AnswerCut, err.Error()).WithOutcome(coltsfootlink.MayHaveRun), coltsfootlink.Crashed
+		return current.broken(err)
 	}
 	current.start(answer.Response)
 	if length >= 0 {
@@ -147,7 +147,7 @@
 		// An error means that the caller has left.
 		_, _ = current.writer.Write(held)
 	} else if err := copyBytes(current.writer, io.MultiReader(bytes.NewReader(held), answer.Body), maxAnswerBytes); err != nil {
-		return current.broken(answer.Response, err)
+		return current.broken(err)
 	}
 	result := coltsfootlink.Succeeded
 	if answer.Response.StatusCode >= http.StatusInternalServerError {
@@ -164,11 +164,10 @@
 	platform.CopyAnswerHeader(current.writer.Header(), response.Header)
 }
 
-// broken says what it means that an answer that has begun did not come to its end.
-func (current *exchange) broken(response *http.Response, err error) (*coltsfootlink.Refusal, coltsfootlink.Result) {
+// broken says what it means that an answer did not come to its end.
+func (current *exchange) broken(err error) (*coltsfootlink.Refusal, coltsfootlink.Result) {
 	if current.incoming.Context().Err() != nil || errors.Is(err, errCaller) {
-		current.note("caller left", response.StatusCode, err.Error())
-		return nil, coltsfootlink.Cancelled
+		return coltsfootlink.Refuse(coltsfootlink.CallerGone, err.Error()).WithOutcome(coltsfootlink.MayHaveRun), coltsfootlink.Cancelled
 	}
 	return coltsfootlink.Refuse(coltsfootlink.AnswerCut, err.Error()).WithOutcome(coltsfootlink.MayHaveRun), coltsfootlink.Crashed
 }
