End a resumed stream only behind the event that had begun

Callers got a stream as complete that lacked its last pieces, where the first target broke in the middle of an event and the next one answered 200 and ended without a later one: empty, a blank line, a comment, or an answer of another type. Cause: each target's part was judged by itself, and an end without a rest counted as whole. The request now remembers that an event had begun until an event with an identifier behind it has come, and what goes on has the media type of what began.

--- a/ingress/ends_test.go
+++ b/ingress/ends_test.go
@@ -87,3 +87,31 @@
 		})
 	}
 }
+
+func TestResumedStreamsBringWhatHadBegun(t *testing.T) {
+	broken := events(1, 2, "7\r\nid: 3\nd\r\n")
+	const end = "0\r\n\r\n"
+	const typed = stamped + "Content-Type: text/event-stream\r\n"
+	cases := map[string]struct {
+		first, next string
+		whole       bool
+	}{
+		"the next ends without it":          {broken, events(1, 0, end), false},
+		"the next is empty":                 {broken, typed + "Content-Length: 0\r\n\r\n", false},
+		"the next has one blank line":       {broken, typed + "Content-Length: 1\r\n\r\n\n", false},
+		"the next has only a comment":       {broken, typed + "Content-Length: 5\r\n\r\n: x\n\n", false},
+		"the next is no stream of events":   {broken, stamped + "Content-Type: application/json\r\nContent-Length: 4\r\n\r\n{}\n\n", false},
+		"the next has events under no type": {broken, strings.Replace(events(3, 4, end), "Content-Type: text/event-stream\r\n", "", 1), false},
+		"the next brings it":                {broken, events(3, 4, end), true},
+		"none had begun":                    {events(1, 2, ""), events(1, 0, end), true},
+	}
+	for name, test := range cases {
+		Convey("a stream that goes on without the event that had begun does not look whole: "+name, t, func() {
+			offered := &offer{targets: []*fakeTarget{startTarget(t, "t", test.first), startTarget(t, "u", test.next)}}
+			status, _, body, err := request(t, start(t, offered, true), "/resumable/a", "plan", "")
+			So(status, ShouldEqual, http.StatusOK)
+			So(body, ShouldStartWith, eventText(1)+eventText(2))
+			So(err == nil, ShouldEqual, test.whole)
+		})
+	}
+}
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -86,10 +86,13 @@
 	attempts, unsent int
 	// mayHaveRun says that a target may have run the request.
 	mayHaveRun bool
-	// started says that a part of the answer has been passed on.
-	started bool
-	target  coltsfootlink.TargetName
-	firstAt time.Time
+	// started says that a part of the answer has been passed on, mediaType what it is.
+	started   bool
+	mediaType string
+	// unfinished says that an event had begun of which no target has sent the end yet.
+	unfinished bool
+	target     coltsfootlink.TargetName
+	firstAt    time.Time
 	// permit and owner are the newest question for a target and the owner that was asked.
 	permit uint64
 	owner  coltsfootlink.InstanceName
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -34,7 +34,7 @@
 	}
 	current.report(choice, coltsfootlink.FirstEvent, "", sentAt)
 	if !current.started {
-		current.start(answer.Response)
+		current.start(answer)
 		current.writer.WriteHeader(answer.Response.StatusCode)
 	}
 	var err error
@@ -89,12 +89,9 @@
 			return errAnswerTooLong
 		case err == bufio.ErrBufferFull:
 			continue
-		case err == io.EOF && len(event) == 0:
-			return nil
-		case err == io.EOF:
-			return io.ErrUnexpectedEOF
 		case err != nil:
-			return err
+			current.unfinished = current.unfinished || len(event) > 0
+			return current.endOfEvents(err)
 		}
 		if len(bytes.TrimRight(event[lineAt:], "\r\n")) > 0 {
 			lineAt = len(event)
@@ -107,6 +104,18 @@
 	}
 }
 
+// endOfEvents says what the end of a resumable stream means; nil if it is whole.
+func (current *exchange) endOfEvents(err error) error {
+	switch {
+	case err != io.EOF:
+		return err
+	case current.unfinished:
+		return io.ErrUnexpectedEOF
+	default:
+		return nil
+	}
+}
+
 // passEvent passes an event on if it goes on behind the last one.
 func (current *exchange) passEvent(event []byte) error {
 	id, found := platform.EventID(event)
@@ -118,6 +127,7 @@
 	}
 	if found {
 		current.lastEvent = id
+		current.unfinished = false
 	}
 	return nil
 }
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -114,7 +114,7 @@
 	switch {
 	case answer.Head.Encoded, !answer.Head.Stamped:
 		return failed, coltsfootlink.Failed
-	case status >= http.StatusInternalServerError && canRepeat, current.started && status != http.StatusOK:
+	case status >= http.StatusInternalServerError && canRepeat, current.started && !current.continues(answer):
 		// What does not go on with a stream that has begun would look like its end.
 		return failed, coltsfootlink.Failed
 	case current.rule.Kind == coltsfootlink.StreamRequest && status == http.StatusOK:
@@ -124,6 +124,11 @@
 	}
 }
 
+// continues says whether an answer can go on with a stream that has begun.
+func (current *exchange) continues(answer upstream.Answer) bool {
+	return answer.Response.StatusCode == http.StatusOK && answer.Head.MediaType == current.mediaType
+}
+
 // passWhole passes an answer on once it has come whole, or as it comes if it is long.
 func (current *exchange) passWhole(answer upstream.Answer) (*coltsfootlink.Refusal, coltsfootlink.Result) {
 	length := answer.Response.ContentLength
@@ -138,7 +143,7 @@
 	if err != nil {
 		return current.broken(err)
 	}
-	current.start(answer.Response)
+	current.start(answer)
 	if length >= 0 {
 		platform.SetLength(current.writer.Header(), length)
 	}
@@ -158,10 +163,11 @@
 }
 
 // start notes that the answer begins, and copies the target's headers.
-func (current *exchange) start(response *http.Response) {
+func (current *exchange) start(answer upstream.Answer) {
 	current.started = true
+	current.mediaType = answer.Head.MediaType
 	current.firstAt = current.service.Clock.Now()
-	platform.CopyAnswerHeader(current.writer.Header(), response.Header)
+	platform.CopyAnswerHeader(current.writer.Header(), answer.Response.Header)
 }
 
 // broken says what it means that an answer did not come to its end.
