Begin the answer of a resumable stream with its first whole event

Callers lost their connection where the first target broke in the middle of the first event, though another one could have served them. Cause: the answer counted as begun with the first byte, and a request whose answer has begun without an event is not sent on. The head now goes out with the first whole event, or at the end of a stream without any; a break before it goes to the next target or ends as a failure. TestResumableAnswersBeginWithAWholeEvent failed before (four of five cases).

--- a/ingress/ends_test.go
+++ b/ingress/ends_test.go
@@ -115,3 +115,31 @@
 		})
 	}
 }
+
+func TestResumableAnswersBeginWithAWholeEvent(t *testing.T) {
+	const end = "0\r\n\r\n"
+	begun := events(1, 0, "7\r\nid: 1\nd\r\n")
+	cases := map[string]struct {
+		targets []string
+		status  int
+		body    string
+	}{
+		"the next brings it":               {[]string{begun, events(1, 2, end)}, 200, eventText(1) + eventText(2)},
+		"the next ends without it":         {[]string{begun, events(1, 0, end)}, 502, ""},
+		"the next fails":                   {[]string{begun, failed}, 500, "oops"},
+		"there is no next":                 {[]string{begun}, 502, ""},
+		"a stream without events is whole": {[]string{events(1, 0, end)}, 200, ""},
+	}
+	for name, test := range cases {
+		Convey("a break in the first event is no break of the answer: "+name, t, func() {
+			offered := new(offer)
+			for index, text := range test.targets {
+				offered.targets = append(offered.targets, startTarget(t, coltsfootlink.TargetName(fmt.Sprint("t-", index)), text))
+			}
+			status, _, body, err := request(t, start(t, offered, true), "/resumable/a", "plan", "")
+			So(status, ShouldEqual, test.status)
+			So(body, ShouldEqual, test.body)
+			So(err, ShouldBeNil)
+		})
+	}
+}
--- a/ingress/service_test.go
+++ b/ingress/service_test.go
@@ -201,17 +201,24 @@
 
 // request sends one request and returns the answer's status, headers and body.
 func request(t *testing.T, url, path, body, key string) (int, http.Header, string, error) {
+	t.Helper()
+	header := http.Header{"Time-Left-Ms": {"1500"}}
+	if key != "" {
+		header.Set("Authorization", "Bearer "+key)
+	}
+	return requestWith(t, url, path, body, header)
+}
+
+// requestWith sends one request with headers of its own.
+func requestWith(t *testing.T, url, path, body string, header http.Header) (int, http.Header, string, error) {
 	t.Helper()
 	outgoing, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+path, strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
 	outgoing.Host = "h"
+	outgoing.Header = header
 	outgoing.Header.Set("Attempt-Id", "r-1")
-	outgoing.Header.Set("Time-Left-Ms", "1500")
-	if key != "" {
-		outgoing.Header.Set("Authorization", "Bearer "+key)
-	}
 	response, err := http.DefaultTransport.RoundTrip(outgoing)
 	if err != nil {
 		return 0, nil, "", err
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -33,23 +33,31 @@
 		return current.broken(err)
 	}
 	current.report(choice, coltsfootlink.FirstEvent, "", sentAt)
-	if !current.started {
-		current.start(answer)
-		current.writer.WriteHeader(answer.Response.StatusCode)
-	}
 	var err error
 	if current.rule.Resumable {
-		err = current.copyEvents(reader)
+		err = current.copyEvents(answer, reader)
 	} else {
+		current.begin(answer)
 		err = copyBytes(current.writer, reader, maxAnswerBytes)
 	}
 	if err != nil {
 		return current.broken(err)
 	}
+	// A whole stream without events has not begun yet.
+	current.begin(answer)
 	current.note("answered", answer.Response.StatusCode, "")
 	return nil, coltsfootlink.Succeeded
 }
 
+// begin passes the head of an answer on if none has been.
+func (current *exchange) begin(answer upstream.Answer) {
+	if current.started {
+		return
+	}
+	current.start(answer)
+	current.writer.WriteHeader(answer.Response.StatusCode)
+}
+
 // copyBytes passes at most that many bytes on as they come; an error if the answer has not ended whole.
 func copyBytes(writer http.ResponseWriter, reader io.Reader, most int64) error {
 	buffer := make([]byte, streamBytes)
@@ -75,7 +83,7 @@
 
 // copyEvents passes whole events on as they come and notes the last one, so that the stream can go on at
 // another target behind it; an error if the stream has not ended whole.
-func (current *exchange) copyEvents(reader *bufio.Reader) error {
+func (current *exchange) copyEvents(answer upstream.Answer, reader *bufio.Reader) error {
 	var event []byte
 	// lineAt is where the newest line begins in the event.
 	lineAt := 0
@@ -97,7 +105,7 @@
 			lineAt = len(event)
 			continue
 		}
-		if err := current.passEvent(event); err != nil {
+		if err := current.passEvent(answer, event); err != nil {
 			return err
 		}
 		event, lineAt = event[:0], 0
@@ -116,12 +124,13 @@
 	}
 }
 
-// passEvent passes an event on if it goes on behind the last one.
-func (current *exchange) passEvent(event []byte) error {
+// passEvent passes an event on if it goes on behind the last one; the answer begins with the first.
+func (current *exchange) passEvent(answer upstream.Answer, event []byte) error {
 	id, found := platform.EventID(event)
 	if found && !follows(current.lastEvent, id) {
 		return errors.Newf("event %s came after event %s", id, current.lastEvent)
 	}
+	current.begin(answer)
 	if err := pass(current.writer, event); err != nil {
 		return err
 	}
