Check the events of a resumed caller against the one that it has

A caller that came with Last-Event-Id got from the beginning, as complete, what it had already, where a target did not go on behind that event. Cause: the check that identifiers increase began with the first event of the answer, not with the caller's. It now begins with the caller's own; a request goes on behind an event only where one with an identifier has been passed on since. TestCallersThatResumeGetWhatIsBehind failed before (three of eight cases).

--- a/ingress/ends_test.go
+++ b/ingress/ends_test.go
@@ -143,3 +143,39 @@
 		})
 	}
 }
+
+func TestCallersThatResumeGetWhatIsBehind(t *testing.T) {
+	const end = "0\r\n\r\n"
+	both := eventText(3) + eventText(4)
+	unnumbered := stamped + "Content-Type: text/event-stream\r\nContent-Length: 10\r\n\r\ndata: x\n\ni"
+	cases := map[string]struct {
+		path    string
+		targets []string
+		status  int
+		body    string
+		whole   bool
+	}{
+		"the target goes on":                      {"/resumable/a", []string{events(3, 4, end)}, 200, both, true},
+		"the target begins anew":                  {"/resumable/a", []string{events(1, 4, end)}, 502, "", true},
+		"the target repeats the last one":         {"/resumable/a", []string{events(2, 4, end)}, 502, "", true},
+		"the first breaks in its first event":     {"/resumable/a", []string{events(3, 2, "7\r\nid: 3\nd\r\n"), events(3, 4, end)}, 200, both, true},
+		"the next target goes on":                 {"/resumable/a", []string{events(1, 4, end), events(3, 4, end)}, 200, both, true},
+		"the first breaks before it has a number": {"/resumable/a", []string{unnumbered, events(3, 4, end)}, 200, "data: x\n\n", false},
+		"a stream that cannot be resumed breaks":  {"/stream/a", []string{events(3, 3, ""), events(4, 4, end)}, 200, eventText(3), false},
+		"nothing is behind it":                    {"/resumable/a", []string{events(3, 0, end)}, 200, "", true},
+	}
+	for name, test := range cases {
+		Convey("a caller that has events gets those behind them, once: "+name, t, func() {
+			offered := new(offer)
+			for index, text := range test.targets {
+				offered.targets = append(offered.targets, startTarget(t, coltsfootlink.TargetName(fmt.Sprint("t-", index)), text))
+			}
+			header := http.Header{"Last-Event-Id": {"2"}}
+			status, _, body, err := requestWith(t, start(t, offered, true), test.path, "plan", header)
+			So(status, ShouldEqual, test.status)
+			So(body, ShouldEqual, test.body)
+			So(err == nil, ShouldEqual, test.whole)
+			So(offered.targets[0].seen()[0].Header.Get("Last-Event-Id"), ShouldEqual, "2")
+		})
+	}
+}
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -77,7 +77,7 @@
 	body     []byte
 	// fingerprint identifies requests that are alike by path, team and body.
 	fingerprint uint64
-	// lastEvent is the last event that was passed on of a stream that can be resumed.
+	// lastEvent is the last event that the caller has of a stream that can be resumed.
 	lastEvent string
 
 	// avoid are the targets that have had the request.
@@ -218,6 +218,7 @@
 
 // serve sends the request to targets until one has answered or it is given up.
 func (current *exchange) serve(ctx context.Context) {
+	current.lastEvent = current.head.LastEvent
 	for {
 		choice := current.choose()
 		current.permit, current.owner = choice.Serial, choice.Owner
@@ -240,7 +241,7 @@
 // goesOn says whether the request may be sent to another target after a failure.
 func (current *exchange) goesOn(ctx context.Context, failure *coltsfootlink.Refusal) bool {
 	switch {
-	case ctx.Err() != nil, failure.Reason == coltsfootlink.CallerGone, current.started && current.lastEvent == "":
+	case ctx.Err() != nil, failure.Reason == coltsfootlink.CallerGone, current.started && current.lastEvent == current.head.LastEvent:
 		return false
 	case failure.Reason == coltsfootlink.TargetDown:
 		return current.unsent < maxUnsent
