Cut a stream that ends in the middle of an event

Callers got a stream as complete whose last event lacked its end, on routes that cannot be resumed, where the target's connection ended in an answer without length or the answer was framed too short. Cause: such streams are passed on as bytes, and the end of the bytes counted as the end of the stream. An answer of events now ends well only behind a blank line; answers of other types are passed on as before. TestStreamsEndBehindAnEvent failed before (five of twelve cases).

--- a/ingress/ends_test.go
+++ b/ingress/ends_test.go
@@ -179,3 +179,32 @@
 		})
 	}
 }
+
+func TestStreamsEndBehindAnEvent(t *testing.T) {
+	const typed = stamped + "Content-Type: text/event-stream\r\n"
+	event := eventText(1)
+	cases := map[string]struct {
+		text  string
+		whole bool
+	}{
+		"with the connection, in an event":     {typed + "\r\n" + event + "id: 2\nda", false},
+		"with the connection, behind one line": {typed + "\r\n" + event + "id: 2\n", false},
+		"framed as whole, in an event":         {events(1, 1, "5\r\nid: 2\r\n0\r\n\r\n"), false},
+		"by its length, in an event":           {typed + "Content-Length: 5\r\n\r\nid: 2", false},
+		"in one whose type has a parameter":    {strings.TrimSpace(typed) + "; charset=utf-8\r\n\r\n" + event + "id: 2", false},
+		"with the connection, behind an event": {typed + "\r\n" + event, true},
+		"behind an event, in pieces":           {events(1, 0, "1\r\ni\r\n3\r\nd:\n\r\n1\r\n\n\r\n0\r\n\r\n"), true},
+		"behind an event with returns":         {typed + "\r\nid: 1\r\ndata: x\r\n\r\n", true},
+		"behind an event with returns alone":   {typed + "\r\nid: 1\rdata: x\r\r", true},
+		"without events":                       {typed + "\r\n", true},
+		"where it is of another type":          {stamped + "Content-Type: application/json\r\n\r\n{}", true},
+		"where it has none":                    {stamped + "\r\n{}", true},
+	}
+	for name, test := range cases {
+		Convey("a stream that ends in an event does not look whole: it ends "+name, t, func() {
+			offered := &offer{targets: []*fakeTarget{startTarget(t, "t", test.text)}}
+			_, _, _, err := request(t, start(t, offered, true), "/stream/a", "plan", "")
+			So(err == nil, ShouldEqual, test.whole)
+		})
+	}
+}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,8 +22,13 @@
 	streamBytes = 4 << 10
 	// maxEventBytes is the largest event of a stream that can be resumed.
 	maxEventBytes = 1 << 20
+	// blankBytes is the size of two ends of lines, of which the second makes a blank line.
+	blankBytes = len("\r\n\r\n")
 )
 
+// lineEnds makes the ends of lines alike.
+var lineEnds = strings.NewReplacer("\r\n", "\n", "\r", "\n")
+
 // errCaller tells that the caller no longer takes the answer.
 var errCaller = errors.New("caller")
 
@@ -38,7 +44,7 @@
 		err = current.copyEvents(answer, reader)
 	} else {
 		current.begin(answer)
-		err = copyBytes(current.writer, reader, maxAnswerBytes)
+		err = copyBytes(current.writer, wholeEvents(answer, reader), maxAnswerBytes)
 	}
 	if err != nil {
 		return current.broken(err)
@@ -49,6 +55,32 @@
 	return nil, coltsfootlink.Succeeded
 }
 
+// wholeEvents returns the reader of an answer; if that is of events, its end in the middle of one is an error.
+func wholeEvents(answer upstream.Answer, reader io.Reader) io.Reader {
+	if answer.Head.MediaType != platform.EventStream {
+		return reader
+	}
+	return &eventReader{Reader: reader, tail: []byte("\n\n")}
+}
+
+// eventReader reads a stream of events; io.EOF only behind a whole one.
+type eventReader struct {
+	io.Reader
+	// tail is the newest bytes, as many as a blank line and the end of the line before it may take.
+	tail []byte
+}
+
+// Read returns the next bytes.
+func (events *eventReader) Read(buffer []byte) (int, error) {
+	count, err := events.Reader.Read(buffer)
+	events.tail = append(events.tail, buffer[:count]...)
+	events.tail = append(events.tail[:0], events.tail[max(0, len(events.tail)-blankBytes):]...)
+	if err == io.EOF && !strings.HasSuffix(lineEnds.Replace(string(events.tail)), "\n\n") {
+		err = io.ErrUnexpectedEOF
+	}
+	return count, err
+}
+
 // begin passes the head of an answer on if none has been.
 func (current *exchange) begin(answer upstream.Answer) {
 	if current.started {
