Ask all successes with a body for the pool's end marker

Callers got an answer with 201, 203 or 206 as complete that had ended without the end marker. Cause: the marker was asked for on status 200 only. It is now asked for on every success that may have a body, as the callers' page says of whole answers. TestSuccessesWithoutTheirMarkerAreNotWhole failed before (four of eight cases).

--- a/target/body.go
+++ b/target/body.go
@@ -100,8 +100,12 @@
 }
 
 func (answer *body) whole() bool {
-	marked := answer.response.StatusCode == http.StatusOK && answer.pool.EndMarker != ""
-	return !marked || bytes.HasSuffix(bytes.TrimSpace(answer.tail), []byte(answer.pool.EndMarker))
+	return !endsMarked(answer.response.StatusCode) || answer.pool.EndMarker == "" || bytes.HasSuffix(bytes.TrimSpace(answer.tail), []byte(answer.pool.EndMarker))
+}
+
+// endsMarked says whether answers with a status end with the pool's marker: successes that may have a body do.
+func endsMarked(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices && status != http.StatusNoContent
 }
 
 // finalCost returns what the target says; trailers go before headers.
