Take a target's status below 200 for a failure

A caller got a 101 as an answer of its own, and the handler of a 099 panicked. Cause: what is below 500 was passed on, though nothing below 200 ends a request. Both are now failures of the target; interim answers are passed over as before. TestStatusesThatNoCallerCanTakeAreFailures failed before (three of six cases).

--- a/target/client.go
+++ b/target/client.go
@@ -115,8 +115,7 @@
 		cause := errors.Newf("answer of request %s", echoed)
 		return coltsfootlink.Answer{}, &coltsfootlink.CallError{Sent: true, Result: coltsfootlink.Failed, Reason: coltsfootlink.AnswerCrossed, Cause: cause}
 	}
-	if response.StatusCode >= http.StatusInternalServerError {
-		cause := errors.Newf("status %d", response.StatusCode)
+	if cause := unusable(response); cause != nil {
 		return coltsfootlink.Answer{}, &coltsfootlink.CallError{Sent: true, Result: coltsfootlink.Failed, Reason: coltsfootlink.TargetFailed, Cause: cause}
 	}
 	body := newBody(response, pool, started, client.Clock, cancel)
@@ -133,6 +132,14 @@
 	}, nil
 }
 
+// unusable says why no caller can take an answer; nil if one can.
+func unusable(response *http.Response) error {
+	if status := response.StatusCode; status < http.StatusOK || status >= http.StatusInternalServerError {
+		return errors.Newf("status %d", status)
+	}
+	return nil
+}
+
 func millisBetween(from, to time.Time) float64 {
 	return float64(to.Sub(from)) / float64(time.Millisecond)
 }
--- a/target/ends_test.go
+++ b/target/ends_test.go
@@ -1,7 +1,9 @@
 package target
 
 import (
+	"bufio"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -42,3 +44,54 @@
 		})
 	}
 }
+
+// startRaw runs a target that writes text after a request and closes the connection.
+func startRaw(t *testing.T, text string) coltsfootlink.Target {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = conn.Write([]byte(text))
+		}
+	}()
+	return coltsfootlink.Target{Name: "t", Address: listener.Addr().String()}
+}
+
+func TestStatusesThatNoCallerCanTakeAreFailures(t *testing.T) {
+	const empty = "Content-Length: 0\r\n\r\n"
+	cases := map[string]struct {
+		text   string
+		failed bool
+	}{
+		"another protocol":        {"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n", true},
+		"below all statuses":      {"HTTP/1.1 099 Odd\r\n" + empty, true},
+		"none":                    {"HTTP/1.1 000 None\r\n" + empty, true},
+		"above all statuses":      {"HTTP/1.1 999 Odd\r\n" + empty, true},
+		"behind one that waits":   {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + empty, false},
+		"a mistake of a caller's": {"HTTP/1.1 499 Odd\r\n" + empty, false},
+	}
+	for name, test := range cases {
+		Convey("a status that is no end of a request is a failure: "+name, t, func() {
+			answer, err := NewClient(coltsfootlink.SystemClock{}).Call(t.Context(), startRaw(t, test.text), unmarked, requestOf(true))
+			if !test.failed {
+				So(err, ShouldBeNil)
+				So(answer.Body.Close(), ShouldBeNil)
+				return
+			}
+			var failure *coltsfootlink.CallError
+			So(errors.As(err, &failure), ShouldBeTrue)
+			So(failure.Sent, ShouldBeTrue)
+			So(failure.Result, ShouldEqual, coltsfootlink.Failed)
+			So(failure.Reason, ShouldEqual, coltsfootlink.TargetFailed)
+		})
+	}
+}
