Take an encoded answer for a failure on our own interface

Callers got the bytes of an encoded body as the answer itself, for the header that says so is not passed on. Cause: nobody asks targets for an encoding, so none was expected. Such an answer is now a failure of the target, as it is on the platform's. TestEncodedAnswersAreFailures failed before (all three cases).

--- a/target/client.go
+++ b/target/client.go
@@ -134,10 +134,15 @@
 
 // unusable says why no caller can take an answer; nil if one can.
 func unusable(response *http.Response) error {
-	if status := response.StatusCode; status < http.StatusOK || status >= http.StatusInternalServerError {
+	encoding := response.Header.Get("Content-Encoding")
+	switch status := response.StatusCode; {
+	case status < http.StatusOK, status >= http.StatusInternalServerError:
 		return errors.Newf("status %d", status)
+	case encoding != "":
+		return errors.Newf("encoded as %s, though nobody asked for it", encoding)
+	default:
+		return nil
 	}
-	return nil
 }
 
 func millisBetween(from, to time.Time) float64 {
--- a/target/ends_test.go
+++ b/target/ends_test.go
@@ -95,3 +95,21 @@
 		})
 	}
 }
+
+func TestEncodedAnswersAreFailures(t *testing.T) {
+	cases := map[string]string{
+		"a whole answer": "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nContent-Length: 4\r\n\r\nroof",
+		"in chunks":      "HTTP/1.1 200 OK\r\nContent-Encoding: br\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nroof\r\n0\r\n\r\n",
+		"a refusal":      "HTTP/1.1 409 Conflict\r\nContent-Encoding: gzip\r\nContent-Length: 4\r\n\r\nroof",
+	}
+	for name, text := range cases {
+		Convey("a body that is encoded, though nobody asked for it, is not passed on as plain: "+name, t, func() {
+			_, err := NewClient(coltsfootlink.SystemClock{}).Call(t.Context(), startRaw(t, text), unmarked, requestOf(true))
+			var failure *coltsfootlink.CallError
+			So(errors.As(err, &failure), ShouldBeTrue)
+			So(failure.Sent, ShouldBeTrue)
+			So(failure.Result, ShouldEqual, coltsfootlink.Failed)
+			So(failure.Reason, ShouldEqual, coltsfootlink.TargetFailed)
+		})
+	}
+}
