Take no answer without identifier for ours where targets give one

A caller got the late answer of another request as its own, with a success or as a promise that nothing ran, where it came without an identifier. Cause: a target that did not say whose its answer is was believed to mean the newest request. What bears the target's signature or says that it has not run, and all that comes on a connection that has carried a request before, now needs the identifier; without it, it is passed over like answers of other requests. A 421 and failures of something in front of a target come without one on new connections and are taken as before. TestAnswersWithoutIdentifierAreNotTakenForOurs failed before (five of eight cases).

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -124,7 +124,7 @@
 			continue
 		}
 		head := platform.DecodeAnswer(response)
-		if head.ID == id || head.ID == "" {
+		if head.ID == id || head.ID == "" && mayBeNameless(head, conn.reused) {
 			return Answer{Head: head, Response: response}, nil
 		}
 		if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
@@ -140,6 +140,12 @@
 	return Answer{}, errors.New("too many answers of other requests")
 }
 
+// mayBeNameless says whether an answer is taken for ours though it does not say whose it is: what a target says of a
+// request that it knows bears the identifier, and on a connection that was used before it may be of the one before.
+func mayBeNameless(head platform.AnswerHead, reused bool) bool {
+	return !reused && !head.Stamped && (head.Misdirected || !head.NotRun)
+}
+
 // sendError returns the error of sending where that came first, for it says whether anything was sent.
 func sendError(written <-chan error, err error) error {
 	select {
