Strike no target for an answer that is too long

A target whose head, event or answer was longer than our bounds counted as crashed, and its request went to the next target, where it was as long again, so that one request could strike several sound targets and so be taken for one that crashes them. Cause: what ends an answer early counted as the target's end. Such an answer now has a reason of its own, counts as failed and ends the request. TestAnswersThatAreTooLongAreNoCrashes failed before (all four cases).

--- a/ingress/ends_test.go
+++ b/ingress/ends_test.go
@@ -208,3 +208,26 @@
 		})
 	}
 }
+
+func TestAnswersThatAreTooLongAreNoCrashes(t *testing.T) {
+	cases := map[string]struct {
+		path, text string
+		status     int
+	}{
+		"a head":                  {"/safe/a", stamped + "X: " + strings.Repeat("x", 1<<17), http.StatusBadGateway},
+		"a length":                {"/safe/a", stamped + fmt.Sprintf("Content-Length: %d\r\n\r\n", maxAnswerBytes+1), http.StatusBadGateway},
+		"the first event":         {"/resumable/a", stamped + "\r\ndata: " + strings.Repeat("x", maxEventBytes) + "\n\n", http.StatusBadGateway},
+		"an event behind another": {"/resumable/a", stamped + "\r\n" + eventText(1) + strings.Repeat("x", maxEventBytes+1), http.StatusOK},
+	}
+	for name, test := range cases {
+		Convey("what is too long is so everywhere, and strikes no target: "+name, t, func() {
+			next := startTarget(t, "u", good)
+			offered := &offer{targets: []*fakeTarget{startTarget(t, "t", test.text), next}}
+			status, _, _, err := request(t, start(t, offered, true), test.path, "plan", "")
+			So(status, ShouldEqual, test.status)
+			So(err != nil, ShouldEqual, test.status == http.StatusOK)
+			So(next.seen(), ShouldBeEmpty)
+			So(offered.resultsOf(1), ShouldResemble, []coltsfootlink.Result{coltsfootlink.Failed})
+		})
+	}
+}
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -241,7 +241,7 @@
 // goesOn says whether the request may be sent to another target after a failure.
 func (current *exchange) goesOn(ctx context.Context, failure *coltsfootlink.Refusal) bool {
 	switch {
-	case ctx.Err() != nil, failure.Reason == coltsfootlink.CallerGone, current.started && current.lastEvent == current.head.LastEvent:
+	case ctx.Err() != nil, endsAll(failure.Reason), current.started && current.lastEvent == current.head.LastEvent:
 		return false
 	case failure.Reason == coltsfootlink.TargetDown:
 		return current.unsent < maxUnsent
@@ -251,3 +251,8 @@
 		return failure.Outcome == coltsfootlink.NotRun || current.rule.Repeatable()
 	}
 }
+
+// endsAll says whether a failure with one target is one with all: nobody waits, or the answer is too long.
+func endsAll(reason coltsfootlink.Reason) bool {
+	return reason == coltsfootlink.CallerGone || reason == coltsfootlink.AnswerTooLong
+}
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -88,7 +88,7 @@
 func (current *exchange) callFailure(err error) (*coltsfootlink.Refusal, coltsfootlink.Result) {
 	var call *coltsfootlink.CallError
 	if !errors.As(err, &call) {
-		call = &coltsfootlink.CallError{Sent: true, Result: coltsfootlink.Failed, Cause: err}
+		call = &coltsfootlink.CallError{Sent: true, Result: coltsfootlink.Failed, Reason: coltsfootlink.TargetFailed, Cause: err}
 	}
 	if !call.Sent {
 		current.unsent++
@@ -96,7 +96,7 @@
 	}
 	current.attempts++
 	current.mayHaveRun = true
-	return coltsfootlink.Refuse(coltsfootlink.TargetFailed, call.Cause.Error()).WithOutcome(coltsfootlink.MayHaveRun), call.Result
+	return coltsfootlink.Refuse(call.Reason, call.Cause.Error()).WithOutcome(coltsfootlink.MayHaveRun), call.Result
 }
 
 // pass passes an answer on, or says why it is none.
@@ -172,8 +172,12 @@
 
 // broken says what it means that an answer did not come to its end.
 func (current *exchange) broken(err error) (*coltsfootlink.Refusal, coltsfootlink.Result) {
-	if current.incoming.Context().Err() != nil || errors.Is(err, errCaller) {
-		return coltsfootlink.Refuse(coltsfootlink.CallerGone, err.Error()).WithOutcome(coltsfootlink.MayHaveRun), coltsfootlink.Cancelled
+	reason, result := coltsfootlink.AnswerCut, coltsfootlink.Crashed
+	switch {
+	case current.incoming.Context().Err() != nil, errors.Is(err, errCaller):
+		reason, result = coltsfootlink.CallerGone, coltsfootlink.Cancelled
+	case errors.Is(err, errAnswerTooLong):
+		reason, result = coltsfootlink.AnswerTooLong, coltsfootlink.Failed
 	}
-	return coltsfootlink.Refuse(coltsfootlink.AnswerCut, err.Error()).WithOutcome(coltsfootlink.MayHaveRun), coltsfootlink.Crashed
+	return coltsfootlink.Refuse(reason, err.Error()).WithOutcome(coltsfootlink.MayHaveRun), result
 }
--- a/outcome.go
+++ b/outcome.go
@@ -40,6 +40,7 @@
 	TargetFailed     Reason = "target-failed"
 	AnswerCut        Reason = "answer-cut"
 	AnswerCrossed    Reason = "answer-crossed"
+	AnswerTooLong    Reason = "answer-too-long"
 	CrashingRequest  Reason = "crashing-request"
 	NoTarget         Reason = "no-target"
 	NotTheOwner      Reason = "not-the-owner"
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -65,12 +65,21 @@
 	if err != nil {
 		stop()
 		conn.abort()
-		return Answer{}, coltsfootlink.NewCallError(ctx, !errors.Is(err, errNotWritten), err)
+		return Answer{}, callError(ctx, err)
 	}
 	answer.Body = &body{ReadCloser: answer.Response.Body, answer: answer.Response, conn: conn, client: client, written: written, release: stop}
 	return answer, nil
 }
 
+// callError tells how a call failed that has a connection; a target whose head is too long has not crashed.
+func callError(ctx context.Context, err error) *coltsfootlink.CallError {
+	failure := coltsfootlink.NewCallError(ctx, !errors.Is(err, errNotWritten), err)
+	if errors.Is(err, errHeadTooLong) {
+		failure.Result, failure.Reason = coltsfootlink.Failed, coltsfootlink.AnswerTooLong
+	}
+	return failure
+}
+
 // connect returns a kept connection or a new one.
 func (client *Client) connect(ctx context.Context, target coltsfootlink.Target, repeatable bool) (*conn, error) {
 	reply := make(chan *conn, 1)
