Keep the length of an answer to HEAD

Callers of HEAD were told a length of 0 that the target had not named, and got a 502 where the length was beyond what we pass on. Cause: the length of a whole answer was set to that of the bytes that had come, and an answer to HEAD has none. TestAnswersToHeadKeepTheirLength failed before (four of five cases).

--- a/ingress/ends_test.go
+++ b/ingress/ends_test.go
@@ -231,3 +231,32 @@
 		})
 	}
 }
+
+func TestAnswersToHeadKeepTheirLength(t *testing.T) {
+	cases := map[string]struct {
+		text   string
+		status int
+		length int64
+	}{
+		"a length":                     {stamped + "Content-Length: 9\r\n\r\n", http.StatusOK, 9},
+		"a length beyond what we pass": {stamped + fmt.Sprintf("Content-Length: %d\r\n\r\n", maxAnswerBytes+1), http.StatusOK, maxAnswerBytes + 1},
+		"none":                         {stamped + "\r\n", http.StatusOK, -1},
+		"a length of nothing":          {stamped + "Content-Length: 0\r\n\r\n", http.StatusOK, 0},
+		"a failure's":                  {"HTTP/1.1 404 Not Found\r\nAttempt-Id: r-1\r\nAnswer-Stamp: s.1\r\nContent-Length: 7\r\n\r\n", http.StatusNotFound, 7},
+	}
+	for name, test := range cases {
+		Convey("what a target says of a body that it does not send is passed on: "+name, t, func() {
+			offered := &offer{targets: []*fakeTarget{startTarget(t, "t", test.text)}}
+			outgoing, err := http.NewRequestWithContext(t.Context(), http.MethodHead, start(t, offered, true)+"/once/a", nil)
+			So(err, ShouldBeNil)
+			outgoing.Host = "h"
+			outgoing.Header.Set("Attempt-Id", "r-1")
+			response, err := http.DefaultTransport.RoundTrip(outgoing)
+			So(err, ShouldBeNil)
+			defer func() { _ = response.Body.Close() }()
+			So(response.StatusCode, ShouldEqual, test.status)
+			So(response.ContentLength, ShouldEqual, test.length)
+			So(offered.resultsOf(1), ShouldResemble, []coltsfootlink.Result{coltsfootlink.Succeeded})
+		})
+	}
+}
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -135,6 +135,8 @@
 	held, err := readWhole(io.LimitReader(answer.Body, heldBytes), min(preparedBytes, length))
 	whole := len(held) < heldBytes
 	switch {
+	case current.incoming.Method == http.MethodHead:
+		// The length is that of a body which is not sent.
 	case length > maxAnswerBytes:
 		err = errAnswerTooLong
 	case whole:
