Count interim answers apart from those of other requests

A caller got a 502 where a target sent three interim answers before its own, or some beside late ones of other requests. Cause: both were counted together, against the bound for the latter. Interim answers now have a bound of their own before each answer. TestInterimAnswersAreNoStrays failed before (two of four cases).

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -125,13 +125,10 @@
 // receive reads the head of the answer and passes over late answers of other requests.
 func (client *Client) receive(conn *conn, id coltsfootlink.RequestID, method string, written <-chan error) (Answer, error) {
 	for range maxStrays {
-		response, err := conn.readHead(method)
+		response, err := conn.readFinal(method)
 		if err != nil {
 			return Answer{}, sendError(written, err)
 		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
 		head := platform.DecodeAnswer(response)
 		if head.ID == id || head.ID == "" && mayBeNameless(head, conn.reused) {
 			return Answer{Head: head, Response: response}, nil
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -28,6 +28,8 @@
 	readBytes = 4 << 10
 	// maxHeadBytes is the largest head of an answer.
 	maxHeadBytes = 64 << 10
+	// maxInterim is the most interim answers that are passed over before an answer.
+	maxInterim = 5
 )
 
 // conn is a connection to a target. It belongs to the keeper while it is idle, and otherwise to the exchange
@@ -87,6 +89,17 @@
 	return response, err
 }
 
+// readFinal reads the head of the next answer that is no interim one.
+func (conn *conn) readFinal(method string) (*http.Response, error) {
+	for range maxInterim + 1 {
+		response, err := conn.readHead(method)
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+	}
+	return nil, errors.New("too many interim answers")
+}
+
 // abort closes a connection whose exchange has not ended. Bytes that wait to be sent are dropped, so that the
 // target does not get them after a partition.
 func (conn *conn) abort() {
--- a/upstream/ends_test.go
+++ b/upstream/ends_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -64,3 +65,25 @@
 		})
 	}
 }
+
+func TestInterimAnswersAreNoStrays(t *testing.T) {
+	const interim = "HTTP/1.1 102 Processing\r\n\r\n"
+	const stray = "HTTP/1.1 200 OK\r\nAttempt-Id: r-0\r\nContent-Length: 5\r\n\r\nother"
+	cases := map[string]struct {
+		text string
+		fail bool
+	}{
+		"as many as are allowed":              {strings.Repeat(interim, maxInterim) + whole, false},
+		"one more":                            {strings.Repeat(interim, maxInterim+1) + whole, true},
+		"some, and answers of other requests": {strings.Repeat(interim+stray, maxStrays-1) + interim + whole, false},
+		"some, and too many of others":        {strings.Repeat(interim+stray, maxStrays) + whole, true},
+	}
+	for name, test := range cases {
+		Convey("interim answers do not count among those of other requests: "+name, t, func() {
+			target, _ := startTarget(t, answering(test.text))
+			body, err := call(t, newClient(t), target, true)
+			So(err != nil, ShouldEqual, test.fail)
+			So(body == "roof", ShouldEqual, !test.fail)
+		})
+	}
+}
