--- a/ingress/service.go
+++ b/ingress/service.go
@@ -81,7 +81,7 @@
 	body     []byte
 	// fingerprint identifies requests that are alike by path, team and body.
 	fingerprint uint64
-	// lastEvent is the last event that was passed on of a stream that can be resumed.
+	// lastEvent is the last event that the caller has of a stream that can be resumed.
 	lastEvent string
 
 	// avoid are the targets that have had the request.
@@ -90,10 +90,13 @@
 	attempts, unsent int
 	// mayHaveRun says that a target may have run the request.
 	mayHaveRun bool
-	// started says that a part of the answer has been passed on.
-	started bool
-	target  coltsfootlink.TargetName
-	firstAt time.Time
+	// started says that a part of the answer has been passed on, mediaType what it is.
+	started   bool
+	mediaType string
+	// unfinished says that an event had begun of which no target has sent the end yet.
+	unfinished bool
+	target     coltsfootlink.TargetName
+	firstAt    time.Time
 	// permit and owner are the newest question for a target and the owner that was asked.
 	permit uint64
 	owner  coltsfootlink.InstanceName
@@ -234,6 +237,7 @@
 
 // serve sends the request to targets until one has answered or it is given up.
 func (current *exchange) serve(ctx context.Context) {
+	current.lastEvent = current.head.LastEvent
 	for {
 		choice := current.choose()
 		current.permit, current.owner = choice.Serial, choice.Owner
@@ -256,7 +260,7 @@
 // goesOn says whether the request may be sent to another target after a failure.
 func (current *exchange) goesOn(ctx context.Context, failure *coltsfootlink.Refusal) bool {
 	switch {
-	case ctx.Err() != nil || current.started && current.lastEvent == "":
+	case ctx.Err() != nil, endsAll(failure.Reason), current.started && current.lastEvent == current.head.LastEvent:
 		return false
 	case failure.Reason == coltsfootlink.TargetDown:
 		return current.unsent < maxUnsent
@@ -266,3 +270,8 @@
 		return failure.Outcome == coltsfootlink.NotRun || current.rule.Repeatable()
 	}
 }
+
+// endsAll says whether a failure with one target is one with all: nobody waits, or the answer is too long.
+func endsAll(reason coltsfootlink.Reason) bool {
+	return reason == coltsfootlink.CallerGone || reason == coltsfootlink.AnswerTooLong
+}
--- a/ingress/service_test.go
+++ b/ingress/service_test.go
@@ -90,6 +90,8 @@
 	slow         bool
 	// shares is what is known of the teams' shares.
 	shares coltsfootlink.Shares
+	// log is the service's; by default nobody reads it.
+	log zerolog.Logger
 
 	mutex   sync.Mutex
 	reports []dispatch.Report
@@ -197,7 +199,7 @@
 		gate.endsAt.Store(&offered.endsAt)
 	}
 	service := &Service{
-		Gate: gate, Clock: coltsfootlink.SystemClock{}, Dispatch: offered.inbox, Log: zerolog.Nop(),
+		Gate: gate, Clock: coltsfootlink.SystemClock{}, Dispatch: offered.inbox, Log: offered.log,
 		Open: new(atomic.Int64), MaxOpen: 100, MaxActive: int64(offered.most), MaxChoosing: cmp.Or(offered.mostChoosing, 100),
 		Client: &upstream.Client{Clock: coltsfootlink.SystemClock{}, Keeper: keeper.Inbox},
 	}
@@ -211,17 +213,24 @@
 
 // request sends one request and returns the answer's status, headers and body.
 func request(t *testing.T, url, path, body, key string) (int, http.Header, string, error) {
+	t.Helper()
+	header := http.Header{"Time-Left-Ms": {"1500"}}
+	if key != "" {
+		header.Set("Authorization", "Bearer "+key)
+	}
+	return requestWith(t, url, path, body, header)
+}
+
+// requestWith sends one request with headers of its own.
+func requestWith(t *testing.T, url, path, body string, header http.Header) (int, http.Header, string, error) {
 	t.Helper()
 	outgoing, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+path, strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
 	outgoing.Host = "h"
+	outgoing.Header = header
 	outgoing.Header.Set("Attempt-Id", "r-1")
-	outgoing.Header.Set("Time-Left-Ms", "1500")
-	if key != "" {
-		outgoing.Header.Set("Authorization", "Bearer "+key)
-	}
 	response, err := http.DefaultTransport.RoundTrip(outgoing)
 	if err != nil {
 		return 0, nil, "", err
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,8 +22,13 @@
 	streamBytes = 4 << 10
 	// maxEventBytes is the largest event of a stream that can be resumed.
 	maxEventBytes = 1 << 20
+	// blankBytes is the size of two ends of lines, of which the second makes a blank line.
+	blankBytes = len("\r\n\r\n")
 )
 
+// lineEnds makes the ends of lines alike.
+var lineEnds = strings.NewReplacer("\r\n", "\n", "\r", "\n")
+
 // errCaller tells that the caller no longer takes the answer.
 var errCaller = errors.New("caller")
 
@@ -30,26 +36,60 @@
 func (current *exchange) passStream(choice dispatch.Choice, answer upstream.Answer, sentAt time.Time) (*coltsfootlink.Refusal, coltsfootlink.Result) {
 	reader := bufio.NewReaderSize(answer.Body, streamBytes)
 	if _, err := reader.Peek(1); err != nil && err != io.EOF {
-		return coltsfootlink.Refuse(coltsfootlink.AnswerCut, err.Error()).WithOutcome(coltsfootlink.MayHaveRun), coltsfootlink.Crashed
+		return current.broken(err)
 	}
 	current.report(choice, coltsfootlink.FirstEvent, "", sentAt)
-	if !current.started {
-		current.start(answer.Response)
-		current.writer.WriteHeader(answer.Response.StatusCode)
-	}
 	var err error
 	if current.rule.Resumable {
-		err = current.copyEvents(reader)
+		err = current.copyEvents(answer, reader)
 	} else {
-		err = copyBytes(current.writer, reader, maxAnswerBytes)
+		current.begin(answer)
+		err = copyBytes(current.writer, wholeEvents(answer, reader), maxAnswerBytes)
 	}
 	if err != nil {
-		return current.broken(answer.Response, err)
+		return current.broken(err)
 	}
+	// A whole stream without events has not begun yet.
+	current.begin(answer)
 	current.note("answered", answer.Response.StatusCode, "")
 	return nil, coltsfootlink.Succeeded
 }
 
+// wholeEvents returns the reader of an answer; if that is of events, its end in the middle of one is an error.
+func wholeEvents(answer upstream.Answer, reader io.Reader) io.Reader {
+	if answer.Head.MediaType != platform.EventStream {
+		return reader
+	}
+	return &eventReader{Reader: reader, tail: []byte("\n\n")}
+}
+
+// eventReader reads a stream of events; io.EOF only behind a whole one.
+type eventReader struct {
+	io.Reader
+	// tail is the newest bytes, as many as a blank line and the end of the line before it may take.
+	tail []byte
+}
+
+// Read returns the next bytes.
+func (events *eventReader) Read(buffer []byte) (int, error) {
+	count, err := events.Reader.Read(buffer)
+	events.tail = append(events.tail, buffer[:count]...)
+	events.tail = append(events.tail[:0], events.tail[max(0, len(events.tail)-blankBytes):]...)
+	if err == io.EOF && !strings.HasSuffix(lineEnds.Replace(string(events.tail)), "\n\n") {
+		err = io.ErrUnexpectedEOF
+	}
+	return count, err
+}
+
+// begin passes the head of an answer on if none has been.
+func (current *exchange) begin(answer upstream.Answer) {
+	if current.started {
+		return
+	}
+	current.start(answer)
+	current.writer.WriteHeader(answer.Response.StatusCode)
+}
+
 // copyBytes passes at most that many bytes on as they come; an error if the answer has not ended whole.
 func copyBytes(writer http.ResponseWriter, reader io.Reader, most int64) error {
 	buffer := make([]byte, streamBytes)
@@ -75,7 +115,7 @@
 
 // copyEvents passes whole events on as they come and notes the last one, so that the stream can go on at
 // another target behind it; an error if the stream has not ended whole.
-func (current *exchange) copyEvents(reader *bufio.Reader) error {
+func (current *exchange) copyEvents(answer upstream.Answer, reader *bufio.Reader) error {
 	var event []byte
 	// lineAt is where the newest line begins in the event.
 	lineAt := 0
@@ -89,35 +129,46 @@
 			return errAnswerTooLong
 		case err == bufio.ErrBufferFull:
 			continue
-		case err == io.EOF && len(event) == 0:
-			return nil
-		case err == io.EOF:
-			return io.ErrUnexpectedEOF
 		case err != nil:
-			return err
+			current.unfinished = current.unfinished || len(event) > 0
+			return current.endOfEvents(err)
 		}
 		if len(bytes.TrimRight(event[lineAt:], "\r\n")) > 0 {
 			lineAt = len(event)
 			continue
 		}
-		if err := current.passEvent(event); err != nil {
+		if err := current.passEvent(answer, event); err != nil {
 			return err
 		}
 		event, lineAt = event[:0], 0
 	}
 }
 
-// passEvent passes an event on if it goes on behind the last one.
-func (current *exchange) passEvent(event []byte) error {
+// endOfEvents says what the end of a resumable stream means; nil if it is whole.
+func (current *exchange) endOfEvents(err error) error {
+	switch {
+	case err != io.EOF:
+		return err
+	case current.unfinished:
+		return io.ErrUnexpectedEOF
+	default:
+		return nil
+	}
+}
+
+// passEvent passes an event on if it goes on behind the last one; the answer begins with the first.
+func (current *exchange) passEvent(answer upstream.Answer, event []byte) error {
 	id, found := platform.EventID(event)
 	if found && !follows(current.lastEvent, id) {
 		return errors.Newf("event %s came after event %s", id, current.lastEvent)
 	}
+	current.begin(answer)
 	if err := pass(current.writer, event); err != nil {
 		return err
 	}
 	if found {
 		current.lastEvent = id
+		current.unfinished = false
 	}
 	return nil
 }
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -91,7 +91,7 @@
 func (current *exchange) callFailure(err error) (*coltsfootlink.Refusal, coltsfootlink.Result) {
 	var call *coltsfootlink.CallError
 	if !errors.As(err, &call) {
-		call = &coltsfootlink.CallError{Sent: true, Result: coltsfootlink.Failed, Cause: err}
+		call = &coltsfootlink.CallError{Sent: true, Result: coltsfootlink.Failed, Reason: coltsfootlink.TargetFailed, Cause: err}
 	}
 	if !call.Sent {
 		current.unsent++
@@ -99,7 +99,7 @@
 	}
 	current.attempts++
 	current.mayHaveRun = true
-	return coltsfootlink.Refuse(coltsfootlink.TargetFailed, call.Cause.Error()).WithOutcome(coltsfootlink.MayHaveRun), call.Result
+	return coltsfootlink.Refuse(call.Reason, call.Cause.Error()).WithOutcome(coltsfootlink.MayHaveRun), call.Result
 }
 
 // pass passes an answer on, or says why it is none.
@@ -117,7 +117,7 @@
 	switch {
 	case answer.Head.Encoded, !answer.Head.Stamped:
 		return failed, coltsfootlink.Failed
-	case status >= http.StatusInternalServerError && canRepeat, current.started && status != http.StatusOK:
+	case status >= http.StatusInternalServerError && canRepeat, current.started && !current.continues(answer):
 		// What does not go on with a stream that has begun would look like its end.
 		return failed, coltsfootlink.Failed
 	case current.rule.Kind == coltsfootlink.StreamRequest && status == http.StatusOK:
@@ -127,21 +127,28 @@
 	}
 }
 
+// continues says whether an answer can go on with a stream that has begun.
+func (current *exchange) continues(answer upstream.Answer) bool {
+	return answer.Response.StatusCode == http.StatusOK && answer.Head.MediaType == current.mediaType
+}
+
 // passWhole passes an answer on once it has come whole, or as it comes if it is long.
 func (current *exchange) passWhole(answer upstream.Answer) (*coltsfootlink.Refusal, coltsfootlink.Result) {
 	length := answer.Response.ContentLength
 	held, err := readWhole(io.LimitReader(answer.Body, heldBytes), min(preparedBytes, length))
 	whole := len(held) < heldBytes
 	switch {
+	case current.incoming.Method == http.MethodHead:
+		// The length is that of a body which is not sent.
 	case length > maxAnswerBytes:
 		err = errAnswerTooLong
 	case whole:
 		length = int64(len(held))
 	}
 	if err != nil {
-		return coltsfootlink.Refuse(coltsfootlink.AnswerCut, err.Error()).WithOutcome(coltsfootlink.MayHaveRun), coltsfootlink.Crashed
+		return current.broken(err)
 	}
-	current.start(answer.Response)
+	current.start(answer)
 	if length >= 0 {
 		platform.SetLength(current.writer.Header(), length)
 	}
@@ -150,7 +157,7 @@
 		// An error means that the caller has left.
 		_, _ = current.writer.Write(held)
 	} else if err := copyBytes(current.writer, io.MultiReader(bytes.NewReader(held), answer.Body), maxAnswerBytes); err != nil {
-		return current.broken(answer.Response, err)
+		return current.broken(err)
 	}
 	result := coltsfootlink.Succeeded
 	if answer.Response.StatusCode >= http.StatusInternalServerError {
@@ -161,17 +168,21 @@
 }
 
 // start notes that the answer begins, and copies the target's headers.
-func (current *exchange) start(response *http.Response) {
+func (current *exchange) start(answer upstream.Answer) {
 	current.started = true
+	current.mediaType = answer.Head.MediaType
 	current.firstAt = current.service.Clock.Now()
-	platform.CopyAnswerHeader(current.writer.Header(), response.Header)
+	platform.CopyAnswerHeader(current.writer.Header(), answer.Response.Header)
 }
 
-// broken says what it means that an answer that has begun did not come to its end.
-func (current *exchange) broken(response *http.Response, err error) (*coltsfootlink.Refusal, coltsfootlink.Result) {
-	if current.incoming.Context().Err() != nil || errors.Is(err, errCaller) {
-		current.note("caller left", response.StatusCode, err.Error())
-		return nil, coltsfootlink.Cancelled
+// broken says what it means that an answer did not come to its end.
+func (current *exchange) broken(err error) (*coltsfootlink.Refusal, coltsfootlink.Result) {
+	reason, result := coltsfootlink.AnswerCut, coltsfootlink.Crashed
+	switch {
+	case current.incoming.Context().Err() != nil, errors.Is(err, errCaller):
+		reason, result = coltsfootlink.CallerGone, coltsfootlink.Cancelled
+	case errors.Is(err, errAnswerTooLong):
+		reason, result = coltsfootlink.AnswerTooLong, coltsfootlink.Failed
 	}
-	return coltsfootlink.Refuse(coltsfootlink.AnswerCut, err.Error()).WithOutcome(coltsfootlink.MayHaveRun), coltsfootlink.Crashed
+	return coltsfootlink.Refuse(reason, err.Error()).WithOutcome(coltsfootlink.MayHaveRun), result
 }
--- /dev/null
+++ b/target/ends_test.go
@@ -0,0 +1,115 @@
+package target
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"coltsfootlink"
+)
+
+func TestSuccessesWithoutTheirMarkerAreNotWhole(t *testing.T) {
+	cases := map[string]struct {
+		status int
+		body   string
+		err    error
+	}{
+		"the usual one":        {http.StatusOK, "tokens", ErrUnmarked},
+		"something was made":   {http.StatusCreated, "tokens", ErrUnmarked},
+		"from somewhere else":  {http.StatusNonAuthoritativeInfo, "tokens", ErrUnmarked},
+		"a part":               {http.StatusPartialContent, "tokens", ErrUnmarked},
+		"an empty one":         {http.StatusCreated, "", ErrUnmarked},
+		"one with its marker":  {http.StatusCreated, "tokens " + marker, nil},
+		"one that has no body": {http.StatusNoContent, "", nil},
+		"a failure":            {http.StatusConflict, "no roof", nil},
+	}
+	for name, test := range cases {
+		Convey("a success ends with its marker: "+name, t, func() {
+			server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+				writer.WriteHeader(test.status)
+				_, _ = writer.Write([]byte(test.body))
+			}))
+			defer server.Close()
+			answer, err := NewClient(coltsfootlink.SystemClock{}).Call(t.Context(), targetOf(server), marked, requestOf(true))
+			So(err, ShouldBeNil)
+			defer func() { _ = answer.Body.Close() }()
+			_, err = io.ReadAll(answer.Body)
+			So(errors.Is(err, test.err), ShouldBeTrue)
+		})
+	}
+}
+
+// startRaw runs a target that writes text after a request and closes the connection.
+func startRaw(t *testing.T, text string) coltsfootlink.Target {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = conn.Write([]byte(text))
+		}
+	}()
+	return coltsfootlink.Target{Name: "t", Address: listener.Addr().String()}
+}
+
+func TestStatusesThatNoCallerCanTakeAreFailures(t *testing.T) {
+	const empty = "Content-Length: 0\r\n\r\n"
+	cases := map[string]struct {
+		text   string
+		failed bool
+	}{
+		"another protocol":        {"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n", true},
+		"below all statuses":      {"HTTP/1.1 099 Odd\r\n" + empty, true},
+		"none":                    {"HTTP/1.1 000 None\r\n" + empty, true},
+		"above all statuses":      {"HTTP/1.1 999 Odd\r\n" + empty, true},
+		"behind one that waits":   {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + empty, false},
+		"a mistake of a caller's": {"HTTP/1.1 499 Odd\r\n" + empty, false},
+	}
+	for name, test := range cases {
+		Convey("a status that is no end of a request is a failure: "+name, t, func() {
+			answer, err := NewClient(coltsfootlink.SystemClock{}).Call(t.Context(), startRaw(t, test.text), unmarked, requestOf(true))
+			if !test.failed {
+				So(err, ShouldBeNil)
+				So(answer.Body.Close(), ShouldBeNil)
+				return
+			}
+			var failure *coltsfootlink.CallError
+			So(errors.As(err, &failure), ShouldBeTrue)
+			So(failure.Sent, ShouldBeTrue)
+			So(failure.Result, ShouldEqual, coltsfootlink.Failed)
+			So(failure.Reason, ShouldEqual, coltsfootlink.TargetFailed)
+		})
+	}
+}
+
+func TestEncodedAnswersAreFailures(t *testing.T) {
+	cases := map[string]string{
+		"a whole answer": "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nContent-Length: 4\r\n\r\nroof",
+		"in chunks":      "HTTP/1.1 200 OK\r\nContent-Encoding: br\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nroof\r\n0\r\n\r\n",
+		"a refusal":      "HTTP/1.1 409 Conflict\r\nContent-Encoding: gzip\r\nContent-Length: 4\r\n\r\nroof",
+	}
+	for name, text := range cases {
+		Convey("a body that is encoded, though nobody asked for it, is not passed on as plain: "+name, t, func() {
+			_, err := NewClient(coltsfootlink.SystemClock{}).Call(t.Context(), startRaw(t, text), unmarked, requestOf(true))
+			var failure *coltsfootlink.CallError
+			So(errors.As(err, &failure), ShouldBeTrue)
+			So(failure.Sent, ShouldBeTrue)
+			So(failure.Result, ShouldEqual, coltsfootlink.Failed)
+			So(failure.Reason, ShouldEqual, coltsfootlink.TargetFailed)
+		})
+	}
+}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -65,12 +65,21 @@
 	if err != nil {
 		stop()
 		conn.abort()
-		return Answer{}, coltsfootlink.NewCallError(ctx, !errors.Is(err, errNotWritten), err)
+		return Answer{}, callError(ctx, err)
 	}
 	answer.Body = &body{ReadCloser: answer.Response.Body, answer: answer.Response, conn: conn, client: client, written: written, release: stop}
 	return answer, nil
 }
 
+// callError tells how a call failed that has a connection; a target whose head is too long has not crashed.
+func callError(ctx context.Context, err error) *coltsfootlink.CallError {
+	failure := coltsfootlink.NewCallError(ctx, !errors.Is(err, errNotWritten), err)
+	if errors.Is(err, errHeadTooLong) {
+		failure.Result, failure.Reason = coltsfootlink.Failed, coltsfootlink.AnswerTooLong
+	}
+	return failure
+}
+
 // connect returns a kept connection or a new one.
 func (client *Client) connect(ctx context.Context, target coltsfootlink.Target, repeatable bool) (*conn, error) {
 	reply := make(chan *conn, 1)
@@ -116,15 +125,12 @@
 // receive reads the head of the answer and passes over late answers of other requests.
 func (client *Client) receive(conn *conn, id coltsfootlink.RequestID, method string, written <-chan error) (Answer, error) {
 	for range maxStrays {
-		response, err := conn.readHead(method)
+		response, err := conn.readFinal(method)
 		if err != nil {
 			return Answer{}, sendError(written, err)
 		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
 		head := platform.DecodeAnswer(response)
-		if head.ID == id || head.ID == "" {
+		if head.ID == id || head.ID == "" && mayBeNameless(head, conn.reused) {
 			return Answer{Head: head, Response: response}, nil
 		}
 		if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
@@ -140,6 +146,12 @@
 	return Answer{}, errors.New("too many answers of other requests")
 }
 
+// mayBeNameless says whether an answer is taken for ours though it does not say whose it is: what a target says of a
+// request that it knows bears the identifier, and on a connection that was used before it may be of the one before.
+func mayBeNameless(head platform.AnswerHead, reused bool) bool {
+	return !reused && !head.Stamped && (head.Misdirected || !head.NotRun)
+}
+
 // sendError returns the error of sending where that came first, for it says whether anything was sent.
 func sendError(written <-chan error, err error) error {
 	select {
