--- a/ingress/service_test.go
+++ b/ingress/service_test.go
@@ -154,11 +154,17 @@
 	return results
 }
 
-// shed returns the requests that were not offered.
-func (offer *offer) shed() []dispatch.Shed {
-	offer.mutex.Lock()
-	defer offer.mutex.Unlock()
-	return offer.sheds
+// shedsOf waits until that many requests were not offered, and returns all that were not.
+func (offer *offer) shedsOf(count int) []dispatch.Shed {
+	sheds := func() []dispatch.Shed {
+		offer.mutex.Lock()
+		defer offer.mutex.Unlock()
+		return offer.sheds
+	}
+	for end := time.Now().Add(time.Second); len(sheds()) < count && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	return sheds()
 }
 
 // rules has one rule for each kind of request.
@@ -488,7 +494,7 @@
 			So(err, ShouldBeNil)
 			So(status, ShouldEqual, test.status)
 			So(header.Get("Retry-After") != "", ShouldEqual, test.status == 503)
-			So(offered.shed(), ShouldResemble, test.sheds)
+			So(offered.shedsOf(len(test.sheds)), ShouldResemble, test.sheds)
 			So(offered.targets[0].seen(), ShouldHaveLength, map[int]int{200: 1, 503: 0}[test.status])
 		})
 	}
