Send events on together that came together

Each event of a stream took a write of its own, also where the next had come already: an instance whose processor is behind spent most on what it could do least. Events that are buffered whole go in one write; nothing waits for one that is to come.

--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -47,6 +47,10 @@
 		err = copyBytes(current.writer, wholeEvents(answer, reader), maxAnswerBytes)
 	}
 	if err != nil {
+		if current.started {
+			// What came whole is delivered; an error means that the caller has left.
+			_ = flush(current.writer)
+		}
 		return current.broken(err)
 	}
 	// A whole stream without events has not begun yet.
@@ -141,6 +145,12 @@
 			return err
 		}
 		event, lineAt = event[:0], 0
+		if holdsEvent(reader) {
+			continue
+		}
+		if err := flush(current.writer); err != nil {
+			return err
+		}
 	}
 }
 
@@ -163,8 +173,8 @@
 		return errors.Newf("event %s came after event %s", id, current.lastEvent)
 	}
 	current.begin(answer)
-	if err := pass(current.writer, event); err != nil {
-		return err
+	if _, err := current.writer.Write(event); err != nil {
+		return errors.Mark(err, errCaller)
 	}
 	if found {
 		current.lastEvent = id
@@ -180,11 +190,23 @@
 	return lastErr != nil || nextErr != nil || lastNumber < nextNumber
 }
 
+// holdsEvent says whether another whole event has come; events that came together go on together.
+func holdsEvent(reader *bufio.Reader) bool {
+	// What is buffered can always be looked at.
+	buffered, _ := reader.Peek(reader.Buffered())
+	return bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n"))
+}
+
 // pass writes bytes to a caller at once.
 func pass(writer http.ResponseWriter, fresh []byte) error {
 	if _, err := writer.Write(fresh); err != nil {
 		return errors.Mark(err, errCaller)
 	}
+	return flush(writer)
+}
+
+// flush sends what was written to a caller.
+func flush(writer http.ResponseWriter) error {
 	if err := http.NewResponseController(writer).Flush(); err != nil {
 		return errors.Mark(err, errCaller)
 	}
--- a/ingress/wholeness_test.go
+++ b/ingress/wholeness_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -155,3 +157,27 @@
 		})
 	}
 }
+
+func TestEventsThatCameTogetherGoTogether(t *testing.T) {
+	cases := map[string]struct{ path, end string }{
+		"and the stream ends":       {"/resumable/a", "0\r\n\r\n"},
+		"and the next is cut":       {"/resumable/a", "9\r\nid: 41\nda"},
+		"and none can be resumed":   {"/stream/a", "0\r\n\r\n"},
+		"and the stream is cut off": {"/resumable/a", ""},
+	}
+	for name, test := range cases {
+		Convey("events that wait are sent in few writes: "+name, t, func() {
+			offered := &offer{targets: []*fakeTarget{startTarget(t, "t", events(1, 40, test.end))}}
+			conn, err := net.Dial("tcp4", strings.TrimPrefix(start(t, offered, true), "http://"))
+			So(err, ShouldBeNil)
+			defer func() { _ = conn.Close() }()
+			_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nConnection: close\r\nAttempt-Id: r-1\r\nTime-Left-Ms: 1500\r\nContent-Length: 4\r\n\r\nplan", test.path)
+			So(err, ShouldBeNil)
+			text, err := io.ReadAll(conn)
+			So(err, ShouldBeNil)
+			So(strings.Count(string(text), "data: x"), ShouldEqual, 40)
+			chunks := regexp.MustCompile(`(?m)^[0-9a-f]+\r$`).FindAllString(string(text), -1)
+			So(len(chunks), ShouldBeLessThan, 10)
+		})
+	}
+}
