--- a/pressure/task.go
+++ b/pressure/task.go
@@ -9,6 +9,7 @@
 
 	"coltsfootlink"
 	"coltsfootlink/mailbox"
+	"coltsfootlink/metrics"
 )
 
 const (
@@ -51,6 +52,7 @@
 func (task *Task) look() {
 	wait := task.Meter.Wait()
 	task.state = task.state.WithWait(wait)
+	metrics.SetPressure(wait.Milliseconds(), task.state.Taken())
 	if alike(task.state, task.told) {
 		return
 	}
@@ -60,7 +62,7 @@
 	}
 	if now := task.Clock.Now(); !now.Before(task.logAt) {
 		task.logAt = now.Add(logInterval)
-		task.Log.Info().Int64("wait-ms", wait.Milliseconds()).Float64("taken", task.state.Taken()).Msg("pressure: the processor is behind, or catches up")
+		task.Log.Info().Int64("wait-ms", wait.Milliseconds()).Float64("taken", task.state.Taken()).Bool("overloaded", task.state.Overloaded()).Msg("pressure: takes more or less")
 	}
 }
 
