--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,9 +35,9 @@
 )
 
 const (
-	// garbagePercent is the growth of the heap after which garbage is collected; memory is dear here, and
-	// processor time is not.
-	garbagePercent = 30
+	// calmGarbagePercent and behindGarbagePercent are the growth of the heap after which garbage is collected.
+	calmGarbagePercent   = 30
+	behindGarbagePercent = 100
 	// lookPause is the time between two looks at what a leaving instance has to finish, and quietLooks how many in a
 	// row must find nothing.
 	lookPause  = 100 * time.Millisecond
@@ -81,12 +81,11 @@
 
 // boxes are the mailboxes of the tasks.
 type boxes struct {
-	admission, catalog, dispatch, gate, keeper, links, membership, moves, prober, shares, timeline *mailbox.Deliveries
+	admission, catalog, collector, dispatch, gate, keeper, links, membership, moves, prober, shares, timeline *mailbox.Deliveries
 }
 
 // Run runs the daemon until the context ends, and then stops it without cutting a request.
 func (gateway *Gateway) Run(ctx context.Context) error {
-	debug.SetGCPercent(garbagePercent)
 	debug.SetMemoryLimit(int64(gateway.Settings.MemoryMB * memoryShare * bytesPerMB))
 	gateway.prepare()
 	gateway.Log.Info().Str("zone", gateway.Settings.Zone).Str("address", gateway.self.PeerAddress).Msg("gateway: starts")
@@ -158,6 +157,7 @@
 	gateway.boxes = boxes{
 		admission:  mailbox.NewDeliveries(),
 		catalog:    mailbox.NewDeliveries(),
+		collector:  mailbox.NewDeliveries(),
 		dispatch:   mailbox.NewDeliveries(),
 		gate:       mailbox.NewDeliveries(),
 		keeper:     mailbox.NewDeliveries(),
@@ -310,8 +310,9 @@
 		Meter:       &pressure.Meter{},
 		Clock:       gateway.clock,
 		Log:         gateway.Log,
-		Subscribers: []*mailbox.Deliveries{gateway.boxes.gate, gateway.boxes.dispatch},
+		Subscribers: []*mailbox.Deliveries{gateway.boxes.gate, gateway.boxes.dispatch, gateway.boxes.collector},
 	})
+	branch.Add("collector", &pressure.Collector{Calm: calmGarbagePercent, Behind: behindGarbagePercent, Inbox: gateway.boxes.collector})
 	ready := http.NewServeMux()
 	ready.Handle(platform.ReadinessPath, gateway.gate)
 	branch.Add("server", gateway.server("readiness", gateway.Settings.Listen.Ready, ready))
