Count what an instance's processor refuses as asked for, and end others' surplus while a team is kept from its share

What an instance refused for its processor was not told to the keeper of the shares, who took the team for a small one and gave its part to others. It is told now, and while a team gets far less than its promised share, those who get more have theirs and no more.

--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -49,7 +49,8 @@
 	return nil
 }
 
-// Shed tells of a request that was refused because it lies too far beyond its team's share to be offered.
+// Shed tells of a request that was refused without being offered: it lies too far beyond its team's share, or the
+// instance's processor is behind.
 type Shed struct {
 	coltsfootlink.Local
 
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -183,7 +183,6 @@
 	if offered {
 		return true
 	}
-	current.service.Dispatch.Put(coltsfootlink.Delivery{Message: dispatch.Shed{Pool: current.pool, Team: current.team, Work: current.head.Work}})
 	current.refuseUnread(most, coltsfootlink.Refuse(coltsfootlink.OverShare, "others of the pool get far less").WithRetryAt(current.arrived.Add(sharePause)))
 	return false
 }
@@ -198,8 +197,11 @@
 	return false
 }
 
-// refuseUnread refuses a request whose body is not needed.
+// refuseUnread refuses a request whose body is not needed; it counts as asked for by its team.
 func (current *exchange) refuseUnread(most int64, refusal *coltsfootlink.Refusal) {
+	if current.team != "" {
+		current.service.Dispatch.Put(coltsfootlink.Delivery{Message: dispatch.Shed{Pool: current.pool, Team: current.team, Work: current.head.Work}})
+	}
 	// An answer before the end of the body would reach a caller that still sends it. Whether all of it came does not
 	// matter here.
 	_, _ = io.Copy(io.Discard, io.LimitReader(current.incoming.Body, most))
--- a/ingress/service_test.go
+++ b/ingress/service_test.go
@@ -446,6 +446,13 @@
 		So(header.Get("Retry-After"), ShouldNotBeEmpty)
 		So(<-held, ShouldEqual, 504)
 	})
+	Convey("what is refused for the processor counts as asked for by its team", t, func() {
+		offered := &offer{slow: true, mostChoosing: -1}
+		status, _, _, err := request(t, start(t, offered, true), "/private/a", "plan", "key")
+		So(err, ShouldBeNil)
+		So(status, ShouldEqual, 503)
+		So(offered.shedsOf(1), ShouldResemble, []dispatch.Shed{{Pool: "p", Team: "team"}})
+	})
 	Convey("requests beyond the most that wait for a target are refused before their bodies are read", t, func() {
 		url := start(t, &offer{slow: true, mostChoosing: 1}, true)
 		ctx, leave := context.WithCancel(t.Context())
--- a/share/maxmin.go
+++ b/share/maxmin.go
@@ -91,6 +91,8 @@
 	patienceFall    = 0.8
 	patienceRise    = 1.05
 	mostPatience    = 0.4
+	// forgiven is how much less than its share a team may get in tokens a second, for requests come in lumps.
+	forgiven = 10_000.0
 	// forgotten is the rate, in tokens a second, below which a team is forgotten.
 	forgotten = 1.0
 )
@@ -169,6 +171,20 @@
 	return ledger
 }
 
+// leastBelow returns the least that a team gets which is kept from its promised share, as one whose callers reach few
+// small instances; infinite if there is none.
+func (ledger Ledger) leastBelow(level float64) float64 {
+	least := math.Inf(1)
+	for iterator := ledger.teams.Iterator(); !iterator.Done(); {
+		_, known, _ := iterator.Next()
+		owed := min(known.asks, level)
+		if known.gets < satisfied*owed && owed-known.gets > forgiven {
+			least = min(least, known.gets)
+		}
+	}
+	return least
+}
+
 // Shares returns the teams that ask for more than their share, by what is promised and what can be borne, both
 // in tokens a second.
 func (ledger Ledger) Shares(pool coltsfootlink.PoolName, promised, bearable float64) coltsfootlink.Shares {
@@ -179,6 +195,7 @@
 	}
 	entitledLevel := Level(demands, promised)
 	bearableLevel := Level(demands, max(promised, bearable))
+	least := ledger.leastBelow(entitledLevel)
 	shares := coltsfootlink.Shares{Pool: pool, Patience: ledger.patience}
 	// More than what targets can bear is not worth asking for.
 	offered := min(1, max(promised, bearable)/max(1, sum(demands)))
@@ -187,10 +204,14 @@
 		if known.asks <= entitledLevel {
 			continue
 		}
+		level := bearableLevel
+		if known.gets > mostOverRefused*least {
+			level = entitledLevel
+		}
 		shares.Teams = append(shares.Teams, coltsfootlink.TeamShare{
 			Team:     team,
 			Entitled: entitledLevel / known.asks,
-			Bearable: min(1, bearableLevel/known.asks),
+			Bearable: min(1, level/known.asks),
 			Surplus:  known.surplus * offered,
 		})
 	}
--- a/share/maxmin_test.go
+++ b/share/maxmin_test.go
@@ -94,6 +94,34 @@
 		So(ledger.Shares("p", 100, 2000).Teams[1].Surplus, ShouldEqual, 1.0)
 		So(ledger.Shares("p", 100, 150).Teams[1].Surplus, ShouldBeLessThan, 0.2)
 	})
+	short := map[string]struct {
+		// asks and gets are the rates of the team that is refused, in tokens a second; the other asks for 100,000.
+		asks, gets float64
+		entitled   float64
+		bearable   float64
+	}{
+		"far below":               {100_000, 5_000, 30_000, 30_000},
+		"a little below":          {100_000, 25_000, 30_000, 60_000},
+		"at its share":            {100_000, 30_000, 30_000, 60_000},
+		"far below, but a little": {8_000, 2_000, 52_000, 100_000},
+		"all that it asks for":    {20_000, 20_000, 40_000, 100_000},
+	}
+	for name, test := range short {
+		Convey("what others get beyond their promised shares ends while a team gets less than its own: "+name, t, func() {
+			ledger := NewLedger(start, 0.1)
+			for step := range 20 {
+				ledger = ledger.WithOffered(coltsfootlink.Offered{Pool: "p", Teams: []coltsfootlink.TeamOffer{
+					{Team: "a", Tokens: test.asks / 2, Granted: test.gets / 2}, {Team: "b", Tokens: 50_000, Granted: 40_000},
+				}}).WithTime(start.Add(time.Duration(step+1) * 500 * time.Millisecond))
+			}
+			for _, team := range ledger.Shares("p", 60_000, 120_000).Teams {
+				if team.Team == "b" {
+					So(team.Entitled, ShouldAlmostEqual, test.entitled/100_000, 0.01)
+					So(team.Bearable, ShouldAlmostEqual, test.bearable/100_000, 0.01)
+				}
+			}
+		})
+	}
 	patience := map[string]struct{ refused, patience float64 }{
 		"nothing within shares is refused": {0, mostPatience},
 		"hardly anything is":               {0.01, mostPatience},
