Leave targets alone whose requests fail, whatever they say of their health

Callers of a target that says that it is well and fails all its requests lost their requests for as long as that lasted, since an owner looked at silence, broken and refused connections, but not at failed answers.

--- a/admission/book.go
+++ b/admission/book.go
@@ -115,6 +115,8 @@
 	coldUntil time.Time
 	// blockedUntil is when the target may get requests again.
 	blockedUntil time.Time
+	// trust is what the traffic says of the target's health.
+	trust trust
 	// eventAt is when the target last showed progress.
 	eventAt time.Time
 	// crashes are the latest times at which connections broke.
@@ -155,6 +157,7 @@
 		book.cache = engine.NewCache()
 		book.runs = immutable.NewMap[runID, run](runHasher{})
 		book.blockedUntil = time.Time{}
+		book.trust = trust{}
 	}
 	book.target = target
 	book.traits = traits
@@ -190,6 +193,7 @@
 		book.cache = book.cache.WithPrompt(now, ask.Work, book.traits.MemoryTokens-book.memory())
 	}
 	book.grants = append(book.grants[:len(book.grants):len(book.grants)], now)
+	book.trust = book.trust.withGrant(now)
 	book.runs = book.runs.Set(id, added)
 	return book
 }
--- a/admission/progress.go
+++ b/admission/progress.go
@@ -22,13 +22,16 @@
 	switch progress.Result {
 	case coltsfootlink.Succeeded:
 		book.eventAt = now
+		book.trust = book.trust.withResult(now, held.grantedAt, false)
 		book = book.withDuration(float64(progress.Millis))
 	case coltsfootlink.Failed:
 		book.eventAt = now
+		book.trust = book.trust.withResult(now, held.grantedAt, true)
 	case coltsfootlink.Refused:
 		book.blockedUntil = now.Add(blockSpan)
 		book.coldUntil = book.blockedUntil.Add(book.traits.ColdSpan)
 	case coltsfootlink.Crashed:
+		book.trust = book.trust.withResult(now, held.grantedAt, true)
 		book = book.withCrash(now)
 	}
 	return book
--- a/admission/refusal.go
+++ b/admission/refusal.go
@@ -17,6 +17,8 @@
 		return coltsfootlink.TargetDown, book.blockedUntil
 	case book.silent(now):
 		return coltsfootlink.TargetSilent, now.Add(probeInterval)
+	case book.trust.lost() && now.Before(book.trust.tryAt):
+		return coltsfootlink.TargetFailing, book.trust.tryAt
 	case book.overPace(now):
 		return coltsfootlink.TargetCold, now.Add(paceWindow)
 	case !book.traits.Engine:
--- a/outcome.go
+++ b/outcome.go
@@ -48,6 +48,7 @@
 	OwnerSilent      Reason = "owner-silent"
 	TargetDown       Reason = "target-down"
 	TargetSilent     Reason = "target-silent"
+	TargetFailing    Reason = "target-failing"
 	TargetCold       Reason = "target-cold"
 	TargetFull       Reason = "target-full"
 	TargetLeaving    Reason = "target-leaving"
