Rank a pool's targets without sorting them all

Cause: for each request dispatch copied all targets of the pool into a list, kept their weights in a map and sorted the list, to take three. On a served request that was half of all bytes allocated (48 kB of 93) and 12 % of the processor.

Change: one pass keeps the best three; the weight is worked out on the stack.

--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -22,47 +22,68 @@
 // Candidates returns the targets of a pool that a request is offered to, the best first. Zones without live
 // instances may be cut off, so their targets are offered only if there are no others.
 func Candidates(catalog coltsfootlink.Catalog, live map[coltsfootlink.ZoneName]bool, pool coltsfootlink.PoolName, work coltsfootlink.Work, zone coltsfootlink.ZoneName, draw uint64, avoid map[coltsfootlink.TargetName]bool) []coltsfootlink.Target {
-	var usable, doubtful []coltsfootlink.Target
+	affinity := work.Affinity()
+	key, most := affinity, maxAffine
+	if affinity == 0 {
+		key, most = draw, maxPlain
+	}
+	var usable, doubtful ranking
 	for _, target := range catalog.Targets {
-		switch {
-		case target.Pool != pool || !catalog.Usable(target) || avoid[target.Name]:
-		case live[target.Zone]:
-			usable = append(usable, target)
-		default:
-			doubtful = append(doubtful, target)
+		if target.Pool != pool || !catalog.Usable(target) || avoid[target.Name] {
+			continue
+		}
+		offered := ranked{target: target, weight: weight(target.Name, key)}
+		if affinity == 0 && target.Zone != zone {
+			offered.distance = 1
+		}
+		if live[target.Zone] {
+			usable = usable.with(offered, most)
+		} else {
+			doubtful = doubtful.with(offered, most)
 		}
 	}
 	if len(usable) == 0 {
 		usable = doubtful
 	}
-	if affinity := work.Affinity(); affinity != 0 {
-		return rankBy(usable, affinity, maxAffine, func(coltsfootlink.Target) int { return 0 })
+	return usable.targets()
+}
+
+// ranked is a target with its place among others: nearer ones go first, and then those of higher weight.
+type ranked struct {
+	target   coltsfootlink.Target
+	distance int
+	weight   uint64
+}
+
+// compare returns a negative number if the target goes before another one.
+func (one ranked) compare(other ranked) int {
+	return cmp.Or(cmp.Compare(one.distance, other.distance), cmp.Compare(other.weight, one.weight))
+}
+
+// ranking is the best targets of those that were offered, the best first.
+type ranking []ranked
+
+// with returns the ranking after a further target was offered, cut to the given length.
+func (ranking ranking) with(offered ranked, most int) ranking {
+	if len(ranking) == most && ranking[most-1].compare(offered) <= 0 {
+		return ranking
 	}
-	return rankBy(usable, draw, maxPlain, func(target coltsfootlink.Target) int {
-		if target.Zone == zone {
-			return 0
-		}
-		return 1
-	})
+	place, _ := slices.BinarySearchFunc(ranking, offered, ranked.compare)
+	grown := slices.Insert(ranking, place, offered)
+	return grown[:min(most, len(grown))]
 }
 
-// rankBy orders targets by distance, and those of one distance by their weights for a key.
-func rankBy(targets []coltsfootlink.Target, key uint64, most int, distance func(coltsfootlink.Target) int) []coltsfootlink.Target {
-	weights := make(map[coltsfootlink.TargetName]uint64, len(targets))
-	for _, target := range targets {
-		weights[target.Name] = weight(target.Name, key)
+func (ranking ranking) targets() []coltsfootlink.Target {
+	targets := make([]coltsfootlink.Target, 0, len(ranking))
+	for _, held := range ranking {
+		targets = append(targets, held.target)
 	}
-	slices.SortFunc(targets, func(left, right coltsfootlink.Target) int {
-		return cmp.Or(
-			cmp.Compare(distance(left), distance(right)),
-			cmp.Compare(weights[right.Name], weights[left.Name]),
-		)
-	})
-	return targets[:min(most, len(targets))]
+	return targets
 }
 
 // weight is the weight of a target for a key.
 func weight(name coltsfootlink.TargetName, key uint64) uint64 {
-	text := binary.LittleEndian.AppendUint64(nil, key)
+	var buffer [64]byte
+	text := binary.LittleEndian.AppendUint64(buffer[:0], key)
 	return xxhash.Sum64(append(text, name...))
 }
