--- a/share/maxmin.go
+++ b/share/maxmin.go
@@ -91,6 +91,8 @@
 	patienceFall    = 0.8
 	patienceRise    = 1.05
 	mostPatience    = 0.4
+	// kept is the part of its promised share that a team gets if it is not kept from it.
+	kept = 0.85
 	// forgiven is how much less than its share a team may get in tokens a second, for requests come in lumps.
 	forgiven = 10_000.0
 	// forgotten is the rate, in tokens a second, below which a team is forgotten.
@@ -178,7 +180,7 @@
 	for iterator := ledger.teams.Iterator(); !iterator.Done(); {
 		_, known, _ := iterator.Next()
 		owed := min(known.asks, level)
-		if known.gets < satisfied*owed && owed-known.gets > forgiven {
+		if known.gets < kept*owed && owed-known.gets > forgiven {
 			least = min(least, known.gets)
 		}
 	}
--- a/share/maxmin_test.go
+++ b/share/maxmin_test.go
@@ -101,7 +101,8 @@
 		bearable   float64
 	}{
 		"far below":               {100_000, 5_000, 30_000, 30_000},
-		"a little below":          {100_000, 25_000, 30_000, 60_000},
+		"below":                   {100_000, 18_500, 30_000, 30_000},
+		"a little below":          {100_000, 27_000, 30_000, 60_000},
 		"at its share":            {100_000, 30_000, 30_000, 60_000},
 		"far below, but a little": {8_000, 2_000, 52_000, 100_000},
 		"all that it asks for":    {20_000, 20_000, 40_000, 100_000},
