Rank a request's priority only when it is taken

Cause: the rank was worked out over all rules and all teams with priorities before a request was refused by its team's share or by the pressure, which does not need it.

Change: it is worked out when the request is taken.

--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -45,7 +45,6 @@
 		current.team = team
 	}
 	current.pool = rule.Pool(current.head.ID.Draw(""))
-	current.rank = catalog.Table.Rank(current.pool, rule, current.team)
 	current.deadline = current.arrived.Add(rule.Timeout)
 	if left := current.head.Deadline; !left.IsZero() && left.Before(current.deadline) {
 		current.deadline = left
@@ -58,7 +57,11 @@
 	if most <= 0 {
 		most = defaultBodyBytes
 	}
-	return current.isOffered(most) && current.isTaken(most) && current.readBody(most)
+	if !current.isOffered(most) || !current.isTaken(most) {
+		return false
+	}
+	current.rank = catalog.Table.Rank(current.pool, rule, current.team)
+	return current.readBody(most)
 }
 
 // isOffered says whether the request is to be offered to targets by what its team gets; the body of one that is not
