Look a target's owner up once for each view

Cause: each question to an owner went over all instances, copied those of the zone and hashed each name: what a request costs grew with the fleet.

Change: dispatch keeps the owners that it has looked up until the view changes. TestAsksGoToTheOwnerOfTheMoment fails where they are kept longer.

--- a/dispatch/cost_test.go
+++ b/dispatch/cost_test.go
@@ -8,17 +8,18 @@
 	"coltsfootlink"
 )
 
-// grown makes a task know as many targets and instances as large sites have, over three zones.
-func grown(task *Task) {
+// grown makes a task know as many targets as large sites have, and a number of instances, over three zones.
+func grown(task *Task, instances int) {
 	targets := make(map[coltsfootlink.TargetName]coltsfootlink.Target)
 	var members []coltsfootlink.Member
 	for index := range 140 {
 		zone := coltsfootlink.ZoneName([]string{"a", "b", "c"}[index%3])
 		name := coltsfootlink.TargetName(fmt.Sprint("engine-of-the-site-", index))
 		targets[name] = targetIn(name, zone)
-		if index < 40 {
-			members = append(members, member(coltsfootlink.InstanceName(fmt.Sprintf("10.1.0.%d:8785", index)), zone))
-		}
+	}
+	for index := range instances {
+		zone := coltsfootlink.ZoneName([]string{"a", "b", "c"}[index%3])
+		members = append(members, member(coltsfootlink.InstanceName(fmt.Sprintf("10.1.%d.%d:8785", index/200, index%200)), zone))
 	}
 	task.handle(coltsfootlink.Delivery{Message: coltsfootlink.CatalogChanged{Catalog: coltsfootlink.Catalog{}.WithTargets(targets)}})
 	task.handle(coltsfootlink.Delivery{Message: coltsfootlink.ViewChanged{View: coltsfootlink.View{Members: members}}})
@@ -26,20 +27,27 @@
 
 // BenchmarkWant is what a request costs the task that finds its target.
 func BenchmarkWant(b *testing.B) {
-	cases := map[string]coltsfootlink.Work{
-		"shared parts":    {Prompt: []coltsfootlink.CachePart{{Key: 7, Tokens: 100}, {Key: 8, Tokens: 10}}},
-		"no shared parts": {},
+	shared := func() coltsfootlink.Work {
+		return coltsfootlink.Work{Prompt: []coltsfootlink.CachePart{{Key: 7, Tokens: 100}, {Key: 8, Tokens: 10}}}
+	}
+	cases := map[string]struct {
+		work      coltsfootlink.Work
+		instances int
+	}{
+		"shared parts":                {shared(), 40},
+		"no shared parts":             {coltsfootlink.Work{}, 40},
+		"shared parts, 300 instances": {shared(), 300},
 	}
-	for name, work := range cases {
+	for name, test := range cases {
 		b.Run(name, func(b *testing.B) {
 			task, kept, clock := newTask()
-			grown(task)
+			grown(task, test.instances)
 			reply := make(chan Choice, 1)
 			asked := want(clock, reply)
-			asked.Work = work
+			asked.Work = test.work
 			b.ReportAllocs()
 			for b.Loop() {
-				if len(work.Prompt) > 0 {
+				if len(test.work.Prompt) > 0 {
 					asked.Work.Prompt[0].Key++
 				}
 				task.handle(coltsfootlink.Delivery{Message: asked})
--- a/dispatch/offer.go
+++ b/dispatch/offer.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"coltsfootlink"
-	"coltsfootlink/ownership"
 )
 
 // askNext asks the owner of the next candidate, or refuses the request if none is left.
@@ -23,7 +22,7 @@
 		}
 		target := waiting.candidates[0]
 		waiting.tried[target.Name] = true
-		owner, found := ownership.TargetOwner(target, task.view)
+		owner, found := task.owner(target)
 		if !found || now.Before(task.distrusted[owner]) {
 			waiting.candidates = waiting.candidates[1:]
 			waiting.refusal = coltsfootlink.Refuse(coltsfootlink.OwnerSilent, "the owner of the target does not answer").WithRetryAt(now.Add(busyPause))
--- a/dispatch/owners.go
+++ b/dispatch/owners.go
@@ -19,14 +19,36 @@
 	}
 }
 
+// place is what a target's owner depends on besides the view.
+type place struct {
+	target coltsfootlink.TargetName
+	zone   coltsfootlink.ZoneName
+}
+
+// owner returns the instance that owns a target; false if there is none.
+func (task *Task) owner(target coltsfootlink.Target) (coltsfootlink.InstanceName, bool) {
+	at := place{target: target.Name, zone: target.Zone}
+	owner, found := task.owners[at]
+	if !found {
+		if owner, found = ownership.TargetOwner(target, task.view); found {
+			task.owners[at] = owner
+		}
+	}
+	return owner, found
+}
+
 // followOwners tells new owners which requests the instance has on their targets.
 func (task *Task) followOwners() {
+	clear(task.owners)
 	moved := make(map[coltsfootlink.TargetName]coltsfootlink.InstanceName)
 	held := make(map[coltsfootlink.TargetName][]coltsfootlink.HeldRun)
 	for serial, request := range task.running {
 		target, known := task.catalog.Targets[request.target]
-		owner, found := ownership.TargetOwner(target, task.view)
-		if !known || !found || owner == request.owner {
+		if !known {
+			continue
+		}
+		owner, found := task.owner(target)
+		if !found || owner == request.owner {
 			continue
 		}
 		request.owner = owner
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -76,6 +76,8 @@
 	pressure pressure.State
 	catalog  coltsfootlink.Catalog
 	view     coltsfootlink.View
+	// owners are the owners of targets that were asked for since the view last changed.
+	owners map[place]coltsfootlink.InstanceName
 	// live are the zones with live instances.
 	live    map[coltsfootlink.ZoneName]bool
 	serial  uint64
@@ -126,6 +128,7 @@
 	task.waits = make(waits)
 	task.budgets = make(map[coltsfootlink.PoolName]retry.Budget)
 	task.distrusted = make(map[coltsfootlink.InstanceName]time.Time)
+	task.owners = make(map[place]coltsfootlink.InstanceName)
 	task.heard = make(map[coltsfootlink.InstanceName]time.Time)
 	task.serial = rand.Uint64() >> 16
 }
--- a/dispatch/task_test.go
+++ b/dispatch/task_test.go
@@ -354,6 +354,36 @@
 	})
 }
 
+// TestAsksGoToTheOwnerOfTheMoment holds for what is known of owners when others live.
+func TestAsksGoToTheOwnerOfTheMoment(t *testing.T) {
+	a, b := member("i-a", "a"), member("i-b", "b")
+	dead := b
+	dead.Live = false
+	cases := map[string][]struct {
+		members []coltsfootlink.Member
+		// asked is who owns the targets of zone b.
+		asked coltsfootlink.InstanceName
+	}{
+		"the owner dies":             {{[]coltsfootlink.Member{a, b}, "i-b"}, {[]coltsfootlink.Member{a, dead}, "i-a"}},
+		"the owner comes back":       {{[]coltsfootlink.Member{a, dead}, "i-a"}, {[]coltsfootlink.Member{a, b}, "i-b"}},
+		"the owner is gone for good": {{[]coltsfootlink.Member{a, b}, "i-b"}, {[]coltsfootlink.Member{a}, "i-a"}},
+	}
+	for name, views := range cases {
+		Convey("owners are asked by who lives: "+name, t, func() {
+			task, kept, clock := newTask()
+			for _, view := range views {
+				task.handle(coltsfootlink.Delivery{Message: coltsfootlink.ViewChanged{View: coltsfootlink.View{Members: view.members}}})
+				kept.sent = nil
+				question := want(clock, make(chan Choice, 1))
+				question.Avoid = map[coltsfootlink.TargetName]bool{"t-1": true}
+				task.handle(coltsfootlink.Delivery{Message: question})
+				So(kept.sent, ShouldHaveLength, 1)
+				So(kept.sent[0].From, ShouldEqual, view.asked)
+			}
+		})
+	}
+}
+
 func TestStanding(t *testing.T) {
 	for name, standing := range map[string]coltsfootlink.Standing{
 		"owners are told of requests within the share": coltsfootlink.Entitled,
