--- a/rig/fleet.go
+++ b/rig/fleet.go
@@ -234,7 +234,7 @@
 	}
 	via := make(map[string]string)
 	for _, from := range fleet.Plan.Zones {
-		proxy, err := startProxy(ctx, address)
+		proxy, err := StartProxy(ctx, address)
 		if err != nil {
 			return nil, err
 		}
--- a/rig/gateways.go
+++ b/rig/gateways.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -15,6 +16,9 @@
 	"coltsfootlink/platform"
 )
 
+// defaultDrainDelay is how long a stopping gateway takes new requests.
+const defaultDrainDelay = 500 * time.Millisecond
+
 // Gateway is one daemon on a stand-in of the users' platform.
 type Gateway struct {
 	*Process
@@ -22,6 +26,8 @@
 	Zone string
 	// Callers, Ready, Peers and Metrics are the addresses on which it listens.
 	Callers, Ready, Peers, Metrics string
+	// CallersProxy and StoreProxy stand before its callers' address and between it and the store; nil if not proxied.
+	CallersProxy, StoreProxy *Proxy
 }
 
 // gatewaySettings is the document of a gateway.
@@ -49,7 +55,7 @@
 
 [timing]
 stop-seconds = 6
-drain-delay = "500ms"
+drain-delay = "{{.DrainDelay}}"
 {{.Extra}}`))
 
 // GatewayFleet describes gateways on one store.
@@ -63,6 +69,10 @@
 	Count int
 	// Extra is added to the settings of each gateway.
 	Extra string
+	// Proxied puts fault proxies before the callers' addresses and the store.
+	Proxied bool
+	// DrainDelay is how long a stopping gateway takes new requests; half a second if zero.
+	DrainDelay time.Duration
 }
 
 // Start starts the daemons and waits until all are ready. They run until the context ends.
@@ -76,6 +86,9 @@
 		gateways = append(gateways, gateway)
 	}
 	for _, gateway := range gateways {
+		if err := gateway.proxy(ctx, fleet); err != nil {
+			return nil, err
+		}
 		if err := gateway.start(fleet, gateways[0].Peers); err != nil {
 			return nil, err
 		}
@@ -89,11 +102,29 @@
 	return gateways, nil
 }
 
+// proxy starts the gateway's proxies if the fleet has any.
+func (gateway *Gateway) proxy(ctx context.Context, fleet GatewayFleet) error {
+	if !fleet.Proxied {
+		return nil
+	}
+	var err error
+	if gateway.CallersProxy, err = StartProxy(ctx, gateway.Callers); err != nil {
+		return err
+	}
+	gateway.StoreProxy, err = StartProxy(ctx, fleet.Store)
+	return err
+}
+
 func (gateway *Gateway) start(fleet GatewayFleet, seed string) error {
 	var text bytes.Buffer
+	store := fleet.Store
+	if gateway.StoreProxy != nil {
+		store = gateway.StoreProxy.Address
+	}
 	err := gatewaySettings.Execute(&text, map[string]any{
 		"Name": gateway.Name, "Zone": gateway.Zone, "Seeds": []string{seed}, "Callers": gateway.Callers, "Ready": gateway.Ready,
-		"Peers": gateway.Peers, "Metrics": gateway.Metrics, "Store": fleet.Store, "Extra": fleet.Extra,
+		"Peers": gateway.Peers, "Metrics": gateway.Metrics, "Store": store, "Extra": fleet.Extra,
+		"DrainDelay": cmp.Or(fleet.DrainDelay, defaultDrainDelay),
 	})
 	if err != nil {
 		return errors.Wrap(err, "rig")
--- a/rig/process.go
+++ b/rig/process.go
@@ -37,6 +37,7 @@
 	}
 	defer func() { _ = log.Close() }()
 	process.command = exec.Command(process.program, process.arguments...)
+	process.command.Stdout = log
 	process.command.Stderr = log
 	// The program ends with the process that has started it.
 	process.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -67,6 +68,18 @@
 // Thaw lets the program go on.
 func (process *Process) Thaw() error { return process.signal(syscall.SIGCONT) }
 
+// Hangup tells the program that its settings have changed.
+func (process *Process) Hangup() error { return process.signal(syscall.SIGHUP) }
+
+// Terminate asks the program to stop and does not wait.
+func (process *Process) Terminate() error {
+	process.ended.Store(true)
+	return process.signal(syscall.SIGTERM)
+}
+
+// Running says whether the program has not ended yet.
+func (process *Process) Running() bool { return process.signal(0) == nil }
+
 // Stop asks the program to stop and waits until it has; an error if it failed or took too long.
 func (process *Process) Stop(deadline time.Time) error {
 	process.ended.Store(true)
--- a/rig/proxy.go
+++ b/rig/proxy.go
@@ -20,11 +20,20 @@
 	Cut
 	// Hold keeps connections open and lets no byte through.
 	Hold
+	// HoldRequests and HoldAnswers let no byte through in one direction.
+	HoldRequests
+	HoldAnswers
+	// Slow passes bytes on late.
+	Slow
+	// Reset resets all connections and each new one.
+	Reset
 )
 
 const (
 	// holdPause is the time between two looks at a held proxy's mode.
 	holdPause = 10 * time.Millisecond
+	// slowPause is how late a slow proxy passes bytes on.
+	slowPause = 150 * time.Millisecond
 	// proxyBytes is the most that is moved at once.
 	proxyBytes = 16 << 10
 )
@@ -44,8 +53,8 @@
 	open      bool
 }
 
-// startProxy starts a proxy before an address; it ends with the context.
-func startProxy(ctx context.Context, target string) (*Proxy, error) {
+// StartProxy starts a proxy before an address; it ends with the context.
+func StartProxy(ctx context.Context, target string) (*Proxy, error) {
 	address, err := FreeAddress()
 	if err != nil {
 		return nil, err
@@ -61,7 +70,7 @@
 	return proxy, nil
 }
 
-// Set changes the mode; a cut closes what is open.
+// Set changes the mode; a cut closes what is open, and a reset resets it.
 func (proxy *Proxy) Set(mode Mode) {
 	proxy.mode.Store(int32(mode))
 	proxy.inbox <- mode
@@ -84,7 +93,10 @@
 				}
 				delete(open, message.near)
 			case Mode:
-				if message == Cut {
+				if message == Reset {
+					resetAll(open)
+				}
+				if message == Cut || message == Reset {
 					closeAll(open)
 				}
 			}
@@ -104,7 +116,11 @@
 
 func (proxy *Proxy) serve(ctx context.Context, near net.Conn) {
 	defer func() { _ = near.Close() }()
-	if Mode(proxy.mode.Load()) == Cut {
+	switch Mode(proxy.mode.Load()) {
+	case Reset:
+		reset(near)
+		return
+	case Cut:
 		return
 	}
 	far, err := net.Dial("tcp", proxy.Target)
@@ -116,20 +132,23 @@
 	defer proxy.tell(ctx, proxied{near: near})
 	back := make(chan struct{})
 	go func() {
-		proxy.pump(near, far)
+		proxy.pump(near, far, HoldAnswers)
 		close(back)
 	}()
-	proxy.pump(far, near)
+	proxy.pump(far, near, HoldRequests)
 	<-back
 }
 
-// pump moves bytes until one side closes.
-func (proxy *Proxy) pump(to, from net.Conn) {
+// pump moves bytes in one direction until one side closes; held is the mode that stops this direction alone.
+func (proxy *Proxy) pump(to, from net.Conn, held Mode) {
 	defer func() { _ = to.Close() }()
 	buffer := make([]byte, proxyBytes)
 	for {
 		count, err := from.Read(buffer)
-		for Mode(proxy.mode.Load()) == Hold {
+		if Mode(proxy.mode.Load()) == Slow {
+			time.Sleep(slowPause)
+		}
+		for proxy.holds(held) {
 			time.Sleep(holdPause)
 		}
 		if count > 0 {
@@ -143,6 +162,12 @@
 	}
 }
 
+// holds says whether bytes stand still in the direction that a mode stops alone.
+func (proxy *Proxy) holds(direction Mode) bool {
+	mode := Mode(proxy.mode.Load())
+	return mode == Hold || mode == direction
+}
+
 func (proxy *Proxy) tell(ctx context.Context, message proxied) {
 	select {
 	case proxy.inbox <- message:
@@ -150,6 +175,21 @@
 	}
 }
 
+func resetAll(open map[net.Conn]net.Conn) {
+	for near, far := range open {
+		reset(near)
+		reset(far)
+	}
+}
+
+// reset makes the close of a connection a reset.
+func reset(connection net.Conn) {
+	if link, is := connection.(*net.TCPConn); is {
+		// A connection that is already closed needs no reset.
+		_ = link.SetLinger(0)
+	}
+}
+
 func closeAll(open map[net.Conn]net.Conn) {
 	for near, far := range open {
 		_ = near.Close()
--- a/standin/newest.go
+++ b/standin/newest.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 
 	"coltsfootlink/platform"
@@ -16,7 +17,7 @@
 	err := store.do(ctx, func(held *contents) {
 		part := held.partition(name)
 		page.End = part.end()
-		items := part.newestItems()
+		items := newestOf(part.kept, part.first, part.records)
 		for _, key := range slices.Sorted(keysBehind(items, after)) {
 			if len(page.Items) == newestItems {
 				page.More = true
@@ -28,17 +29,20 @@
 	return page, err
 }
 
-// newestItems returns the newest record of each key that was not dropped.
-func (held *partition) newestItems() map[string]platform.NewestRecord {
-	items := make(map[string]platform.NewestRecord)
-	for place, record := range held.records {
+// newestOf returns the newest record of each key that was not dropped, after records that begin at an offset.
+func newestOf(before map[string]platform.NewestRecord, first uint64, records [][]byte) map[string]platform.NewestRecord {
+	items := maps.Clone(before)
+	if items == nil {
+		items = make(map[string]platform.NewestRecord)
+	}
+	for place, record := range records {
 		key, value, err := platform.DecodeKeyed(record)
 		switch {
 		case err != nil:
 		case len(value) == 0:
 			delete(items, key)
 		default:
-			items[key] = platform.NewestRecord{Key: key, Value: value, Offset: held.first + uint64(place)}
+			items[key] = platform.NewestRecord{Key: key, Value: value, Offset: first + uint64(place)}
 		}
 	}
 	return items
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"coltsfootlink"
 	"coltsfootlink/platform"
 )
 
@@ -26,6 +27,8 @@
 	Down bool `json:"down"`
 	// LoseReplies carries appends out, but closes the connection without an answer.
 	LoseReplies bool `json:"lose-replies"`
+	// SlowMillis is how late each call is taken up.
+	SlowMillis int `json:"slow-millis"`
 }
 
 // ListChange replaces the change before.
@@ -77,6 +80,9 @@
 // unlessDown refuses calls while the platform is down, also those that were held meanwhile.
 func (server *Platform) unlessDown(handler http.HandlerFunc) http.HandlerFunc {
 	return func(writer http.ResponseWriter, request *http.Request) {
+		if slow := server.outage.Load().SlowMillis; slow > 0 {
+			coltsfootlink.Pause(request.Context(), millis(slow))
+		}
 		if server.outage.Load().Down {
 			http.Error(writer, "{}", http.StatusServiceUnavailable)
 			return
@@ -102,9 +108,12 @@
 		http.Error(writer, err.Error(), http.StatusBadRequest)
 		return
 	}
-	server.outage.Store(outage)
+	server.SetOutage(*outage)
 }
 
+// SetOutage makes the platform misbehave.
+func (server *Platform) SetOutage(outage Outage) { server.outage.Store(&outage) }
+
 // serve answers requests on an address until the context ends.
 func serve(ctx context.Context, address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
--- a/standin/store.go
+++ b/standin/store.go
@@ -37,8 +37,10 @@
 
 // partition is the records of one partition.
 type partition struct {
-	first     uint64
-	records   [][]byte
+	first   uint64
+	records [][]byte
+	// kept are the newest records of their keys that were forgotten.
+	kept      map[string]platform.NewestRecord
 	producers map[string]*producer
 	// grown is closed when a record is added.
 	grown chan struct{}
@@ -183,6 +185,15 @@
 	}
 }
 
+// Forget trims a topic's log, as the platform may at any time; the newest record of each key stays.
+func (store *Store) Forget(ctx context.Context, topic string) error {
+	return store.do(ctx, func(held *contents) {
+		part := held.partition(partitionName{topic: topic})
+		part.kept = newestOf(part.kept, part.first, part.records)
+		part.trim(part.end())
+	})
+}
+
 // batch is what a read finds.
 type batch struct {
 	end, first uint64
