--- a/cmd/soak/history.go
+++ b/cmd/soak/history.go
@@ -169,12 +169,7 @@
 	})
 }
 
-// stable says that the store was sound all the while and long enough before.
-func (seen history) stable(from, to time.Time) bool {
-	return !seen.disrupted(from, to, func(step step) bool { return step.Subject == onStore || step.Kind == stallKind })
-}
-
-// inTouch says that an instance and its links were sound all the while and long enough before.
+// inTouch says that an instance, its links and the store were sound all the while and long enough before.
 func (seen history) inTouch(instance int, from, to time.Time) bool {
 	return !seen.disrupted(from, to, func(step step) bool {
 		return step.Subject == onInstance && step.Index == instance || step.Subject == onStore || step.Kind == stallKind
