--- a/cmd/soak/post.go
+++ b/cmd/soak/post.go
@@ -28,6 +28,8 @@
 	conduct conduct
 	mode    rig.Mode
 	started int
+	// crashed is the target that crashed last; nil if none has.
+	crashed *life
 	// chilled is until when entries say that the target is cold.
 	chilled time.Time
 }
@@ -163,14 +165,9 @@
 	case begin && main != nil:
 		main.stop()
 		main.goneAt = time.Now().Add(silenceBeats * beatInterval)
+		post.crashed = main
 	case !begin && main == nil:
-		last := post.lives[len(post.lives)-1]
-		for _, held := range post.lives {
-			if !held.goneAt.IsZero() {
-				last = held
-			}
-		}
-		post.begin(ctx, last.version, false, false, last.address, coldSpan)
+		post.begin(ctx, post.crashed.version, false, false, post.crashed.address, coldSpan)
 	}
 }
 
--- a/cmd/soak/target.go
+++ b/cmd/soak/target.go
@@ -77,6 +77,7 @@
 func (served *target) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", served.address)
 	if err != nil {
+		served.note(ownEnding{served.name + " cannot listen: " + err.Error()})
 		return err
 	}
 	served.running = make(chan struct{}, slots)
