--- a/cmd/soak/caller.go
+++ b/cmd/soak/caller.go
@@ -170,6 +170,14 @@
 	return tried, min(retryAfter(got.header), left/waitDivisor), mayRepeat(tried)
 }
 
+// holder returns the team that holds the keys with which a team asks.
+func holder(team string) string {
+	if team == staleTeam {
+		return revokedTeam
+	}
+	return team
+}
+
 // streams says that a route's answers are streams of events.
 func streams(route string) bool { return route == streamRoute || route == resumeRoute }
 
@@ -221,7 +229,7 @@
 	header.Set(sizeHeader, fmt.Sprint(wanted.size))
 	header.Set("Hold", "forged")
 	header.Set(teamHeader, "forged")
-	header.Set(digestHeader, digest(request.Method, path, string(body), tried.id, tried.team, wanted.name))
+	header.Set(digestHeader, digest(request.Method, path, string(body), tried.id, holder(tried.team), wanted.name))
 	if tried.repeatable {
 		header.Set(repeatHeader, "1")
 	}
