--- a/cmd/soak/rules.go
+++ b/cmd/soak/rules.go
@@ -24,6 +24,8 @@
 	retryWindow     = 10 * time.Second
 	exposureShare   = 0.1
 	exposureSlack   = 50
+	goneLimit       = 500 * time.Millisecond
+	goneSlack       = 3
 	deniedSlack     = 5
 	deniedEach      = 500
 	fairWindow      = 6
@@ -56,6 +58,7 @@
 		"budget":   retryBudget,
 		"exposure": exposures,
 		"fair":     fairShares,
+		"gone":     abandoned,
 		"lost":     plannedLosses,
 		"recover":  recoveries,
 		"running":  func(seen history) []string { return seen.endings },
@@ -357,6 +360,23 @@
 	return found
 }
 
+// abandoned: what its caller has given up reaches no target later, but for a few.
+func abandoned(seen history) []string {
+	tried := seen.byID()
+	var found []string
+	for _, arrived := range seen.arrivals {
+		known, ended := tried[arrived.id]
+		late := ended && !known.complete && arrived.at.After(known.ended.Add(goneLimit))
+		if late && seen.inTouch(known.instance, known.sent, arrived.at) && seen.targetSound(arrived.index, known.sent, arrived.at) {
+			found = append(found, fmt.Sprintf("%s came to %s %v after its caller had left", arrived.id, arrived.target, arrived.at.Sub(known.ended)))
+		}
+	}
+	if len(found) <= goneSlack {
+		return nil
+	}
+	return found
+}
+
 // recoveries: once faults are over long enough, every call is served.
 func recoveries(seen history) []string {
 	if seen.calmFrom.IsZero() {
--- a/cmd/soak/rules_test.go
+++ b/cmd/soak/rules_test.go
@@ -59,6 +59,12 @@
 	unserved := call{name: "c", route: safeRoute, team: steadyTeam, began: after(20000), ended: after(21000)}
 	served := unserved
 	served.served = true
+	left := none
+	for _, id := range []string{"a", "b", "c", "d"} {
+		given := asked(id, 0, 0, 9)
+		given.complete = false
+		left = left.WithAttempt(given).WithArrival(ran(id, "t", 600))
+	}
 	cases := map[string]struct {
 		rule   string
 		seen   history
@@ -92,6 +98,8 @@
 		"a call that is served once it is calm": {"recover", none.WithCalm(noon).WithCall(served), false},
 		"a call that is not":                    {"recover", none.WithCalm(noon).WithCall(unserved), true},
 		"a call too early after the faults":     {"recover", none.WithCalm(after(10000)).WithCall(unserved), false},
+		"requests that go on for nobody":        {"gone", left, true},
+		"requests for a caller that waits":      {"gone", none.WithAttempt(asked("r", okStatus, 0, 9)).WithArrival(ran("r", "t", 5)), false},
 		"an instance that ended":                {"running", none.WithEnding("gateway-0 ended by itself"), true},
 	}
 	for name, test := range cases {
--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	// mostInstances is the most instances of a site.
-	mostInstances = 100
+	// instanceBytes is the memory that an instance may have, and memoryDivisor the part of the machine's for all.
+	instanceBytes = 256 << 20
+	memoryDivisor = 2
 	// targetsEach is the number of targets for each instance, and leastTargets the least of a site.
 	leastTargets = 8
 	zonesOfSite  = 2
@@ -69,8 +70,8 @@
 		err = errors.New("--seeds must be at least 1")
 	case *span < leastSpan:
 		err = errors.Newf("--for must be at least %v", leastSpan)
-	case *instances < 1 || *instances > mostInstances:
-		err = errors.Newf("--instances must be between 1 and %d", mostInstances)
+	case *instances < 1 || *instances > mostInstances():
+		err = errors.Newf("--instances must be between 1 and %d, for which half of the memory is enough", mostInstances())
 	}
 	if err != nil {
 		return options{}, "", errors.Mark(err, errMistake)
@@ -78,6 +79,15 @@
 	return chosen, "", nil
 }
 
+// mostInstances returns how many instances fit into their part of the machine's memory.
+func mostInstances() int {
+	var machine syscall.Sysinfo_t
+	if err := syscall.Sysinfo(&machine); err != nil {
+		return 1
+	}
+	return int(machine.Totalram * uint64(machine.Unit) / memoryDivisor / instanceBytes)
+}
+
 func run(arguments []string, out io.Writer) error {
 	chosen, help, err := parse(arguments)
 	if err != nil || help != "" {
--- a/cmd/soak/target.go
+++ b/cmd/soak/target.go
@@ -180,7 +180,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if behaves.garbles && rand.Float64() < badShare || behaves.endless {
-		served.garble(writer, request, behaves.endless)
+		served.garble(writer, request, behaves.endless, arrived.stamp, body, status)
 		return
 	}
 	writer.Header().Set(stampHeader, arrived.stamp)
@@ -217,15 +217,17 @@
 	}
 }
 
-// garble sends bytes that are no answer, with or without an end.
-func (served *target) garble(writer http.ResponseWriter, request *http.Request, endless bool) {
+// garble sends bytes that are no answer, with or without an end, or bytes after an answer.
+func (served *target) garble(writer http.ResponseWriter, request *http.Request, endless bool, stamp string, body []byte, status int) {
 	connection, _, err := http.NewResponseController(writer).Hijack()
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	defer func() { _ = connection.Close() }()
 	_ = connection.SetDeadline(time.Now().Add(5 * time.Second))
-	beginnings := []string{"", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nX: ", "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 5\r\n\r\nother"}
+	const other = "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nAnswer-Stamp: other\r\nContent-Length: 5\r\n\r\nother"
+	whole := fmt.Sprintf("HTTP/1.1 %d Status\r\nAttempt-Id: %s\r\nAnswer-Stamp: %s\r\nContent-Length: %d\r\n\r\n%s", status, request.Header.Get(idHeader), stamp, len(body), body)
+	beginnings := []string{"", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nX: ", other, whole, whole + other}
 	_, _ = io.WriteString(connection, beginnings[rand.IntN(len(beginnings))])
 	garbage := content(request.Header.Get(idHeader), 1<<10)
 	for sent := 0; sent == 0 || endless && sent < mostGarbage; sent += len(garbage) {
