--- a/rig/process.go
+++ b/rig/process.go
@@ -46,7 +46,11 @@
 	}
 	done := make(chan error, 1)
 	command := process.command
-	go func() { done <- command.Wait() }()
+	go func() {
+		done <- command.Wait()
+		// Whoever waits as well goes on.
+		close(done)
+	}()
 	process.done = done
 	process.ended.Store(false)
 	return nil
