--- a/cmd/soak/fairness.go
+++ b/cmd/soak/fairness.go
@@ -41,7 +41,7 @@
 	var found []string
 	for from := 0; from+fairWindow <= last; from++ {
 		at := began.Add(time.Duration(from) * time.Second)
-		if seen.disrupted(at, at.Add(fairWindow*time.Second), func(step step) bool { return step.Kind != "flood" }) {
+		if seen.disrupted(at, at.Add(fairWindow*time.Second), func(step step) bool { return step.Kind != floodKind }) {
 			continue
 		}
 		for team := range seconds[from] {
--- a/cmd/soak/judge.go
+++ b/cmd/soak/judge.go
@@ -19,7 +19,7 @@
 	// stallLimit is how late a tick may be.
 	stallLimit = 250 * time.Millisecond
 	// stallKind is the kind of the disruptions in which the soak itself stood still.
-	stallKind = "stall"
+	stallKind faultKind = "stall"
 )
 
 // judge owns the history of a run and looks whether promises were kept.
--- a/cmd/soak/keeper.go
+++ b/cmd/soak/keeper.go
@@ -54,16 +54,16 @@
 // handle acts on a fault; signals to a process that has ended fail and change nothing.
 func (keeper *keeper) handle(message phase) {
 	switch message.step.Kind {
-	case "kill", "stop":
+	case killedKind, stoppedKind:
 		keeper.end(message)
 		return
-	case "freeze":
+	case frozenKind:
 		if message.begin {
 			_ = keeper.gateway.Freeze()
 		} else {
 			_ = keeper.gateway.Thaw()
 		}
-	case "hangup":
+	case hungUpKind:
 		if message.begin {
 			_ = keeper.gateway.Hangup()
 		}
@@ -80,7 +80,7 @@
 	}
 	keeper.tell(message)
 	keeper.ending = &message.step
-	if message.step.Kind == "kill" {
+	if message.step.Kind == killedKind {
 		_ = keeper.gateway.Kill()
 		return
 	}
--- a/cmd/soak/plan.go
+++ b/cmd/soak/plan.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"coltsfootlink/rig"
 )
 
 // subject is what a fault happens to.
@@ -20,6 +22,46 @@
 	onTable    subject = "table"
 )
 
+// faultKind is a kind of fault.
+type faultKind string
+
+// The kinds of faults.
+const (
+	killedKind          faultKind = "kill"
+	stoppedKind         faultKind = "stop"
+	frozenKind          faultKind = "freeze"
+	hungUpKind          faultKind = "hangup"
+	callersResetKind    faultKind = "callers-reset"
+	callersSlowKind     faultKind = "callers-slow"
+	callersSilentKind   faultKind = "callers-silent"
+	callersOneWayKind   faultKind = "callers-one-way"
+	storeLinkResetKind  faultKind = "store-link-reset"
+	storeLinkSilentKind faultKind = "store-link-silent"
+	storeLinkSlowKind   faultKind = "store-link-slow"
+	targetResetKind     faultKind = "target-reset"
+	targetSlowKind      faultKind = "target-slow"
+	targetSilentKind    faultKind = "target-silent"
+	targetOneWayKind    faultKind = "target-one-way"
+	targetCrashKind     faultKind = "target-crash"
+	targetDrainKind     faultKind = "target-drain"
+	targetColdKind      faultKind = "target-cold"
+	targetFailsKind     faultKind = "target-fails"
+	targetLiesKind      faultKind = "target-lies"
+	targetGarblesKind   faultKind = "target-garbles"
+	targetEndlessKind   faultKind = "target-endless"
+	targetCutsKind      faultKind = "target-cuts"
+	storeDownKind       faultKind = "store-down"
+	storeSlowKind       faultKind = "store-slow"
+	storeLossyKind      faultKind = "store-lossy"
+	storeForgetsKind    faultKind = "store-forgets"
+	floodKind           faultKind = "flood"
+	newTableKind        faultKind = "table"
+	revokeKind          faultKind = "revoke"
+	evacuateKind        faultKind = "evacuate"
+	moveGoodKind        faultKind = "move-good"
+	moveBadKind         faultKind = "move-bad"
+)
+
 // trait is what the plan has to know of a kind of fault.
 type trait struct {
 	subject subject
@@ -27,12 +69,14 @@
 	shortest, longest time.Duration
 	// planned says that operators do this in calm operation.
 	planned bool
+	// mode is that of the connections that the fault is about.
+	mode rig.Mode
 }
 
 // step is one fault of a plan.
 type step struct {
-	Kind    string  `json:"kind"`
-	Subject subject `json:"subject"`
+	Kind    faultKind `json:"kind"`
+	Subject subject   `json:"subject"`
 	// Index is the place of the instance, target or zone.
 	Index int `json:"index"`
 	// Starts and Ends are milliseconds after the start of the faults.
@@ -50,42 +94,42 @@
 }
 
 // traits returns the kinds of faults.
-func traits() map[string]trait {
+func traits() map[faultKind]trait {
 	second := time.Second
-	return map[string]trait{
-		"kill":              {onInstance, second / 2, 3 * second, false},
-		"stop":              {onInstance, 4 * second, 10 * second, true},
-		"freeze":            {onInstance, second / 4, 4 * second, false},
-		"hangup":            {onInstance, second / 4, second / 2, true},
-		"callers-reset":     {onInstance, second / 20, second, false},
-		"callers-slow":      {onInstance, second, 4 * second, false},
-		"callers-silent":    {onInstance, second / 2, 4 * second, false},
-		"callers-one-way":   {onInstance, second / 2, 4 * second, false},
-		"store-link-reset":  {onInstance, second / 4, 4 * second, false},
-		"store-link-silent": {onInstance, second / 2, 5 * second, false},
-		"store-link-slow":   {onInstance, second / 2, 5 * second, false},
-		"target-reset":      {onTarget, second / 20, 2 * second, false},
-		"target-slow":       {onTarget, second / 2, 4 * second, false},
-		"target-silent":     {onTarget, second / 2, 4 * second, false},
-		"target-one-way":    {onTarget, second / 2, 4 * second, false},
-		"target-crash":      {onTarget, 2 * second, 5 * second, false},
-		"target-drain":      {onTarget, 4 * second, 7 * second, true},
-		"target-cold":       {onTarget, second, 3 * second, false},
-		"target-fails":      {onTarget, second, 5 * second, false},
-		"target-lies":       {onTarget, second, 5 * second, false},
-		"target-garbles":    {onTarget, second / 2, 3 * second, false},
-		"target-endless":    {onTarget, second / 4, second, false},
-		"target-cuts":       {onTarget, second, 4 * second, false},
-		"store-down":        {onStore, second, 5 * second, false},
-		"store-slow":        {onStore, second, 5 * second, false},
-		"store-lossy":       {onStore, second, 5 * second, false},
-		"store-forgets":     {onStore, second, 2 * second, false},
-		"flood":             {onTable, 2 * second, 6 * second, true},
-		"table":             {onTable, second / 4, second / 2, true},
-		"revoke":            {onTable, 4 * second, 8 * second, true},
-		"evacuate":          {onZone, 6 * second, 9 * second, true},
-		"move-good":         {onTable, 12 * second, 14 * second, true},
-		"move-bad":          {onTable, 12 * second, 14 * second, true},
+	return map[faultKind]trait{
+		killedKind:          {onInstance, second / 2, 3 * second, false, rig.Pass},
+		stoppedKind:         {onInstance, 4 * second, 10 * second, true, rig.Pass},
+		frozenKind:          {onInstance, second / 4, 4 * second, false, rig.Pass},
+		hungUpKind:          {onInstance, second / 4, second / 2, true, rig.Pass},
+		callersResetKind:    {onInstance, second / 20, second, false, rig.Reset},
+		callersSlowKind:     {onInstance, second, 4 * second, false, rig.Slow},
+		callersSilentKind:   {onInstance, second / 2, 4 * second, false, rig.Hold},
+		callersOneWayKind:   {onInstance, second / 2, 4 * second, false, rig.HoldRequests},
+		storeLinkResetKind:  {onInstance, second / 4, 4 * second, false, rig.Reset},
+		storeLinkSilentKind: {onInstance, second / 2, 5 * second, false, rig.Hold},
+		storeLinkSlowKind:   {onInstance, second / 2, 5 * second, false, rig.Slow},
+		targetResetKind:     {onTarget, second / 20, 2 * second, false, rig.Reset},
+		targetSlowKind:      {onTarget, second / 2, 4 * second, false, rig.Slow},
+		targetSilentKind:    {onTarget, second / 2, 4 * second, false, rig.Hold},
+		targetOneWayKind:    {onTarget, second / 2, 4 * second, false, rig.HoldRequests},
+		targetCrashKind:     {onTarget, 2 * second, 5 * second, false, rig.Pass},
+		targetDrainKind:     {onTarget, 4 * second, 7 * second, true, rig.Pass},
+		targetColdKind:      {onTarget, second, 3 * second, false, rig.Pass},
+		targetFailsKind:     {onTarget, second, 5 * second, false, rig.Pass},
+		targetLiesKind:      {onTarget, second, 5 * second, false, rig.Pass},
+		targetGarblesKind:   {onTarget, second / 2, 3 * second, false, rig.Pass},
+		targetEndlessKind:   {onTarget, second / 4, second, false, rig.Pass},
+		targetCutsKind:      {onTarget, second, 4 * second, false, rig.Pass},
+		storeDownKind:       {onStore, second, 5 * second, false, rig.Pass},
+		storeSlowKind:       {onStore, second, 5 * second, false, rig.Pass},
+		storeLossyKind:      {onStore, second, 5 * second, false, rig.Pass},
+		storeForgetsKind:    {onStore, second, 2 * second, false, rig.Pass},
+		floodKind:           {onTable, 2 * second, 6 * second, true, rig.Pass},
+		newTableKind:        {onTable, second / 4, second / 2, true, rig.Pass},
+		revokeKind:          {onTable, 4 * second, 8 * second, true, rig.Pass},
+		evacuateKind:        {onZone, 6 * second, 9 * second, true, rig.Pass},
+		moveGoodKind:        {onTable, 12 * second, 14 * second, true, rig.Pass},
+		moveBadKind:         {onTable, 12 * second, 14 * second, true, rig.Pass},
 	}
 }
 
@@ -130,22 +174,31 @@
 // seat is the part of the site that a fault takes for itself.
 func (planned step) seat() string {
 	switch planned.Kind {
-	case "kill", "stop":
+	case killedKind, stoppedKind:
 		return fmt.Sprint("process-", planned.Index)
-	case "callers-reset", "callers-slow", "callers-silent", "callers-one-way":
-		return fmt.Sprint("callers-", planned.Index)
-	case "store-link-reset", "store-link-silent", "store-link-slow":
-		return fmt.Sprint("store-link-", planned.Index)
-	case "target-reset", "target-slow", "target-silent", "target-one-way":
-		return fmt.Sprint("target-link-", planned.Index)
-	case "target-fails", "target-lies", "target-garbles", "target-endless", "target-cuts":
+	case callersResetKind, callersSlowKind, callersSilentKind, callersOneWayKind:
+		return fmt.Sprint(callersSeat, planned.Index)
+	case storeLinkResetKind, storeLinkSilentKind, storeLinkSlowKind:
+		return fmt.Sprint(storeLinkSeat, planned.Index)
+	case targetResetKind, targetSlowKind, targetSilentKind, targetOneWayKind:
+		return targetLink(planned.Index)
+	case targetFailsKind, targetLiesKind, targetGarblesKind, targetEndlessKind, targetCutsKind:
 		return fmt.Sprint("conduct-", planned.Index)
-	case "target-crash", "target-drain", "target-cold":
+	case targetCrashKind, targetDrainKind, targetColdKind:
 		return fmt.Sprint("target-", planned.Index)
-	case "store-down", "store-slow", "store-lossy":
+	case storeDownKind, storeSlowKind, storeLossyKind:
 		return "store"
-	case "move-good", "move-bad":
+	case moveGoodKind, moveBadKind:
 		return "move"
 	}
-	return planned.Kind + fmt.Sprint(planned.Index)
+	return fmt.Sprint(planned.Kind, planned.Index)
 }
+
+// Seats of instances' connections; the place of the instance comes behind.
+const (
+	callersSeat   = "callers-"
+	storeLinkSeat = "store-link-"
+)
+
+// targetLink is the seat of a target's connections.
+func targetLink(index int) string { return fmt.Sprint("target-link-", index) }
--- a/cmd/soak/post.go
+++ b/cmd/soak/post.go
@@ -73,25 +73,25 @@
 
 func (post *post) handle(ctx context.Context, met meeting) {
 	switch met.step.Kind {
-	case "target-reset", "target-slow", "target-silent", "target-one-way":
+	case targetResetKind, targetSlowKind, targetSilentKind, targetOneWayKind:
 		post.mode = met.mode
 		for _, held := range post.lives {
 			held.proxy.Set(met.mode)
 		}
-	case "target-crash":
+	case targetCrashKind:
 		post.crash(ctx, met.begin)
-	case "target-drain":
+	case targetDrainKind:
 		if main := post.main(); met.begin && main != nil {
 			version := main.version
 			post.drain(ctx, main)
 			post.begin(ctx, version, false, false, "", coldSpan)
 		}
-	case "target-cold":
+	case targetColdKind:
 		if met.begin {
 			post.chilled = time.Now().Add(coldSpan)
 			post.beat(ctx)
 		}
-	case "move-good", "move-bad":
+	case moveGoodKind, moveBadKind:
 		post.move(ctx, met)
 	default:
 		post.conduct = post.conduct.WithFault(met.step.Kind, met.begin)
@@ -196,7 +196,7 @@
 		return
 	}
 	if met.begin {
-		post.begin(ctx, versionOf(met.step), true, met.step.Kind == "move-bad", "", coldSpan)
+		post.begin(ctx, versionOf(met.step), true, met.step.Kind == moveBadKind, "", coldSpan)
 		return
 	}
 	post.follow(ctx)
--- a/cmd/soak/rules.go
+++ b/cmd/soak/rules.go
@@ -223,7 +223,7 @@
 				continue
 			}
 			// The link alone matters here: that the target leaves is no fault of its link.
-			linked := seen.disrupted(arrived.at, arrived.at, func(step step) bool { return step.seat() == fmt.Sprint("target-link-", arrived.index) })
+			linked := seen.disrupted(arrived.at, arrived.at, func(step step) bool { return step.seat() == targetLink(arrived.index) })
 			if known, ended := tried[arrived.id]; ended && !linked && seen.inTouch(known.instance, given.acked, arrived.at) {
 				found = append(found, fmt.Sprintf("%s came to %s %v after it drained", arrived.id, arrived.target, arrived.at.Sub(given.acked)))
 			}
@@ -261,7 +261,7 @@
 		for last := limit; last < len(at); last++ {
 			from := at[last-limit]
 			held := seen.disrupted(from, at[last], func(step step) bool {
-				return step.seat() == fmt.Sprint("target-link-", place[target]) || step.Kind == stallKind
+				return step.seat() == targetLink(place[target]) || step.Kind == stallKind
 			})
 			if at[last].Sub(from) < time.Second && !held {
 				found = append(found, fmt.Sprintf("%s got %d requests in %v while cold", target, limit+1, at[last].Sub(from)))
@@ -343,7 +343,7 @@
 	kinds := traits()
 	var found []string
 	for _, held := range seen.disruptions {
-		if held.step.Kind != "stop" {
+		if held.step.Kind != stoppedKind {
 			continue
 		}
 		for _, tried := range seen.attempts {
--- a/cmd/soak/rules_test.go
+++ b/cmd/soak/rules_test.go
@@ -40,8 +40,8 @@
 func TestRules(t *testing.T) {
 	var none history
 	gone := order{kind: keyGone, name: "key", acked: noon}
-	frozen := disruption{step: step{Kind: "freeze", Subject: onInstance}, from: after(1000), to: after(1100)}
-	stopped := disruption{step: step{Kind: "stop", Subject: onInstance}, from: after(1000), to: after(9000)}
+	frozen := disruption{step: step{Kind: frozenKind, Subject: onInstance}, from: after(1000), to: after(1100)}
+	stopped := disruption{step: step{Kind: stoppedKind, Subject: onInstance}, from: after(1000), to: after(9000)}
 	cut := asked("r", okStatus, 900, 1500)
 	cut.complete = false
 	foreign := asked("r", okStatus, 0, 9)
--- a/cmd/soak/site.go
+++ b/cmd/soak/site.go
@@ -124,26 +124,20 @@
 	add(floodTeam, resumeRoute, 12, 20*time.Millisecond, flooded)
 }
 
-// modes are what proxies do in faults of connections.
-var modes = map[string]rig.Mode{
-	"reset": rig.Reset, "slow": rig.Slow, "silent": rig.Hold, "one-way": rig.HoldRequests,
-}
-
 // apply begins or ends a fault.
 func (site *site) apply(message phase) {
 	planned := message.step
-	_, link, _ := strings.Cut(strings.Replace(planned.Kind, "store-link", "link", 1), "-")
-	mode := modes[link]
-	if !message.begin {
+	mode := traits()[planned.Kind].mode
+	switch {
+	case !message.begin:
 		mode = rig.Pass
-	}
-	if mode == rig.HoldRequests && planned.Starts%2 == 0 {
+	case mode == rig.HoldRequests && planned.Starts%2 == 0:
 		mode = rig.HoldAnswers
 	}
 	switch {
-	case planned.Subject == onInstance && strings.HasPrefix(planned.Kind, "callers-"):
+	case strings.HasPrefix(planned.seat(), callersSeat):
 		site.gateways[planned.Index].CallersProxy.Set(mode)
-	case planned.Subject == onInstance && strings.HasPrefix(planned.Kind, "store-link-"):
+	case strings.HasPrefix(planned.seat(), storeLinkSeat):
 		site.gateways[planned.Index].StoreProxy.Set(mode)
 	case planned.Subject == onInstance:
 		site.keepers[planned.Index].inbox.Put(message)
@@ -163,14 +157,14 @@
 	var outage standin.Outage
 	switch {
 	case !message.begin:
-	case message.step.Kind == "store-slow":
+	case message.step.Kind == storeSlowKind:
 		outage.SlowMillis = 200 + rand.IntN(800)
-	case message.step.Kind == "store-lossy":
+	case message.step.Kind == storeLossyKind:
 		outage.LoseReplies = true
-	case message.step.Kind == "store-down":
+	case message.step.Kind == storeDownKind:
 		outage.Down = true
 	}
-	if message.step.Kind == "store-forgets" {
+	if message.step.Kind == storeForgetsKind {
 		site.operator.inbox.Put(func(ctx context.Context) {
 			for _, topic := range []string{platform.OperatorTopic, platform.TargetTopic} {
 				// A store that cannot do it has ended with the run.
@@ -189,25 +183,25 @@
 	planned := message.step
 	work := func(context.Context) {}
 	switch planned.Kind {
-	case "flood":
+	case floodKind:
 		if message.begin {
 			site.flooded.Add(1)
 		} else {
 			site.flooded.Add(-1)
 		}
-	case "table":
+	case newTableKind:
 		if message.begin {
 			work = operator.addRoute
 		}
-	case "revoke":
+	case revokeKind:
 		work = operator.dropKey
 		if message.begin {
 			work = operator.addKey
 		}
-	case "evacuate":
+	case evacuateKind:
 		work = func(ctx context.Context) { operator.evacuate(ctx, zoneName(planned.Index), message.begin) }
-	case "move-good", "move-bad":
-		bad := planned.Kind == "move-bad"
+	case moveGoodKind, moveBadKind:
+		bad := planned.Kind == moveBadKind
 		for _, held := range site.posts {
 			held.inbox.Put(meeting{phase: message})
 		}
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -43,16 +43,16 @@
 
 // outcome is how a seed went.
 type outcome struct {
-	Seed     uint64         `json:"seed"`
-	Steps    int            `json:"faults"`
-	Attempts int            `json:"attempts"`
-	Served   int            `json:"served"`
-	Runs     int            `json:"runs"`
-	Stalls   int            `json:"stalls"`
-	Statuses map[int]int    `json:"statuses"`
-	Breaches []breach       `json:"breaches"`
-	Folder   string         `json:"folder"`
-	Faults   map[string]int `json:"faults-by-kind"`
+	Seed     uint64            `json:"seed"`
+	Steps    int               `json:"faults"`
+	Attempts int               `json:"attempts"`
+	Served   int               `json:"served"`
+	Runs     int               `json:"runs"`
+	Stalls   int               `json:"stalls"`
+	Statuses map[int]int       `json:"statuses"`
+	Breaches []breach          `json:"breaches"`
+	Folder   string            `json:"folder"`
+	Faults   map[faultKind]int `json:"faults-by-kind"`
 }
 
 // play runs the seed's plan; logs, the plan and a report are in the folder.
@@ -96,7 +96,7 @@
 	for !played.settled() && coltsfootlink.Pause(ctx, readyPause) {
 	}
 	note(calm{from: time.Now()})
-	flood := step{Kind: "flood", Subject: onTable, Starts: lateFlood.Milliseconds(), Ends: (lateFlood + lateFloodSpan).Milliseconds()}
+	flood := step{Kind: floodKind, Subject: onTable, Starts: lateFlood.Milliseconds(), Ends: (lateFlood + lateFloodSpan).Milliseconds()}
 	recovered := time.Now().Add(recoveryLimit + provenSpan)
 	soak.steps(ctx, played, []step{flood})
 	coltsfootlink.Pause(ctx, time.Until(recovered))
@@ -134,7 +134,7 @@
 func (soak soak) report(plan []step, seen history) (outcome, error) {
 	reported := outcome{
 		Seed: soak.seed, Steps: len(plan), Attempts: len(seen.attempts), Folder: soak.folder,
-		Statuses: make(map[int]int), Faults: make(map[string]int), Breaches: breaches(seen),
+		Statuses: make(map[int]int), Faults: make(map[faultKind]int), Breaches: breaches(seen),
 	}
 	for _, tried := range seen.attempts {
 		reported.Statuses[tried.status]++
--- a/cmd/soak/target.go
+++ b/cmd/soak/target.go
@@ -37,17 +37,17 @@
 }
 
 // WithFault returns the conduct with a fault, by the name of its kind, on or off.
-func (held conduct) WithFault(kind string, on bool) conduct {
+func (held conduct) WithFault(kind faultKind, on bool) conduct {
 	switch kind {
-	case "target-fails":
+	case targetFailsKind:
 		held.fails = on
-	case "target-lies":
+	case targetLiesKind:
 		held.lies = on
-	case "target-garbles":
+	case targetGarblesKind:
 		held.garbles = on
-	case "target-endless":
+	case targetEndlessKind:
 		held.endless = on
-	case "target-cuts":
+	case targetCutsKind:
 		held.cuts = on
 	}
 	return held
