--- a/cmd/soak/run_test.go
+++ b/cmd/soak/run_test.go
@@ -22,7 +22,7 @@
 		So(newPlan(7, size, time.Minute), ShouldNotResemble, newPlan(8, size, time.Minute))
 	})
 	Convey("faults end in time, and none ends another", t, func() {
-		drawn := make(map[string]bool)
+		drawn := make(map[faultKind]bool)
 		for seed := range uint64(50) {
 			plan := newPlan(seed, size, time.Minute)
 			for place, planned := range plan {
