--- a/cmd/soak/site.go
+++ b/cmd/soak/site.go
@@ -79,6 +79,9 @@
 
 func zoneName(index int) string { return fmt.Sprint("zone-", index) }
 
+// zoneOf returns the zone of a target; each zone has targets of both services.
+func zoneOf(target int, size size) int { return target / 2 % size.Zones }
+
 // addPost starts a post with its first target.
 func (site *site) addPost(ctx context.Context, index int) {
 	pool := plainPool
@@ -86,7 +89,7 @@
 		pool = enginePool
 	}
 	added := &post{
-		index: index, zone: zoneName(index / 2 % site.size.Zones), pool: pool, operator: site.operator,
+		index: index, zone: zoneName(zoneOf(index, site.size)), pool: pool, operator: site.operator,
 		status: platform.NewStore("http://" + site.store), note: site.note, inbox: mailbox.New[meeting](),
 	}
 	site.posts = append(site.posts, added)
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -96,15 +96,31 @@
 	for !played.settled() && coltsfootlink.Pause(ctx, readyPause) {
 	}
 	note(calm{from: time.Now()})
-	flood := step{Kind: floodKind, Subject: onTable, Starts: lateFlood.Milliseconds(), Ends: (lateFlood + lateFloodSpan).Milliseconds()}
 	recovered := time.Now().Add(recoveryLimit + provenSpan)
-	soak.steps(ctx, played, []step{flood})
+	soak.steps(ctx, played, soak.planned())
 	coltsfootlink.Pause(ctx, time.Until(recovered))
 	note(closed{at: time.Now()})
 	// What is under way ends before the last look.
 	coltsfootlink.Pause(ctx, time.Second)
 }
 
+// planned returns what operators do while the site recovers, when all instances are in touch: a flood that has to be
+// shared, or orders that have to be in force in time.
+func (soak soak) planned() []step {
+	if soak.seed%2 == 0 {
+		return []step{{Kind: floodKind, Subject: onTable, Starts: lateFlood.Milliseconds(), Ends: (lateFlood + lateFloodSpan).Milliseconds()}}
+	}
+	target := int(soak.seed % uint64(soak.size.Targets))
+	// The target that drains is in another zone than the one that gets nothing anyway.
+	zone := (zoneOf(target, soak.size) + 1) % soak.size.Zones
+	return []step{
+		{Kind: revokeKind, Subject: onTable, Starts: 1000, Ends: 6000},
+		{Kind: newTableKind, Subject: onTable, Starts: 4000, Ends: 4500},
+		{Kind: evacuateKind, Subject: onZone, Index: zone, Starts: 4500, Ends: 11500},
+		{Kind: targetDrainKind, Subject: onTarget, Index: target, Starts: 5000, Ends: 11000},
+	}
+}
+
 // steps begins and ends faults at their times.
 func (soak soak) steps(ctx context.Context, played *site, plan []step) {
 	var phases []phase
--- a/cmd/soak/target.go
+++ b/cmd/soak/target.go
@@ -17,10 +17,10 @@
 
 const (
 	// slots is the requests that a target runs at once, and places those that are there at once.
-	slots  = 8
-	places = 24
+	slots  = 4
+	places = 12
 	// workSpan is how long a request runs, and eventPause the time between two events.
-	workSpan   = 10 * time.Millisecond
+	workSpan   = 40 * time.Millisecond
 	eventPause = 15 * time.Millisecond
 	// coldPerSecond is what a cold target bears, and coldSpan how long it is cold.
 	coldPerSecond = 9.1
--- a/rig/process.go
+++ b/rig/process.go
@@ -36,16 +36,16 @@
 		return errors.Wrap(err, "rig")
 	}
 	defer func() { _ = log.Close() }()
-	process.command = exec.Command(process.program, process.arguments...)
-	process.command.Stdout = log
-	process.command.Stderr = log
+	command := exec.Command(process.program, process.arguments...)
+	command.Stdout = log
+	command.Stderr = log
 	// The program ends with the process that has started it.
-	process.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := process.command.Start(); err != nil {
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
 		return errors.Wrap(err, "rig: start "+process.Name)
 	}
+	process.command = command
 	done := make(chan error, 1)
-	command := process.command
 	go func() {
 		done <- command.Wait()
 		// Whoever waits as well goes on.
