--- a/rig/proxy.go
+++ b/rig/proxy.go
@@ -25,8 +25,8 @@
 	HoldAnswers
 	// Slow passes bytes on late.
 	Slow
-	// Reset resets all connections and each new one.
-	Reset
+	// Abort resets all connections and each new one.
+	Abort
 )
 
 const (
@@ -93,10 +93,10 @@
 				}
 				delete(open, message.near)
 			case Mode:
-				if message == Reset {
+				if message == Abort {
 					resetAll(open)
 				}
-				if message == Cut || message == Reset {
+				if message == Cut || message == Abort {
 					closeAll(open)
 				}
 			}
@@ -117,7 +117,7 @@
 func (proxy *Proxy) serve(ctx context.Context, near net.Conn) {
 	defer func() { _ = near.Close() }()
 	switch Mode(proxy.mode.Load()) {
-	case Reset:
+	case Abort:
 		reset(near)
 		return
 	case Cut:
