--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -110,7 +110,7 @@
 	if soak.seed%2 == 0 {
 		return []step{{Kind: floodKind, Subject: onTable, Starts: lateFlood.Milliseconds(), Ends: (lateFlood + lateFloodSpan).Milliseconds()}}
 	}
-	target := int(soak.seed % uint64(soak.size.Targets))
+	target := int(soak.seed / 2 % uint64(soak.size.Targets))
 	// The target that drains is in another zone than the one that gets nothing anyway.
 	zone := (zoneOf(target, soak.size) + 1) % soak.size.Zones
 	return []step{
