--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -105,12 +105,18 @@
 }
 
 // planned returns what operators do while the site recovers, when all instances are in touch: a flood that has to be
-// shared, or orders that have to be in force in time.
+// shared, stops in which nothing may be lost, or orders that have to be in force in time.
 func (soak soak) planned() []step {
-	if soak.seed%2 == 0 {
+	switch soak.seed % 3 {
+	case 1:
+		return []step{
+			{Kind: stoppedKind, Subject: onInstance, Starts: 4500, Ends: 10000},
+			{Kind: stoppedKind, Subject: onInstance, Index: soak.size.Instances - 1, Starts: 5500, Ends: 11000},
+		}
+	case 2:
 		return []step{{Kind: floodKind, Subject: onTable, Starts: lateFlood.Milliseconds(), Ends: (lateFlood + lateFloodSpan).Milliseconds()}}
 	}
-	target := int(soak.seed / 2 % uint64(soak.size.Targets))
+	target := int(soak.seed / 3 % uint64(soak.size.Targets))
 	// The target that drains is in another zone than the one that gets nothing anyway.
 	zone := (zoneOf(target, soak.size) + 1) % soak.size.Zones
 	return []step{
