--- a/cmd/soak/caller.go
+++ b/cmd/soak/caller.go
@@ -17,6 +17,8 @@
 	patience = 4 * time.Second
 	// objective is the operators' aim for the first byte of an answer.
 	objective = 500 * time.Millisecond
+	// dialPause is how long a caller waits after a connection that was not established.
+	dialPause = 50 * time.Millisecond
 	// mostAttempts is how often a caller asks at most.
 	mostAttempts = 4
 	// waitDivisor divides the time left into the longest wait that a caller accepts.
@@ -147,7 +149,7 @@
 		address := <-caller.pick
 		link, err := dial(ctx, address.index, address.address)
 		if err != nil {
-			return tried, 50 * time.Millisecond, true
+			return tried, dialPause, true
 		}
 		caller.held = link
 	}
--- a/cmd/soak/site.go
+++ b/cmd/soak/site.go
@@ -30,6 +30,14 @@
 	lingers = 1500 * time.Millisecond
 	// beatInterval is the time between two entries of a target.
 	beatInterval = time.Second
+	// callPause, rarePause, floodPause and floodStreamPause are the mean times between two calls of a caller.
+	callPause        = 60 * time.Millisecond
+	rarePause        = 150 * time.Millisecond
+	floodPause       = 5 * time.Millisecond
+	floodStreamPause = 20 * time.Millisecond
+	// leastSlow and mostSlow are how late a slow store takes a call up, in milliseconds.
+	leastSlow = 200
+	mostSlow  = 1000
 )
 
 // site is a store, targets, callers and instances with proxies between them.
@@ -116,15 +124,15 @@
 		}
 	}
 	for _, route := range []string{safeRoute, unsafeRoute, streamRoute, resumeRoute} {
-		add(steadyTeam, route, 3, 60*time.Millisecond, nil)
-		add(otherTeam, route, 2, 60*time.Millisecond, nil)
+		add(steadyTeam, route, 3, callPause, nil)
+		add(otherTeam, route, 2, callPause, nil)
 	}
-	add(revokedTeam, unsafeRoute, 2, 60*time.Millisecond, nil)
-	add(staleTeam, unsafeRoute, 2, 150*time.Millisecond, nil)
-	add(steadyTeam, "", 2, 150*time.Millisecond, nil)
+	add(revokedTeam, unsafeRoute, 2, callPause, nil)
+	add(staleTeam, unsafeRoute, 2, rarePause, nil)
+	add(steadyTeam, "", 2, rarePause, nil)
 	flooded := func() bool { return site.flooded.Load() > 0 }
-	add(floodTeam, safeRoute, 24, 5*time.Millisecond, flooded)
-	add(floodTeam, resumeRoute, 12, 20*time.Millisecond, flooded)
+	add(floodTeam, safeRoute, 24, floodPause, flooded)
+	add(floodTeam, resumeRoute, 12, floodStreamPause, flooded)
 }
 
 // apply begins or ends a fault.
@@ -161,7 +169,7 @@
 	switch {
 	case !message.begin:
 	case message.step.Kind == storeSlowKind:
-		outage.SlowMillis = 200 + rand.IntN(800)
+		outage.SlowMillis = leastSlow + rand.IntN(mostSlow-leastSlow)
 	case message.step.Kind == storeLossyKind:
 		outage.LoseReplies = true
 	case message.step.Kind == storeDownKind:
--- a/cmd/soak/target.go
+++ b/cmd/soak/target.go
@@ -25,6 +25,8 @@
 	// coldPerSecond is what a cold target bears, and coldSpan how long it is cold.
 	coldPerSecond = 9.1
 	coldSpan      = 3 * time.Second
+	// linkLimit is how long a target waits for a request's head, and for a caller to take garbage.
+	linkLimit = 5 * time.Second
 	// badShare is the part of the answers that a fault spoils.
 	badShare = 0.5
 	// mostGarbage is the most that an endless answer sends.
@@ -82,7 +84,7 @@
 	}
 	served.running = make(chan struct{}, slots)
 	served.conduct.CompareAndSwap(nil, new(conduct))
-	server := &http.Server{Handler: served, ReadHeaderTimeout: 5 * time.Second}
+	server := &http.Server{Handler: served, ReadHeaderTimeout: linkLimit}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	_ = server.Serve(listener)
@@ -224,7 +226,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer func() { _ = connection.Close() }()
-	_ = connection.SetDeadline(time.Now().Add(5 * time.Second))
+	_ = connection.SetDeadline(time.Now().Add(linkLimit))
 	const other = "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nAnswer-Stamp: other\r\nContent-Length: 5\r\n\r\nother"
 	whole := fmt.Sprintf("HTTP/1.1 %d Status\r\nAttempt-Id: %s\r\nAnswer-Stamp: %s\r\nContent-Length: %d\r\n\r\n%s", status, request.Header.Get(idHeader), stamp, len(body), body)
 	beginnings := []string{"", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nX: ", other, whole, whole + other}
