--- a/cmd/soak/post.go
+++ b/cmd/soak/post.go
@@ -94,9 +94,10 @@
 	case moveGoodKind, moveBadKind:
 		post.move(ctx, met)
 	default:
-		post.conduct = post.conduct.WithFault(met.step.Kind, met.begin)
+		changed := post.conduct.WithFault(met.step.Kind, met.begin)
+		post.conduct = changed
 		for _, held := range post.lives {
-			held.target.conduct.Store(&post.conduct)
+			held.target.conduct.Store(&changed)
 		}
 	}
 }
@@ -130,7 +131,8 @@
 		index: post.index, name: fmt.Sprintf("t-%d-%d", post.index, post.started), zone: post.zone, version: version, pool: post.pool,
 		address: address, born: now, coldUntil: now.Add(cold), bad: bad, note: post.note,
 	}}
-	begun.target.conduct.Store(&post.conduct)
+	behaves := post.conduct
+	begun.target.conduct.Store(&behaves)
 	var lifetime context.Context
 	lifetime, begun.stop = context.WithCancel(ctx)
 	go func() { _ = begun.target.Run(lifetime) }()
--- a/cmd/soak/site.go
+++ b/cmd/soak/site.go
@@ -54,6 +54,8 @@
 	posts    []*post
 	store    string
 	flooded  atomic.Int32
+	// stopped is closed when all tasks have ended; nil before they start.
+	stopped chan struct{}
 }
 
 // start starts all parts and waits until every instance takes callers.
@@ -69,7 +71,11 @@
 	site.branch.Add("store", store)
 	site.branch.Add("platform", site.platform)
 	site.branch.Add("operator", site.operator)
-	go func() { _ = site.branch.Run(ctx) }()
+	site.stopped = make(chan struct{})
+	go func() {
+		_ = site.branch.Run(ctx)
+		close(site.stopped)
+	}()
 	site.operator.change(ctx, terms{version: 1, keys: []string{"key-" + revokedTeam}})
 	for index := range site.size.Targets {
 		site.addPost(ctx, index)
@@ -242,8 +248,11 @@
 	return true
 }
 
-// end ends the processes that the site has started.
+// end ends the processes that the site has started, once no task starts them again; the tasks' context has ended.
 func (site *site) end() {
+	if site.stopped != nil {
+		<-site.stopped
+	}
 	for _, gateway := range site.gateways {
 		if gateway.Running() {
 			_ = gateway.Kill()
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -73,7 +73,10 @@
 	branch.Add("judge", judge)
 	branch.Add("stalls", stalls{note: inbox.Put})
 	played := &site{size: soak.size, folder: soak.folder, daemon: soak.daemon, note: inbox.Put, branch: branch}
-	defer played.end()
+	defer func() {
+		cancel()
+		played.end()
+	}()
 	if err := played.start(ctx); err != nil {
 		return outcome{}, err
 	}
--- a/rig/proxy.go
+++ b/rig/proxy.go
@@ -151,6 +151,9 @@
 		for proxy.holds(held) {
 			time.Sleep(holdPause)
 		}
+		if mode := Mode(proxy.mode.Load()); mode == Cut || mode == Abort {
+			return
+		}
 		if count > 0 {
 			if _, writeErr := to.Write(buffer[:count]); writeErr != nil {
 				return
