--- a/rig/process.go
+++ b/rig/process.go
@@ -36,16 +36,21 @@
 		return errors.Wrap(err, "rig")
 	}
 	defer func() { _ = log.Close() }()
-	process.command = exec.Command(process.program, process.arguments...)
-	process.command.Stderr = log
+	command := exec.Command(process.program, process.arguments...)
+	command.Stdout = log
+	command.Stderr = log
 	// The program ends with the process that has started it.
-	process.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := process.command.Start(); err != nil {
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
 		return errors.Wrap(err, "rig: start "+process.Name)
 	}
+	process.command = command
 	done := make(chan error, 1)
-	command := process.command
-	go func() { done <- command.Wait() }()
+	go func() {
+		done <- command.Wait()
+		// Whoever waits as well goes on.
+		close(done)
+	}()
 	process.done = done
 	process.ended.Store(false)
 	return nil
@@ -67,6 +72,18 @@
 // Thaw lets the program go on.
 func (process *Process) Thaw() error { return process.signal(syscall.SIGCONT) }
 
+// Hangup tells the program that its settings have changed.
+func (process *Process) Hangup() error { return process.signal(syscall.SIGHUP) }
+
+// Terminate asks the program to stop and does not wait.
+func (process *Process) Terminate() error {
+	process.ended.Store(true)
+	return process.signal(syscall.SIGTERM)
+}
+
+// Running says whether the program has not ended yet.
+func (process *Process) Running() bool { return process.signal(0) == nil }
+
 // Stop asks the program to stop and waits until it has; an error if it failed or took too long.
 func (process *Process) Stop(deadline time.Time) error {
 	process.ended.Store(true)
