Keep the wire's names and the form of a configuration with the stand-ins

cmd/soak spelled them once more; stand-in engines and callers and the soak now share them, and what operators write is a type of the stand-ins.

--- a/cmd/soak/caller.go
+++ b/cmd/soak/caller.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"coltsfootlink"
+	"coltsfootlink/standin"
 )
 
 const (
@@ -159,7 +160,7 @@
 	got := caller.held.exchange(request, wanted.deadline)
 	tried.ended, tried.first = time.Now(), got.first
 	tried.status, tried.complete = got.status, got.complete
-	tried.stamp = got.header.Get(stampHeader)
+	tried.stamp = got.header.Get(standin.StampHeader)
 	tried.fault = got.fault(request)
 	caller.note(tried)
 	if !got.keeps {
@@ -224,13 +225,13 @@
 	// The method and the address are sound, so that this cannot fail.
 	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://h"+path, bytes.NewReader(body))
 	header := request.Header
-	header.Set(idHeader, tried.id)
-	header.Set("Time-Left-Ms", fmt.Sprint(max(1, time.Until(wanted.deadline).Milliseconds())))
+	header.Set(standin.RequestIDHeader, tried.id)
+	header.Set(standin.LeftHeader, fmt.Sprint(max(1, time.Until(wanted.deadline).Milliseconds())))
 	header.Set("Authorization", "Bearer "+tried.key)
 	header.Set(serialHeader, wanted.name)
 	header.Set(sizeHeader, fmt.Sprint(wanted.size))
 	header.Set("Hold", "forged")
-	header.Set(teamHeader, "forged")
+	header.Set(standin.TeamHeader, "forged")
 	header.Set(digestHeader, digest(request.Method, path, string(body), tried.id, holder(tried.team), wanted.name))
 	if tried.repeatable {
 		header.Set(repeatHeader, "1")
@@ -238,11 +239,11 @@
 	if streams(tried.route) {
 		header.Set(streamHeader, "1")
 		header.Set("Model", "m")
-		header.Set("Token-Counts", fmt.Sprintf("%d,%d", 200, 10*wanted.size))
-		header.Set("Prompt-Prefix", fmt.Sprintf("%x:%d", len(wanted.name), 200))
+		header.Set(standin.TokensHeader, fmt.Sprintf("%d,%d", 200, 10*wanted.size))
+		header.Set(standin.PromptHeader, fmt.Sprintf("%x:%d", len(wanted.name), 200))
 	}
 	if wanted.lastEvent > 0 {
-		header.Set(lastEventHeader, fmt.Sprint(wanted.lastEvent))
+		header.Set(standin.LastEventHeader, fmt.Sprint(wanted.lastEvent))
 	}
 	return request
 }
--- a/cmd/soak/connection.go
+++ b/cmd/soak/connection.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"coltsfootlink/standin"
 )
 
 // connection is one connection of a caller to an instance; it carries one request at a time.
@@ -87,21 +89,21 @@
 
 // fault tells what is wrong with the bytes of an answer; empty if nothing is.
 func (got answer) fault(request *http.Request) string {
-	id := got.header.Get(idHeader)
-	stamp := got.header.Get(stampHeader)
+	id := got.header.Get(standin.RequestIDHeader)
+	stamp := got.header.Get(standin.StampHeader)
 	switch {
 	case got.extra:
 		return "bytes came that no request had asked for"
 	case got.status == 0:
 		return ""
-	case id != "" && id != request.Header.Get(idHeader):
+	case id != "" && id != request.Header.Get(standin.RequestIDHeader):
 		return "the answer is to " + id
 	case stamp == "":
 		return ""
 	}
 	whole := answerBody(request.Header)
 	if got.status != http.StatusOK {
-		whole = []byte("failed " + request.Header.Get(idHeader))
+		whole = []byte("failed " + request.Header.Get(standin.RequestIDHeader))
 	}
 	switch {
 	case got.complete && !signed(stamp, got.status, got.body):
--- a/cmd/soak/content.go
+++ b/cmd/soak/content.go
@@ -10,16 +10,12 @@
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
+
+	"coltsfootlink/standin"
 )
 
 // Headers between the soak's callers and its targets; instances pass them on as they are.
 const (
-	idHeader        = "Attempt-Id"
-	stampHeader     = "Answer-Stamp"
-	lastEventHeader = "Last-Event-Id"
-	teamHeader      = "Tenant"
-	expectHeader    = "Expect-Instance"
-	notRunHeader    = "Not-Run"
 	// serialHeader names a call over all its attempts, and sizeHeader the bytes or events of its answer.
 	serialHeader = "Soak-Serial"
 	sizeHeader   = "Soak-Size"
@@ -29,9 +25,6 @@
 	streamHeader = "Soak-Stream"
 )
 
-// ownHeaders are the system's to set: targets must not get what callers send under these names.
-var ownHeaders = []string{"Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Authorization"}
-
 const (
 	// letters is what bodies are made of.
 	letters = "abcdefghijklmnopqrstuvwxyz0123456789 .,"
@@ -82,7 +75,7 @@
 	if header.Get(streamHeader) == "" {
 		return content(serial, size)
 	}
-	return events(serial, number(header.Get(lastEventHeader)), size)
+	return events(serial, number(header.Get(standin.LastEventHeader)), size)
 }
 
 // number reads a header; what is no number counts as none.
--- a/cmd/soak/operator.go
+++ b/cmd/soak/operator.go
@@ -74,36 +74,31 @@
 
 // document is the table as the store has it.
 func (held terms) document() map[string]any {
-	route := func(name, kind, service string) map[string]any {
-		return map[string]any{
-			"name": name, "host": "h", "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 5000 + held.version%5,
-			"target_latency_ms": objective.Milliseconds(), "service": service, "max_attempts": 3, "resumable": name == resumeRoute,
+	route := func(name, kind, service string) standin.TableRoute {
+		return standin.TableRoute{
+			Name: name, Kind: kind, Service: service, TimeoutMillis: int64(5000 + held.version%5), Objective: objective.Milliseconds(),
+			Attempts: 3, Resumable: name == resumeRoute,
 		}
 	}
-	routes := []any{
+	routes := []standin.TableRoute{
 		route(safeRoute, "safe", plainPool), route(unsafeRoute, "unsafe", plainPool),
 		route(streamRoute, "streaming", enginePool), route(resumeRoute, "streaming", enginePool),
 	}
 	if name := held.newestRoute(); name != "" {
 		routes = append(routes, route(name, "safe", plainPool))
 	}
-	keys := []string{held.keys[len(held.keys)-1]}
+	keys := map[string][]string{revokedTeam: {held.keys[len(held.keys)-1]}}
 	if held.next != "" {
-		keys = append(keys, held.next)
+		keys[revokedTeam] = append(keys[revokedTeam], held.next)
 	}
-	teams := []any{map[string]any{"name": revokedTeam, "api_keys": keys}}
 	for _, team := range []string{steadyTeam, otherTeam, floodTeam} {
-		teams = append(teams, map[string]any{"name": team, "api_keys": []string{"key-" + team}})
+		keys[team] = []string{"key-" + team}
 	}
-	service := func(name string) map[string]any {
-		return map[string]any{"name": name, "connection_limit": 500, "cold_start_s": coldSpan.Seconds(), "cold_per_s": coldPerSecond, "health_path": "/health"}
-	}
-	engine := service(enginePool)
-	engine["engine"] = map[string]any{"kv_capacity_tokens": 400000}
-	return map[string]any{
-		"version": held.version, "routes": routes, "services": []any{service(plainPool), engine}, "tenants": teams,
-		"limits": map[string]any{"max_body_bytes": answerBodyLimit, "max_header_bytes": 16384, "header_timeout_ms": 5000, "idle_timeout_ms": 15000, "tokens_per_s": 100000},
+	services := []standin.TableService{
+		{Name: plainPool, ColdSeconds: coldSpan.Seconds(), ColdPerSecond: coldPerSecond},
+		{Name: enginePool, ColdSeconds: coldSpan.Seconds(), ColdPerSecond: coldPerSecond, MemoryTokens: 400_000},
 	}
+	return standin.Table{Version: held.version, Routes: routes, Services: services, Keys: keys, BodyBytes: answerBodyLimit}.Document()
 }
 
 // operator writes orders and entries into the store, and tells what the store has acknowledged.
--- a/cmd/soak/target.go
+++ b/cmd/soak/target.go
@@ -13,6 +13,7 @@
 
 	"coltsfootlink"
 	"coltsfootlink/platform"
+	"coltsfootlink/standin"
 )
 
 const (
@@ -102,7 +103,7 @@
 		waits := max(0, int(served.present.Load())-slots)
 		_, _ = fmt.Fprintf(writer, `{"waiting_requests":%d,"running_requests":%d,"born":%d}`, waits, len(served.running), served.born.UnixMilli())
 	case "/health":
-		writer.Header().Set("Instance-Id", served.name)
+		writer.Header().Set(standin.TargetHeader, served.name)
 		if behaves.lies && served.index%2 == 0 {
 			writer.WriteHeader(http.StatusServiceUnavailable)
 		}
@@ -119,11 +120,11 @@
 	}
 	header := request.Header
 	arrived := arrival{
-		id: header.Get(idHeader), target: served.name, zone: served.zone, version: served.version, index: served.index,
+		id: header.Get(standin.RequestIDHeader), target: served.name, zone: served.zone, version: served.version, index: served.index,
 		at: time.Now(), cold: time.Now().Before(served.coldUntil), repeatable: header.Get(repeatHeader) != "",
 	}
-	writer.Header().Set(idHeader, arrived.id)
-	if expected := header.Get(expectHeader); expected != "" && expected != served.name {
+	writer.Header().Set(standin.RequestIDHeader, arrived.id)
+	if expected := header.Get(standin.ExpectTargetHeader); expected != "" && expected != served.name {
 		arrived.misdirected = true
 		served.refuse(writer, arrived, http.StatusMisdirectedRequest)
 		return
@@ -147,20 +148,20 @@
 
 func (served *target) refuse(writer http.ResponseWriter, arrived arrival, status int) {
 	served.note(arrived)
-	writer.Header().Set(notRunHeader, "1")
+	writer.Header().Set(standin.NotRunHeader, "1")
 	writer.WriteHeader(status)
 }
 
 // changed tells what of a request is not as its caller has sent it; empty if all is.
 func changed(request *http.Request, body []byte) string {
 	header := request.Header
-	for _, name := range ownHeaders {
+	for _, name := range standin.ReservedHeaders {
 		if header.Get(name) != "" {
 			return "header " + name + " came through"
 		}
 	}
 	sent := header.Get(digestHeader)
-	if sent != digest(request.Method, request.RequestURI, string(body), header.Get(idHeader), header.Get(teamHeader), header.Get(serialHeader)) {
+	if sent != digest(request.Method, request.RequestURI, string(body), header.Get(standin.RequestIDHeader), header.Get(standin.TeamHeader), header.Get(serialHeader)) {
 		return "method, path, body, identifier or team was changed"
 	}
 	return ""
@@ -185,7 +186,7 @@
 		served.garble(writer, request, behaves.endless, arrived.stamp, body, status)
 		return
 	}
-	writer.Header().Set(stampHeader, arrived.stamp)
+	writer.Header().Set(standin.StampHeader, arrived.stamp)
 	cut := len(body)
 	if behaves.cuts && rand.Float64() < badShare {
 		cut = rand.IntN(len(body) + 1)
@@ -228,10 +229,10 @@
 	defer func() { _ = connection.Close() }()
 	_ = connection.SetDeadline(time.Now().Add(linkLimit))
 	const other = "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nAnswer-Stamp: other\r\nContent-Length: 5\r\n\r\nother"
-	whole := fmt.Sprintf("HTTP/1.1 %d Status\r\nAttempt-Id: %s\r\nAnswer-Stamp: %s\r\nContent-Length: %d\r\n\r\n%s", status, request.Header.Get(idHeader), stamp, len(body), body)
+	whole := fmt.Sprintf("HTTP/1.1 %d Status\r\nAttempt-Id: %s\r\nAnswer-Stamp: %s\r\nContent-Length: %d\r\n\r\n%s", status, request.Header.Get(standin.RequestIDHeader), stamp, len(body), body)
 	beginnings := []string{"", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nX: ", other, whole, whole + other}
 	_, _ = io.WriteString(connection, beginnings[rand.IntN(len(beginnings))])
-	garbage := content(request.Header.Get(idHeader), 1<<10)
+	garbage := content(request.Header.Get(standin.RequestIDHeader), 1<<10)
 	for sent := 0; sent == 0 || endless && sent < mostGarbage; sent += len(garbage) {
 		if _, err := connection.Write(garbage); err != nil {
 			return
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -22,14 +22,14 @@
 		}
 		prompt += fmt.Sprintf("%x:%d", part.Key, part.Tokens)
 	}
-	header.Set(requestIDHeader, string(head.ID))
-	header.Set("Time-Left-Ms", fmt.Sprint(time.Until(head.Deadline).Milliseconds()))
+	header.Set(RequestIDHeader, string(head.ID))
+	header.Set(LeftHeader, fmt.Sprint(time.Until(head.Deadline).Milliseconds()))
 	header.Set("Authorization", "Bearer "+head.Key)
 	header.Set("Model", callerModel)
-	header.Set("Token-Counts", fmt.Sprintf("%d,%d", head.Work.PromptTokens, head.Work.OutputTokens))
-	header.Set("Prompt-Prefix", prompt)
+	header.Set(TokensHeader, fmt.Sprintf("%d,%d", head.Work.PromptTokens, head.Work.OutputTokens))
+	header.Set(PromptHeader, prompt)
 	if target != "" {
-		header.Set(expectTargetHeader, target)
+		header.Set(ExpectTargetHeader, target)
 	}
 }
 
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -13,14 +13,6 @@
 	"coltsfootlink/platform"
 )
 
-// Headers of a target's answers on the users' platform.
-const (
-	requestIDHeader    = "Attempt-Id"
-	stampHeader        = "Answer-Stamp"
-	notRunHeader       = "Not-Run"
-	expectTargetHeader = "Expect-Instance"
-)
-
 // Engine is a model engine on the users' platform: engine.State in real time, with faults.
 type Engine struct {
 	Name, Address string
@@ -186,8 +178,8 @@
 func (served *Engine) answer(writer http.ResponseWriter, request *http.Request) {
 	head := platform.DecodeCaller(request, time.Now())
 	header := writer.Header()
-	header.Set(requestIDHeader, string(head.ID))
-	if expected := request.Header.Get(expectTargetHeader); expected != "" && expected != served.Name {
+	header.Set(RequestIDHeader, string(head.ID))
+	if expected := request.Header.Get(ExpectTargetHeader); expected != "" && expected != served.Name {
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -196,11 +188,11 @@
 	come := arrival{job: engine.Job{ID: id, Work: head.Work}, stream: make(chan engine.Occurrence, 2*events+2), taken: make(chan bool, 1)}
 	served.inbox.Put(come)
 	if !<-come.taken {
-		header.Set(notRunHeader, "1")
+		header.Set(NotRunHeader, "1")
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	header.Set(stampHeader, served.Name+"."+string(head.ID))
+	header.Set(StampHeader, served.Name+"."+string(head.ID))
 	header.Set("Content-Type", "text/event-stream")
 	served.stream(writer, request, come)
 }
