Take back what was told of the processor when its task starts anew

A pressure task that failed and was started again told nothing until the processor was behind once more, so that requests were refused for what its predecessor had said. TestTaskTellsOfChanges, last case, failed before.

--- a/pressure/task.go
+++ b/pressure/task.go
@@ -42,7 +42,8 @@
 
 // Run looks until the context ends.
 func (task *Task) Run(ctx context.Context) error {
-	task.state, task.told = State{}, State{}
+	task.state = State{}
+	task.tell()
 	for coltsfootlink.Pause(ctx, lookInterval) {
 		task.look()
 	}
@@ -56,16 +57,21 @@
 	if alike(task.state, task.told) {
 		return
 	}
-	task.told = task.state
-	for _, box := range task.Subscribers {
-		box.Put(coltsfootlink.Delivery{Message: Changed{State: task.state}})
-	}
+	task.tell()
 	if now := task.Clock.Now(); !now.Before(task.logAt) {
 		task.logAt = now.Add(logInterval)
 		task.Log.Info().Int64("wait-ms", wait.Milliseconds()).Float64("taken", task.state.Taken()).Bool("overloaded", task.state.Overloaded()).Msg("pressure: takes more or less")
 	}
 }
 
+// tell tells the subscribers how much the instance takes.
+func (task *Task) tell() {
+	task.told = task.state
+	for _, box := range task.Subscribers {
+		box.Put(coltsfootlink.Delivery{Message: Changed{State: task.state}})
+	}
+}
+
 // alike says whether two states let about the same in.
 func alike(one, other State) bool {
 	return one.Refuses() == other.Refuses() && one.overloaded == other.overloaded && math.Abs(one.refused-other.refused) < tellStep
