Do not take the own late processor for a target that accepts no connection

Callers everywhere were refused as target-down for 0.7 s, and the target counted as cold for seconds, when one instance did not get round to seeing that its connection was open: a dial ended by the instance's clock after 400 ms, and its end counted as a refused connection.

Cause: the limit was the dialer's. It passes while the answer waits to be seen.

Change: when the limit passes, the kernel is asked. A connection that the target has answered is waited for (and used); one that it has not is given up and counts as refused, as before. A refused connection is seen at once, as before. Nothing but the dial changes: what a result means to owners stays with admission.

Found by the way: a caller whose deadline passed during the dial could count as a target that refuses, for the dialer times out a moment before the context ends (1 of 10 runs of TestDials on the code before). The dial now sees the end, not the deadline.

Ruled out: a result "unused" while the pressure task says that the processor is behind. A dial may end before that task has looked, and a process that stood still is behind by no measure of the runtime; the target would go on being doubted then. What remains: a dial that is interrupted for the whole limit between its timer and the system call.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// dialLimit is how long a target may take to accept a connection.
+	// dialLimit is how long a target may take to answer a new connection.
 	dialLimit = 400 * time.Millisecond
 	// unackedLimit is how long a target may take to acknowledge bytes before the connection counts as broken.
 	unackedLimit = 1500 * time.Millisecond
@@ -47,22 +47,69 @@
 	idleSince, idleUntil time.Time
 }
 
+// errNotAccepted tells that a target has not answered a connection within the limit.
+var errNotAccepted = errors.New("the target did not accept the connection in time")
+
 // dial opens a connection to a target.
 func dial(ctx context.Context, target coltsfootlink.Target) (*conn, error) {
+	// The dialer is to see the end of the context, not its deadline: it times out at that a moment before the context
+	// ends, which looks like a target that does not answer.
+	dialing, giveUp := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer giveUp(nil)
+	defer context.AfterFunc(ctx, func() { giveUp(ctx.Err()) })()
 	dialer := net.Dialer{
-		Timeout:         dialLimit,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
-		Control:         limitUnacked,
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			limitDial(raw, giveUp)
+			return limitUnacked(raw)
+		},
 	}
-	socket, err := dialer.DialContext(ctx, "tcp4", target.Address)
+	socket, err := dialer.DialContext(dialing, "tcp4", target.Address)
 	if err != nil {
-		return nil, err
+		return nil, dialError(dialing, err)
 	}
 	opened := &conn{Conn: socket, target: target.Name, allowance: -1}
 	opened.reader = bufio.NewReaderSize(opened, readBytes)
 	return opened, nil
 }
 
+// limitDial gives a dial up whose target has not answered within the limit. The kernel is asked, for an answer may have
+// come and wait for the processor of this instance.
+func limitDial(raw syscall.RawConn, giveUp context.CancelCauseFunc) {
+	time.AfterFunc(dialLimit, func() {
+		switch stateOf(raw) {
+		case unix.BPF_TCP_SYN_SENT:
+			giveUp(errNotAccepted)
+		case unix.BPF_TCP_CLOSE:
+			// The dial has not begun, or its failure has not been seen yet.
+			limitDial(raw, giveUp)
+		}
+	})
+}
+
+// stateOf returns the kernel's state of a socket; zero if it is gone.
+func stateOf(raw syscall.RawConn) uint8 {
+	var state uint8
+	err := raw.Control(func(descriptor uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil {
+			state = info.State
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return state
+}
+
+// dialError says why there is no connection: the library calls it canceled when the dial was given up here.
+func dialError(dialing context.Context, err error) error {
+	if errors.Is(context.Cause(dialing), errNotAccepted) {
+		return errNotAccepted
+	}
+	return err
+}
+
 // errHeadTooLong tells that the head of an answer does not end where heads do.
 var errHeadTooLong = errors.New("the head of the answer is too long")
 
@@ -111,7 +158,7 @@
 }
 
 // limitUnacked makes the kernel break a connection whose bytes are not acknowledged.
-func limitUnacked(_, _ string, raw syscall.RawConn) error {
+func limitUnacked(raw syscall.RawConn) error {
 	var failure error
 	err := raw.Control(func(descriptor uintptr) {
 		failure = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedLimit.Milliseconds()))
