Answer requests at their own deadline, and give permits back that come too late

A request whose deadline was 50 ms away had its refusal after 120 ms, and after 400 ms on an instance whose processor is behind; and a permit that came after the caller had left, or after the deadline, was used: it counted on the target, and its tokens for the team, until the call was given up.

Cause: dispatch looked at a request when its owner's time was over, and asked whether a target is of use only before it asked an owner, not when the owner had agreed.

Change: the look comes at the request's own deadline if that is first; it ends requests whose callers have left, too, and gives their permits back. A permit is checked when it comes. An owner is not judged by a request that has no time left. A deadline is over at its time, not after it, so that the look at that time finds it over.

--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -43,7 +43,7 @@
 		return coltsfootlink.Refuse(coltsfootlink.CallerGone, "the caller went away")
 	default:
 	}
-	if !want.Deadline.IsZero() && now.After(want.Deadline) {
+	if !want.Deadline.IsZero() && !now.Before(want.Deadline) {
 		return coltsfootlink.Refuse(coltsfootlink.PastDeadline, "no target was free before the deadline")
 	}
 	return nil
--- a/dispatch/offer.go
+++ b/dispatch/offer.go
@@ -10,7 +10,7 @@
 func (task *Task) askNext(waiting pending) {
 	now := task.Clock.Now()
 	if refusal := waiting.want.useless(now); refusal != nil {
-		waiting.want.Reply <- Choice{Serial: waiting.serial, Owner: waiting.asked, Refusal: refusal}
+		waiting.refuse(refusal)
 		return
 	}
 	for {
@@ -48,7 +48,7 @@
 		return
 	}
 	task.offers.try(waiting.want, waiting.refusal)
-	waiting.want.Reply <- Choice{Serial: waiting.serial, Owner: waiting.asked, Refusal: waiting.refusal}
+	waiting.refuse(waiting.refusal)
 }
 
 // spill adds the target that waits least, as far as is known, for a request within its team's share: what
@@ -80,6 +80,11 @@
 	}
 	task.waits.note(task.Clock.Now(), target.Name, verdict)
 	if verdict.Reason == "" {
+		if refusal := waiting.want.useless(task.Clock.Now()); refusal != nil {
+			task.giveBack(from, verdict.Serial, target.Name)
+			waiting.refuse(refusal)
+			return
+		}
 		task.offers.try(waiting.want, nil)
 		if !waiting.want.Retry {
 			task.offers.count(waiting.want.Pool, waiting.want.Team, 0, tokensOf(waiting.want.Work))
--- a/dispatch/owners.go
+++ b/dispatch/owners.go
@@ -67,10 +67,16 @@
 	}
 }
 
-// expire passes over owners that have not answered.
+// expire passes over owners that have not answered, and refuses requests whose own deadlines have passed.
 func (task *Task) expire() {
 	now := task.Clock.Now()
 	for serial, waiting := range task.pending {
+		if refusal := waiting.want.useless(now); refusal != nil {
+			delete(task.pending, serial)
+			task.giveBack(waiting.asked, serial, waiting.candidates[0].Name)
+			waiting.refuse(refusal)
+			continue
+		}
 		if now.Before(waiting.answerBy) {
 			continue
 		}
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -45,6 +45,19 @@
 	spilled bool
 }
 
+// lookBy is when the request is looked at if its owner has not answered; its own deadline may come first.
+func (waiting pending) lookBy() time.Time {
+	if deadline := waiting.want.Deadline; !deadline.IsZero() && deadline.Before(waiting.answerBy) {
+		return deadline
+	}
+	return waiting.answerBy
+}
+
+// refuse tells who asked that the request gets no target.
+func (waiting pending) refuse(refusal *coltsfootlink.Refusal) {
+	waiting.want.Reply <- Choice{Serial: waiting.serial, Owner: waiting.asked, Refusal: refusal}
+}
+
 // running is a request that has a target.
 type running struct {
 	want    Want
@@ -252,12 +265,12 @@
 	})
 }
 
-// nextDeadline returns when the first owner has to have answered.
+// nextDeadline returns when the first request is to be looked at.
 func (task *Task) nextDeadline() time.Time {
 	var next time.Time
 	for _, waiting := range task.pending {
-		if next.IsZero() || waiting.answerBy.Before(next) {
-			next = waiting.answerBy
+		if by := waiting.lookBy(); next.IsZero() || by.Before(next) {
+			next = by
 		}
 	}
 	return next
--- a/dispatch/task_test.go
+++ b/dispatch/task_test.go
@@ -482,3 +482,96 @@
 		})
 	}
 }
+
+// TestDeadlines holds for requests that wait for an owner's word.
+func TestDeadlines(t *testing.T) {
+	gone := make(chan struct{})
+	close(gone)
+	cases := map[string]struct {
+		// left is the time to the request's deadline, and after that from the question to the look.
+		left, after time.Duration
+		behind      bool
+		gone        <-chan struct{}
+		reason      coltsfootlink.Reason
+	}{
+		"it comes before the owner's":                       {askLimit / 2, askLimit / 2, false, nil, coltsfootlink.PastDeadline},
+		"it comes before the owner's, which is put off":     {askLimit / 2, askLimit / 2, true, nil, coltsfootlink.PastDeadline},
+		"it comes after the owner's, which is put off":      {2 * askLimit, 2 * askLimit, true, nil, coltsfootlink.PastDeadline},
+		"it is not over":                                    {askLimit / 2, askLimit / 4, false, nil, ""},
+		"it is not over, but the caller has left meanwhile": {askLimit / 2, askLimit / 4, false, gone, coltsfootlink.CallerGone},
+	}
+	for name, test := range cases {
+		Convey("a request is answered at its own deadline: "+name, t, func() {
+			task, kept, clock := newTask()
+			if test.behind {
+				task.handle(coltsfootlink.Delivery{Message: pressure.Changed{State: pressure.State{}.WithWait(time.Second)}})
+			}
+			reply := make(chan Choice, 1)
+			question := want(clock, reply)
+			question.Deadline = clock.now.Add(test.left)
+			task.handle(coltsfootlink.Delivery{Message: question})
+			asked := kept.sent[0]
+			ask := kept.asks()[0]
+			held := task.pending[ask.Serial]
+			held.want.Gone = test.gone
+			task.pending[ask.Serial] = held
+			So(task.nextDeadline(), ShouldHappenOnOrBefore, question.Deadline)
+			clock.now = clock.now.Add(test.after)
+			task.turn()
+			if test.reason == "" {
+				So(reply, ShouldBeEmpty)
+				return
+			}
+			So(reply, ShouldHaveLength, 1)
+			So((<-reply).Refusal.Reason, ShouldEqual, test.reason)
+			So(task.pending, ShouldBeEmpty)
+			So(task.distrusted, ShouldBeEmpty)
+			So(kept.sent[0].From, ShouldEqual, asked.From)
+			So(kept.sent[0].Message, ShouldResemble, coltsfootlink.Progress{Serial: ask.Serial, Target: ask.Target, Stage: coltsfootlink.Ended, Result: coltsfootlink.Unused})
+		})
+	}
+}
+
+// TestPermitsThatComeTooLate holds for requests to which a target would be of no use any more.
+func TestPermitsThatComeTooLate(t *testing.T) {
+	cases := map[string]struct {
+		left, late bool
+		reason     coltsfootlink.Reason
+	}{
+		"the caller left":     {true, false, coltsfootlink.CallerGone},
+		"the deadline passed": {false, true, coltsfootlink.PastDeadline},
+		"neither":             {false, false, ""},
+	}
+	for name, test := range cases {
+		Convey("a permit is given back where it is of no use: "+name, t, func() {
+			task, kept, clock := newTask()
+			reply, gone := make(chan Choice, 1), make(chan struct{})
+			question := want(clock, reply)
+			question.Gone = gone
+			question.Deadline = clock.now.Add(50 * time.Millisecond)
+			task.handle(coltsfootlink.Delivery{Message: question})
+			asked := kept.sent[0]
+			ask := kept.asks()[0]
+			if test.left {
+				close(gone)
+			}
+			if test.late {
+				clock.now = clock.now.Add(100 * time.Millisecond)
+			}
+			task.handle(coltsfootlink.Delivery{From: asked.From, Message: coltsfootlink.Verdict{Serial: ask.Serial}})
+			So(reply, ShouldHaveLength, 1)
+			choice := <-reply
+			if test.reason == "" {
+				So(choice.Refusal, ShouldBeNil)
+				So(task.running, ShouldHaveLength, 1)
+				return
+			}
+			So(choice.Refusal, ShouldNotBeNil)
+			So(choice.Refusal.Reason, ShouldEqual, test.reason)
+			So(task.running, ShouldBeEmpty)
+			So(kept.sent, ShouldHaveLength, 1)
+			So(kept.sent[0].From, ShouldEqual, asked.From)
+			So(kept.sent[0].Message, ShouldResemble, coltsfootlink.Progress{Serial: ask.Serial, Target: ask.Target, Stage: coltsfootlink.Ended, Result: coltsfootlink.Unused})
+		})
+	}
+}
