Pass over reports of targets that have lain unread

Callers were refused as target-full by an idle target when its owner had not read its mailbox for some seconds: what the engine had said before it had run empty was taken for what it runs now. The age was logged and not looked at.

Change: a report counts for two intervals (800 ms) from when it was asked for. An owner asks every 400 ms and an engine answers within 300 ms, so that a report which is older is followed by two newer ones, and one that is late or lost leaves no gap. An owner that knows of foreign work goes on asking as before.

Ruled out: one interval, for an owner that is always 0.4 s late would then learn nothing of what was left behind by instances that are gone.

--- a/admission/book.go
+++ b/admission/book.go
@@ -20,6 +20,8 @@
 	// probeSpan is how long a new owner asks its target for reports, and reportInterval the time between two.
 	probeSpan      = 4 * time.Second
 	reportInterval = 400 * time.Millisecond
+	// reportSpan is how long after it was asked for a report counts: until two later ones have been asked for.
+	reportSpan = 2 * reportInterval
 	// settleSpan is how long a new owner waits for what the others hold on a target.
 	settleSpan = 250 * time.Millisecond
 	// blockSpan is how long a target that does not accept connections gets nothing.
--- a/admission/task.go
+++ b/admission/task.go
@@ -80,11 +80,7 @@
 			task.noteTrouble(delivery.From, message)
 		}
 	case reported:
-		if book, owned := task.books[message.target]; owned {
-			task.books[message.target] = book.WithReport(now, message.report)
-			task.Log.Info().Str("target", string(message.target)).Int("waiting", message.report.Waiting).Int("running", message.report.Running).
-				Int("foreign", task.books[message.target].foreign).Int64("age-ms", now.Sub(message.asked).Milliseconds()).Msg("admission: report")
-		}
+		task.learn(now, message)
 	case coltsfootlink.Held:
 		if book, owned := task.books[message.Target]; owned {
 			task.books[message.Target] = book.WithHeld(now, delivery.From, message)
@@ -101,6 +97,21 @@
 	}
 }
 
+// learn takes what a report says of a target, unless it is too old.
+func (task *Task) learn(now time.Time, message reported) {
+	book, owned := task.books[message.target]
+	if !owned {
+		return
+	}
+	old := now.After(message.asked.Add(reportSpan))
+	if !old {
+		book = book.WithReport(now, message.report)
+		task.books[message.target] = book
+	}
+	task.Log.Info().Str("target", string(message.target)).Int("waiting", message.report.Waiting).Int("running", message.report.Running).
+		Int("foreign", book.foreign).Int64("age-ms", now.Sub(message.asked).Milliseconds()).Bool("old", old).Msg("admission: report")
+}
+
 // answer decides on a request and tells who asked.
 func (task *Task) answer(now time.Time, from coltsfootlink.InstanceName, ask coltsfootlink.Ask) {
 	book, owned := task.books[ask.Target]
