Ask and grant nothing for callers whose deadlines have passed

An owner granted questions whose callers no longer waited: it never looked at the deadline. A question that had waited in an outbox until its deadline was over went off all the same, with a millisecond left, for times travel as spans and zero means none. Each such permit takes a slot and a prompt's reading time on the target from callers who wait, until it comes back.

Change: Ask knows whether it has expired; an owner refuses such a question (past-deadline), and a link leaves it out. Who asked ends the request at its deadline by itself and gives the permit back, whether there is one or not. That refusal says nothing of the target, so the target is not taken for one that takes nothing.

Ruled out: a span of zero for an expired time; it would mean no deadline to owners that run the version before.

Tests (the first a reviewer's, grown): TestQuestionsOutOfTime failed before in two of four cases (granted), TestQuestionsThatWaitedTooLong in one of four (sent with one millisecond left), a new case of TestLeastWait (the target was passed over). They pass now.

Conclusion: mended.

--- a/admission/refusal.go
+++ b/admission/refusal.go
@@ -8,9 +8,11 @@
 	"coltsfootlink/engine"
 )
 
-// refusal returns why a request may not be sent now, and when it may come again.
+// refusal returns why a request may not be sent now, and when it may come again; zero if that is of no use.
 func (book Book) refusal(now time.Time, ask coltsfootlink.Ask) (coltsfootlink.Reason, time.Time) {
 	switch {
+	case ask.Expired(now):
+		return coltsfootlink.PastDeadline, time.Time{}
 	case now.Before(book.ownedAt.Add(settleSpan)):
 		return coltsfootlink.OwnerNew, book.ownedAt.Add(settleSpan)
 	case now.Before(book.blockedUntil):
--- a/admission/task_test.go
+++ b/admission/task_test.go
@@ -60,3 +60,27 @@
 		})
 	}
 }
+
+// TestQuestionsOutOfTime holds for questions by the time that is left to the caller's deadline.
+func TestQuestionsOutOfTime(t *testing.T) {
+	cases := map[string]struct {
+		deadline time.Time
+		reason   coltsfootlink.Reason
+	}{
+		"some":            {start.Add(time.Millisecond), ""},
+		"none":            {start, coltsfootlink.PastDeadline},
+		"less than none":  {start.Add(-time.Second), coltsfootlink.PastDeadline},
+		"it is not known": {time.Time{}, ""},
+	}
+	for name, test := range cases {
+		Convey("a caller that waits no more gets no permit: "+name, t, func() {
+			task, last := newTask(start)
+			question := ask(start, 1, prompt(0, 800, 9), time.Second)
+			question.Deadline = test.deadline
+			task.handle(coltsfootlink.Delivery{From: "i", Message: question})
+			So(last.Reason, ShouldEqual, test.reason)
+			So(task.books["t"].runs.Len() == 0, ShouldEqual, test.reason != "")
+			So(task.books["t"].waitMillis(start) == 0, ShouldEqual, test.reason != "")
+		})
+	}
+}
--- a/dispatch/waits.go
+++ b/dispatch/waits.go
@@ -30,10 +30,15 @@
 	waits[target] = wait{
 		until:  now.Add(time.Duration(verdict.WaitMillis) * time.Millisecond),
 		known:  now.Add(knownSpan),
-		closed: verdict.Reason != "" && verdict.Reason != coltsfootlink.TargetFull,
+		closed: closes(verdict.Reason),
 	}
 }
 
+// closes says whether a target takes nothing when its owner refuses a request for a reason.
+func closes(reason coltsfootlink.Reason) bool {
+	return reason != "" && reason != coltsfootlink.TargetFull && reason != coltsfootlink.PastDeadline
+}
+
 // least returns the usable target of a pool where a prompt waits least; false if none is left.
 func (waits waits) least(now time.Time, catalog coltsfootlink.Catalog, pool coltsfootlink.PoolName, tried map[coltsfootlink.TargetName]bool) (coltsfootlink.Target, bool) {
 	var best coltsfootlink.Target
--- a/dispatch/waits_test.go
+++ b/dispatch/waits_test.go
@@ -24,6 +24,7 @@
 		"the shortest wait":            {map[coltsfootlink.TargetName]coltsfootlink.Verdict{"t-1": word(300, ""), "t-2": word(20, ""), "t-3": word(200, "")}, 0, "", "t-2"},
 		"a full one that has drained":  {map[coltsfootlink.TargetName]coltsfootlink.Verdict{"t-1": word(300, coltsfootlink.TargetFull), "t-2": word(900, ""), "t-3": word(900, "")}, time.Second, "t-2", "t-1"},
 		"not one that takes nothing":   {map[coltsfootlink.TargetName]coltsfootlink.Verdict{"t-1": word(0, coltsfootlink.TargetCold), "t-2": word(500, ""), "t-3": word(900, "")}, 0, "", "t-2"},
+		"one that was asked too late":  {map[coltsfootlink.TargetName]coltsfootlink.Verdict{"t-1": word(0, coltsfootlink.PastDeadline), "t-2": word(500, ""), "t-3": word(900, "")}, 0, "", "t-1"},
 		"not one that was tried":       {map[coltsfootlink.TargetName]coltsfootlink.Verdict{"t-1": word(0, ""), "t-2": word(500, ""), "t-3": word(900, "")}, 0, "t-1", "t-2"},
 		"an unknown one before a full": {map[coltsfootlink.TargetName]coltsfootlink.Verdict{"t-1": word(900, ""), "t-2": word(900, "")}, 0, "", "t-3"},
 	}
--- a/message_gateway.go
+++ b/message_gateway.go
@@ -21,6 +21,11 @@
 	Patience float64
 }
 
+// Expired says that the caller no longer waits for an answer.
+func (ask Ask) Expired(now time.Time) bool {
+	return !ask.Deadline.IsZero() && !now.Before(ask.Deadline)
+}
+
 // Standing says how a request stands to its team's fair share.
 type Standing uint32
 
--- a/peer/link.go
+++ b/peer/link.go
@@ -101,10 +101,14 @@
 	return &outStream{ClientStreamingClient: stream, names: newEncoder()}
 }
 
-// send sends messages in one batch; false if the stream is broken.
+// send sends messages in one batch; false if the stream is broken. Questions whose callers no longer wait are left out:
+// times travel as spans, so that their owners would not know.
 func (link *link) send(stream *outStream, messages []coltsfootlink.Message) bool {
 	batch := &peerpb.Batch{Stamp: uint64(link.stamper.Next())}
 	for _, message := range messages {
+		if ask, is := message.(coltsfootlink.Ask); is && ask.Expired(time.Now()) {
+			continue
+		}
 		encoded, err := stream.names.encode(message)
 		if err != nil {
 			link.log.Error().Err(err).Msg("peer: message dropped")
@@ -113,6 +117,9 @@
 		batch.Messages = append(batch.Messages, encoded)
 		metrics.CountMessage(kindOf(message), proto.Size(encoded))
 	}
+	if len(batch.Messages) == 0 {
+		return true
+	}
 	batch.Names = stream.names.takeFresh()
 	return stream.Send(batch) == nil
 }
--- a/peer/link_test.go
+++ b/peer/link_test.go
@@ -7,10 +7,12 @@
 
 	"github.com/rs/zerolog"
 	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"coltsfootlink"
 	"coltsfootlink/mailbox"
+	"coltsfootlink/peerpb"
 	"coltsfootlink/timeline"
 )
 
@@ -52,3 +54,37 @@
 		})
 	}
 }
+
+// kept is a stream that keeps what is sent.
+type kept struct {
+	grpc.ClientStreamingClient[peerpb.Batch, peerpb.Nothing]
+	sent []*peerpb.Message
+}
+
+// Send keeps the messages of a batch.
+func (kept *kept) Send(batch *peerpb.Batch) error {
+	kept.sent = append(kept.sent, batch.GetMessages()...)
+	return nil
+}
+
+// TestQuestionsThatWaitedTooLong holds for messages that were put into the outbox some time ago.
+func TestQuestionsThatWaitedTooLong(t *testing.T) {
+	now := time.Now()
+	cases := map[string]struct {
+		message coltsfootlink.Message
+		sent    int
+	}{
+		"a question with time left":         {coltsfootlink.Ask{Serial: 1, Deadline: now.Add(time.Minute)}, 1},
+		"a question without a deadline":     {coltsfootlink.Ask{Serial: 1}, 1},
+		"a question past its deadline":      {coltsfootlink.Ask{Serial: 1, Deadline: now.Add(-time.Millisecond)}, 0},
+		"what runs, though it is out of it": {coltsfootlink.Held{Runs: []coltsfootlink.HeldRun{{Deadline: now.Add(-time.Minute)}}}, 1},
+	}
+	for name, test := range cases {
+		Convey("what is of no use any more is not sent: "+name, t, func() {
+			stream := new(kept)
+			sending := &link{stamper: &timeline.Hybrid{Clock: coltsfootlink.SystemClock{}}, log: zerolog.Nop()}
+			So(sending.send(&outStream{ClientStreamingClient: stream, names: newEncoder()}, []coltsfootlink.Message{test.message}), ShouldBeTrue)
+			So(stream.sent, ShouldHaveLength, test.sent)
+		})
+	}
+}
