Learn a target's pace from when its events were seen, not from when they were told

Callers of calm instances were expected to wait 478 ms where a target takes 142, and were refused the sooner for it, when the word of other instances' first events had lain unread for half a second: an owner took the time at which it read that word for the time of the event (pace 4 in place of 1, a shift of seconds).

Change: the time of the event is that of the permit and what the holder measured since it sent the request, if that is earlier than the word. Both ends were there; the holder's figure was not looked at. What a permit's way takes, some milliseconds in calm times, now counts as the target's reading it earlier, and what the word's way takes does not count any more.

Partial: the holder measures when it sees the event, so that what it is late in seeing still counts as the target's; nothing in the message tells it apart.

Conclusion: mended as far as the messages tell.

--- a/admission/book_test.go
+++ b/admission/book_test.go
@@ -392,3 +392,40 @@
 		}
 	})
 }
+
+// TestHoldersThatAreBehind holds for first events that are seen in time and told late.
+func TestHoldersThatAreBehind(t *testing.T) {
+	cases := map[string]struct {
+		late time.Duration
+		// every is how many of the requests there are for each one that is told late.
+		every int
+	}{
+		"in time":                  {0, 1},
+		"half a second late":       {500 * time.Millisecond, 1},
+		"4.5 s late":               {4500 * time.Millisecond, 1},
+		"one in two, 250 ms late":  {250 * time.Millisecond, 2},
+		"one in five, 250 ms late": {250 * time.Millisecond, 5},
+		"one in ten, 4.5 s late":   {4500 * time.Millisecond, 10},
+	}
+	for name, test := range cases {
+		Convey("a target is no slower for others: "+name, t, func() {
+			book, now := settled(servedByEngine, 128)
+			read := spanOf(rates.ReadMillis(0, 8000, 0) + rates.FirstMillis)
+			for serial := range uint64(40) {
+				book, _ = book.WithAsk(now, "flooded", ask(now, serial, prompt(0, 8000, serial+10), 10*time.Second))
+				told := now.Add(read)
+				if int(serial)%test.every == 0 {
+					told = told.Add(test.late)
+				}
+				book = book.WithProgress(told, "flooded", coltsfootlink.Progress{Serial: serial, Stage: coltsfootlink.FirstEvent, Millis: int(read.Milliseconds())})
+				book = book.WithProgress(told, "flooded", coltsfootlink.Progress{Serial: serial, Stage: coltsfootlink.Ended, Result: coltsfootlink.Succeeded})
+				now = told.Add(50 * time.Millisecond)
+			}
+			_, verdict := book.WithAsk(now, "calm", ask(now, 100, prompt(0, 8000, 99), 800*time.Millisecond))
+			So(verdict.Reason, ShouldEqual, coltsfootlink.Reason(""))
+			So(verdict.ExpectedMillis, ShouldAlmostEqual, read.Milliseconds(), 10)
+			So(book.pace, ShouldAlmostEqual, 1, 0.05)
+			So(book.shift.Abs(), ShouldBeLessThan, 10*time.Millisecond)
+		})
+	}
+}
--- a/admission/progress.go
+++ b/admission/progress.go
@@ -16,7 +16,7 @@
 	if progress.Stage == coltsfootlink.FirstEvent {
 		held.read = true
 		book.runs = book.runs.Set(id, held)
-		return book.withFirstEvent(now, held)
+		return book.withFirstEvent(now, held, held.seenAt(now, progress))
 	}
 	book.runs = book.runs.Delete(id)
 	book = book.withoutReading(now, held, book.unread(now, held, progress.Result))
@@ -38,13 +38,22 @@
 	return book
 }
 
+// seenAt is when the holder saw what it tells of: word of it may have lain unread, which is not the target's doing.
+func (held run) seenAt(now time.Time, progress coltsfootlink.Progress) time.Time {
+	seen := held.grantedAt.Add(time.Duration(progress.Millis) * time.Millisecond)
+	if progress.Millis <= 0 || seen.After(now) {
+		return now
+	}
+	return seen
+}
+
 // withFirstEvent sets the expectations right by when a prompt was in fact read.
-func (book Book) withFirstEvent(now time.Time, held run) Book {
+func (book Book) withFirstEvent(now time.Time, held run, seen time.Time) Book {
 	book.eventAt = now
 	if !book.traits.Engine || held.readMillis == 0 {
 		return book
 	}
-	readAt := now.Add(-spanOf(book.policy.Rates.FirstMillis))
+	readAt := seen.Add(-spanOf(book.policy.Rates.FirstMillis))
 	if held.alone && held.readMillis >= paceMillis {
 		took := float64(readAt.Sub(held.grantedAt)) / float64(time.Millisecond)
 		ratio := min(maxPace, max(minPace, took/held.readMillis)) * book.pace
