--- a/admission/book.go
+++ b/admission/book.go
@@ -20,6 +20,8 @@
 	// probeSpan is how long a new owner asks its target for reports, and reportInterval the time between two.
 	probeSpan      = 4 * time.Second
 	reportInterval = 400 * time.Millisecond
+	// reportSpan is how long after it was asked for a report counts: until two later ones have been asked for.
+	reportSpan = 2 * reportInterval
 	// settleSpan is how long a new owner waits for what the others hold on a target.
 	settleSpan = 250 * time.Millisecond
 	// blockSpan is how long a target that does not accept connections gets nothing.
@@ -84,6 +86,8 @@
 	// expectedAt is when the prompt was expected to be read, less the book's shift at the time.
 	expectedAt time.Time
 	readMillis float64
+	// startsAt is when reading the prompt was expected to begin; zero if this owner has not let it in.
+	startsAt time.Time
 	// alone says that no other prompt was to be read before.
 	alone bool
 	// read says that the first event has come.
@@ -188,6 +192,7 @@
 			book.clearAt = now
 			added.alone = true
 		}
+		added.startsAt = book.clearAt
 		book.clearAt = book.clearAt.Add(spanOf(added.readMillis))
 		added.expectedAt = book.clearAt.Add(-book.shift)
 		book.cache = book.cache.WithPrompt(now, ask.Work, book.traits.MemoryTokens-book.memory())
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -45,6 +45,19 @@
 	spilled bool
 }
 
+// lookBy is when the request is looked at if its owner has not answered; its own deadline may come first.
+func (waiting pending) lookBy() time.Time {
+	if deadline := waiting.want.Deadline; !deadline.IsZero() && deadline.Before(waiting.answerBy) {
+		return deadline
+	}
+	return waiting.answerBy
+}
+
+// refuse tells who asked that the request gets no target.
+func (waiting pending) refuse(refusal *coltsfootlink.Refusal) {
+	waiting.want.Reply <- Choice{Serial: waiting.serial, Owner: waiting.asked, Refusal: refusal}
+}
+
 // running is a request that has a target.
 type running struct {
 	want    Want
@@ -87,6 +100,8 @@
 	distrusted map[coltsfootlink.InstanceName]time.Time
 	// heard is when an owner's newest verdict came.
 	heard map[coltsfootlink.InstanceName]time.Time
+	// answered is the newest question that an owner answered in time.
+	answered map[coltsfootlink.InstanceName]uint64
 }
 
 // Run answers until the context ends; requests that then have no target are refused.
@@ -130,6 +145,7 @@
 	task.distrusted = make(map[coltsfootlink.InstanceName]time.Time)
 	task.owners = make(map[place]coltsfootlink.InstanceName)
 	task.heard = make(map[coltsfootlink.InstanceName]time.Time)
+	task.answered = make(map[coltsfootlink.InstanceName]uint64)
 	task.serial = rand.Uint64() >> 16
 }
 
@@ -252,12 +268,12 @@
 	})
 }
 
-// nextDeadline returns when the first owner has to have answered.
+// nextDeadline returns when the first request is to be looked at.
 func (task *Task) nextDeadline() time.Time {
 	var next time.Time
 	for _, waiting := range task.pending {
-		if next.IsZero() || waiting.answerBy.Before(next) {
-			next = waiting.answerBy
+		if by := waiting.lookBy(); next.IsZero() || by.Before(next) {
+			next = by
 		}
 	}
 	return next
--- a/dispatch/task_test.go
+++ b/dispatch/task_test.go
@@ -482,3 +482,146 @@
 		})
 	}
 }
+
+// TestDeadlines holds for requests that wait for an owner's word.
+func TestDeadlines(t *testing.T) {
+	gone := make(chan struct{})
+	close(gone)
+	cases := map[string]struct {
+		// left is the time to the request's deadline, and after that from the question to the look.
+		left, after time.Duration
+		behind      bool
+		gone        <-chan struct{}
+		reason      coltsfootlink.Reason
+	}{
+		"it comes before the owner's":                       {askLimit / 2, askLimit / 2, false, nil, coltsfootlink.PastDeadline},
+		"it comes before the owner's, which is put off":     {askLimit / 2, askLimit / 2, true, nil, coltsfootlink.PastDeadline},
+		"it comes after the owner's, which is put off":      {2 * askLimit, 2 * askLimit, true, nil, coltsfootlink.PastDeadline},
+		"it is not over":                                    {askLimit / 2, askLimit / 4, false, nil, ""},
+		"it is not over, but the caller has left meanwhile": {askLimit / 2, askLimit / 4, false, gone, coltsfootlink.CallerGone},
+	}
+	for name, test := range cases {
+		Convey("a request is answered at its own deadline: "+name, t, func() {
+			task, kept, clock := newTask()
+			if test.behind {
+				task.handle(coltsfootlink.Delivery{Message: pressure.Changed{State: pressure.State{}.WithWait(time.Second)}})
+			}
+			reply := make(chan Choice, 1)
+			question := want(clock, reply)
+			question.Deadline = clock.now.Add(test.left)
+			task.handle(coltsfootlink.Delivery{Message: question})
+			asked := kept.sent[0]
+			ask := kept.asks()[0]
+			held := task.pending[ask.Serial]
+			held.want.Gone = test.gone
+			task.pending[ask.Serial] = held
+			So(task.nextDeadline(), ShouldHappenOnOrBefore, question.Deadline)
+			clock.now = clock.now.Add(test.after)
+			task.turn()
+			if test.reason == "" {
+				So(reply, ShouldBeEmpty)
+				return
+			}
+			So(reply, ShouldHaveLength, 1)
+			So((<-reply).Refusal.Reason, ShouldEqual, test.reason)
+			So(task.pending, ShouldBeEmpty)
+			So(task.distrusted, ShouldBeEmpty)
+			So(kept.sent[0].From, ShouldEqual, asked.From)
+			So(kept.sent[0].Message, ShouldResemble, coltsfootlink.Progress{Serial: ask.Serial, Target: ask.Target, Stage: coltsfootlink.Ended, Result: coltsfootlink.Unused})
+		})
+	}
+}
+
+// TestPermitsThatComeTooLate holds for requests to which a target would be of no use any more.
+func TestPermitsThatComeTooLate(t *testing.T) {
+	cases := map[string]struct {
+		left, late bool
+		reason     coltsfootlink.Reason
+	}{
+		"the caller left":     {true, false, coltsfootlink.CallerGone},
+		"the deadline passed": {false, true, coltsfootlink.PastDeadline},
+		"neither":             {false, false, ""},
+	}
+	for name, test := range cases {
+		Convey("a permit is given back where it is of no use: "+name, t, func() {
+			task, kept, clock := newTask()
+			reply, gone := make(chan Choice, 1), make(chan struct{})
+			question := want(clock, reply)
+			question.Gone = gone
+			question.Deadline = clock.now.Add(50 * time.Millisecond)
+			task.handle(coltsfootlink.Delivery{Message: question})
+			asked := kept.sent[0]
+			ask := kept.asks()[0]
+			if test.left {
+				close(gone)
+			}
+			if test.late {
+				clock.now = clock.now.Add(100 * time.Millisecond)
+			}
+			task.handle(coltsfootlink.Delivery{From: asked.From, Message: coltsfootlink.Verdict{Serial: ask.Serial}})
+			So(reply, ShouldHaveLength, 1)
+			choice := <-reply
+			if test.reason == "" {
+				So(choice.Refusal, ShouldBeNil)
+				So(task.running, ShouldHaveLength, 1)
+				return
+			}
+			So(choice.Refusal, ShouldNotBeNil)
+			So(choice.Refusal.Reason, ShouldEqual, test.reason)
+			So(task.running, ShouldBeEmpty)
+			So(kept.sent, ShouldHaveLength, 1)
+			So(kept.sent[0].From, ShouldEqual, asked.From)
+			So(kept.sent[0].Message, ShouldResemble, coltsfootlink.Progress{Serial: ask.Serial, Target: ask.Target, Stage: coltsfootlink.Ended, Result: coltsfootlink.Unused})
+		})
+	}
+}
+
+// TestSilentOwnersWhileBehind holds for owners that do not answer while the processor of who asks is behind.
+func TestSilentOwnersWhileBehind(t *testing.T) {
+	const step = 20 * time.Millisecond
+	always := func(time.Duration) bool { return true }
+	first := func(after time.Duration) bool { return after < step }
+	cases := map[string]struct {
+		// answers says which verdicts of the owners are read, by the time of the question since the start.
+		answers map[coltsfootlink.InstanceName]func(after time.Duration) bool
+		silent  []coltsfootlink.InstanceName
+	}{
+		"one is silent, others answer":         {map[coltsfootlink.InstanceName]func(time.Duration) bool{"i-a": always, "i-b": always}, []coltsfootlink.InstanceName{"i-c"}},
+		"all answer":                           {map[coltsfootlink.InstanceName]func(time.Duration) bool{"i-a": always, "i-b": always, "i-c": always}, nil},
+		"no verdict has been read":             {nil, nil},
+		"others answered what was asked first": {map[coltsfootlink.InstanceName]func(time.Duration) bool{"i-b": first}, nil},
+		"only the instance itself answers":     {map[coltsfootlink.InstanceName]func(time.Duration) bool{"i-a": always}, []coltsfootlink.InstanceName{"i-b", "i-c"}},
+	}
+	for name, test := range cases {
+		Convey("an owner is silent if others answered what was asked later: "+name, t, func() {
+			task, kept, clock := newTask()
+			task.handle(coltsfootlink.Delivery{Message: coltsfootlink.CatalogChanged{Catalog: task.catalog.WithoutTarget("t-3").WithTarget(targetIn("t-4", "c"))}})
+			task.handle(coltsfootlink.Delivery{Message: coltsfootlink.ViewChanged{View: coltsfootlink.View{Members: []coltsfootlink.Member{member("i-a", "a"), member("i-b", "b"), member("i-c", "c")}}}})
+			// One look slightly over what is allowed.
+			task.handle(coltsfootlink.Delivery{Message: pressure.Changed{State: pressure.State{}.WithWait(60 * time.Millisecond)}})
+			began := clock.now
+			for clock.now.Before(began.Add(time.Second)) {
+				// Each owner is asked in each step, i-b first.
+				for _, avoided := range []map[coltsfootlink.TargetName]bool{{"t-1": true, "t-4": true}, {"t-2": true, "t-4": true}, {"t-1": true, "t-2": true}} {
+					question := want(clock, make(chan Choice, 1))
+					question.Avoid = avoided
+					task.handle(coltsfootlink.Delivery{Message: question})
+				}
+				sent := kept.sent
+				kept.sent = nil
+				for _, one := range sent {
+					ask, is := one.Message.(coltsfootlink.Ask)
+					if answers := test.answers[one.From]; is && answers != nil && answers(clock.now.Sub(began)) {
+						task.handle(coltsfootlink.Delivery{From: one.From, Message: coltsfootlink.Verdict{Serial: ask.Serial}})
+					}
+				}
+				clock.now = clock.now.Add(step)
+				task.expire()
+			}
+			So(task.distrusted, ShouldHaveLength, len(test.silent))
+			for _, owner := range test.silent {
+				So(task.distrusted, ShouldContainKey, owner)
+			}
+		})
+	}
+}
