Give dials up as before where the kernel does not tell a socket's state

Cause: a dial was given up only if the kernel said that its target had not answered; a system that does not tell, or tells nothing, would have let it hang until the request's deadline. Read in review, not seen. Now only a connection that is known to be open is waited for, one that has not begun gets the time once more, and a dial that is over asks nothing.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -60,7 +60,7 @@
 	dialer := net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 		Control: func(_, _ string, raw syscall.RawConn) error {
-			limitDial(raw, giveUp)
+			limitDial(dialing, raw, giveUp)
 			return limitUnacked(raw)
 		},
 	}
@@ -75,19 +75,27 @@
 
 // limitDial gives a dial up whose target has not answered within the limit. The kernel is asked, for an answer may have
 // come and wait for the processor of this instance.
-func limitDial(raw syscall.RawConn, giveUp context.CancelCauseFunc) {
+func limitDial(dialing context.Context, raw syscall.RawConn, giveUp context.CancelCauseFunc) {
 	time.AfterFunc(dialLimit, func() {
+		if dialing.Err() != nil {
+			return
+		}
 		switch stateOf(raw) {
-		case unix.BPF_TCP_SYN_SENT:
-			giveUp(errNotAccepted)
+		case unix.BPF_TCP_ESTABLISHED:
 		case unix.BPF_TCP_CLOSE:
 			// The dial has not begun, or its failure has not been seen yet.
-			limitDial(raw, giveUp)
+			time.AfterFunc(dialLimit, func() {
+				if stateOf(raw) != unix.BPF_TCP_ESTABLISHED {
+					giveUp(errNotAccepted)
+				}
+			})
+		default:
+			giveUp(errNotAccepted)
 		}
 	})
 }
 
-// stateOf returns the kernel's state of a socket; zero if it is gone.
+// stateOf returns the kernel's state of a socket; zero if it is gone or the kernel does not say.
 func stateOf(raw syscall.RawConn) uint8 {
 	var state uint8
 	err := raw.Control(func(descriptor uintptr) {
