Let a doorman see connections before they are served, and end old ones

A server that is to pass connections on, or to refuse them before it spends anything on them, has to see them before the HTTP library. What a doorman brings back is served from a second listener, so that the usual way costs nothing more. A server may also end connections that are too old with their next answer.

--- /dev/null
+++ b/web/doorway.go
@@ -0,0 +1,66 @@
+package web
+
+import (
+	"net"
+	"sync"
+
+	"coltsfootlink"
+)
+
+// doorway is a listener whose connections a doorman sees first.
+type doorway struct {
+	net.Listener
+	doorman  coltsfootlink.Doorman
+	returned *returned
+}
+
+// Accept returns the next connection that is to be served.
+func (doorway *doorway) Accept() (net.Conn, error) {
+	for {
+		conn, err := doorway.Listener.Accept()
+		if err != nil || doorway.doorman.Admit(conn, doorway.returned.put) {
+			return conn, err
+		}
+	}
+}
+
+// returned is a listener for the connections that a doorman brings back.
+type returned struct {
+	address net.Addr
+	conns   chan net.Conn
+	closed  chan struct{}
+	close   func()
+}
+
+func newReturned(address net.Addr) *returned {
+	closed := make(chan struct{})
+	return &returned{address: address, conns: make(chan net.Conn), closed: closed, close: sync.OnceFunc(func() { close(closed) })}
+}
+
+// put brings a connection back; it is closed if the server has stopped.
+func (returned *returned) put(conn net.Conn) {
+	select {
+	case returned.conns <- conn:
+	case <-returned.closed:
+		_ = conn.Close()
+	}
+}
+
+// Accept returns the next connection that was brought back.
+func (returned *returned) Accept() (net.Conn, error) {
+	select {
+	case conn := <-returned.conns:
+		return conn, nil
+	case <-returned.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close ends the listener.
+func (returned *returned) Close() error {
+	returned.close()
+	return nil
+}
+
+// Addr returns the address of the listener itself.
+func (returned *returned) Addr() net.Addr { return returned.address }
--- a/web/server.go
+++ b/web/server.go
@@ -12,6 +12,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
+
+	"coltsfootlink"
 )
 
 const (
@@ -34,7 +36,11 @@
 	StopLimit time.Duration
 	// IdleLimit is how long a connection without requests stays open; the default if zero.
 	IdleLimit time.Duration
+	// LifeLimit is how old a connection may be on which a further request is answered; any age if zero.
+	LifeLimit time.Duration
 	Handler   http.Handler
+	// Doorman decides which connections are served; all if nil.
+	Doorman coltsfootlink.Doorman
 	// Open counts the connections that are open; nil if nobody wants to know.
 	Open *atomic.Int64
 	Log  zerolog.Logger
@@ -48,7 +54,8 @@
 		return errors.Wrap(err, server.Part)
 	}
 	web := &http.Server{
-		Handler:           server.Handler,
+		Handler:           server.handler(),
+		ConnContext:       server.connContext,
 		ReadHeaderTimeout: headerLimit,
 		IdleTimeout:       cmp.Or(server.IdleLimit, idleDefault),
 		ConnState:         server.count,
@@ -61,11 +68,16 @@
 	})
 	defer stop()
 	server.Log.Info().Str("address", listener.Addr().String()).Msg(server.Part + ": listens")
+	serve := web.Serve
 	if server.Certificate != "" {
-		err = web.ServeTLS(listener, server.Certificate, server.Key)
-	} else {
-		err = web.Serve(listener)
+		serve = func(listener net.Listener) error { return web.ServeTLS(listener, server.Certificate, server.Key) }
+	}
+	if server.Doorman != nil {
+		returned := newReturned(listener.Addr())
+		listener = &doorway{Listener: listener, doorman: server.Doorman, returned: returned}
+		go func() { _ = serve(returned) }()
 	}
+	err = serve(listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		<-stopped
 		return nil
@@ -73,6 +85,29 @@
 	return errors.Wrap(err, server.Part)
 }
 
+// endKey is the key of the time at which a connection is too old.
+type endKey struct{}
+
+func (server *Server) connContext(ctx context.Context, _ net.Conn) context.Context {
+	if server.LifeLimit == 0 {
+		return ctx
+	}
+	return context.WithValue(ctx, endKey{}, time.Now().Add(server.LifeLimit))
+}
+
+// handler returns the handler, which closes connections that are too old after their answers.
+func (server *Server) handler() http.Handler {
+	if server.LifeLimit == 0 {
+		return server.Handler
+	}
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if end, known := request.Context().Value(endKey{}).(time.Time); known && time.Now().After(end) {
+			writer.Header().Set("Connection", "close")
+		}
+		server.Handler.ServeHTTP(writer, request)
+	})
+}
+
 // count counts open connections.
 func (server *Server) count(_ net.Conn, state http.ConnState) {
 	if server.Open == nil {
