Pass connections on from an instance that is behind to others of its zone

Cause: the balancer puts a team's callers on few instances, and an instance that cannot serve them could only refuse; it took two or three seconds until the balancer chose the next one, mostly as small.

Change: while an instance refuses for its processor, it passes the part of the new connections that it would not take, unread, to others of its zone that have room. To copy bytes costs tens of microseconds a request, a refusal and the connection on which it comes again about as much, and to serve one some 0.4 to 0.7 ms. A welcome byte says at the moment itself that the other has room, so that no message is sent while nobody is behind. Where two refuse, the connection is served here. A refused caller on a kept connection is told to close it, so that its next one can be passed on.

Ruled out: to hand on requests that were read (a relayed stream costs about what it costs to serve it); longer pauses of readiness alone (the first six seconds are lost as before).

Also: an instance that is overloaded stays ready while no other of its zone has room.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"coltsfootlink/peer"
 	"coltsfootlink/platform"
 	"coltsfootlink/pressure"
+	"coltsfootlink/relay"
 	"coltsfootlink/settings"
 	"coltsfootlink/share"
 	"coltsfootlink/supervisor"
@@ -77,11 +78,12 @@
 	recorder timeline.Recorder
 	gate     *ingress.Gate
 	service  *ingress.Service
+	relay    *relay.Task
 }
 
 // boxes are the mailboxes of the tasks.
 type boxes struct {
-	admission, catalog, collector, dispatch, gate, keeper, links, membership, moves, prober, shares, timeline *mailbox.Deliveries
+	admission, catalog, collector, dispatch, gate, keeper, links, membership, moves, prober, relay, shares, timeline *mailbox.Deliveries
 }
 
 // Run runs the daemon until the context ends, and then stops it without cutting a request.
@@ -104,6 +106,7 @@
 	callers := gateway.server("front", gateway.Settings.Listen.Callers, gateway.service)
 	callers.Open = gateway.service.Open
 	callers.IdleLimit = gateway.Settings.Timing.IdleLimit.Duration
+	gateway.addRelay(front, callers)
 	front.Add("server", callers)
 	frontDone := make(chan error, 1)
 	go func() { frontDone <- front.Run(frontContext) }()
@@ -138,7 +141,7 @@
 	for quiet := 0; quiet < quietLooks && gateway.clock.Now().Before(endsAt); {
 		time.Sleep(lookPause)
 		quiet++
-		if gateway.service.Admitted() > 0 {
+		if gateway.service.Admitted() > 0 || gateway.relay.Open() > 0 {
 			quiet = 0
 		}
 	}
@@ -165,6 +168,7 @@
 		membership: mailbox.NewDeliveries(),
 		moves:      mailbox.NewDeliveries(),
 		prober:     mailbox.NewDeliveries(),
+		relay:      mailbox.NewDeliveries(),
 		shares:     mailbox.NewDeliveries(),
 		timeline:   mailbox.NewDeliveries(),
 	}
@@ -183,7 +187,9 @@
 	}
 	gateway.store = platform.NewStore("http://" + gateway.Settings.Store.Address)
 	gateway.gate = &ingress.Gate{Inbox: gateway.boxes.gate, Clock: gateway.clock, Log: gateway.Log}
+	gateway.prepareRelay()
 	gateway.service = &ingress.Service{
+		Passes:   gateway.relay.Passes,
 		Gate:     gateway.gate,
 		Client:   &upstream.Client{Clock: gateway.clock, Keeper: gateway.boxes.keeper},
 		Clock:    gateway.clock,
@@ -233,7 +239,7 @@
 		Inbox:    gateway.boxes.membership,
 		Subscribers: []*mailbox.Deliveries{
 			gateway.boxes.links, gateway.boxes.catalog, gateway.boxes.admission, gateway.boxes.dispatch, gateway.boxes.shares,
-			gateway.boxes.keeper, gateway.boxes.moves,
+			gateway.boxes.keeper, gateway.boxes.moves, gateway.boxes.relay,
 		},
 	})
 	branch.Add("timeline", &timeline.Task{
@@ -310,7 +316,7 @@
 		Meter:       &pressure.Meter{},
 		Clock:       gateway.clock,
 		Log:         gateway.Log,
-		Subscribers: []*mailbox.Deliveries{gateway.boxes.gate, gateway.boxes.dispatch, gateway.boxes.collector},
+		Subscribers: []*mailbox.Deliveries{gateway.boxes.gate, gateway.boxes.dispatch, gateway.boxes.collector, gateway.boxes.relay},
 	})
 	branch.Add("collector", &pressure.Collector{Calm: calmGarbagePercent, Behind: behindGarbagePercent, Inbox: gateway.boxes.collector})
 	ready := http.NewServeMux()
--- /dev/null
+++ b/gateway/relay.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"coltsfootlink/relay"
+	"coltsfootlink/supervisor"
+	"coltsfootlink/web"
+)
+
+const (
+	// passedPerMB bounds the connections that are passed on by the memory of the machine.
+	passedPerMB = 4
+	// passedLife is how old a connection that was passed on may become, so that it does not stay with two instances.
+	passedLife = 2 * time.Second
+)
+
+func (gateway *Gateway) prepareRelay() {
+	gateway.relay = &relay.Task{
+		Self:  gateway.self,
+		Most:  int64(gateway.Settings.MemoryMB * passedPerMB),
+		Draw:  rand.Float64,
+		Clock: gateway.clock,
+		Inbox: gateway.boxes.relay,
+	}
+	if gateway.Settings.Listen.Relay != "" {
+		gateway.gate.Room = gateway.relay.Room
+	}
+}
+
+// addRelay adds what passes callers' connections on and what takes those of others.
+func (gateway *Gateway) addRelay(front *supervisor.Branch, callers *web.Server) {
+	_, port, err := net.SplitHostPort(gateway.Settings.Listen.Relay)
+	if err != nil {
+		return
+	}
+	gateway.relay.Port = port
+	callers.Doorman = gateway.relay
+	front.Add("relay", gateway.relay)
+	entrance := gateway.server("entrance", gateway.Settings.Listen.Relay, gateway.service)
+	entrance.IdleLimit = callers.IdleLimit
+	entrance.LifeLimit = passedLife
+	entrance.Open = callers.Open
+	entrance.Doorman = relay.Entrance{Full: func() bool { return gateway.gate.Leaving() || gateway.gate.Pressure().Refuses() }}
+	front.Add("entrance", entrance)
+}
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -87,6 +87,9 @@
 	if current.service.choosing.Load() < current.service.MaxChoosing && current.service.Gate.Pressure().Takes(current.standing, rand.Float64()) {
 		return true
 	}
+	if current.service.Passes != nil && current.service.Passes() {
+		current.writer.Header().Set("Connection", "close")
+	}
 	current.refuseUnread(most, coltsfootlink.Refuse(coltsfootlink.InstanceBusy, "the processor is behind").WithRetryAt(current.arrived.Add(elsewherePause)))
 	return false
 }
--- a/ingress/gate.go
+++ b/ingress/gate.go
@@ -22,6 +22,8 @@
 	Inbox *mailbox.Deliveries
 	Clock coltsfootlink.Clock
 	Log   zerolog.Logger
+	// Room says whether other instances of the zone may have room; nil if it is not known, and then they have.
+	Room func() bool
 
 	catalog   atomic.Pointer[coltsfootlink.Catalog]
 	standings atomic.Pointer[share.Standings]
@@ -107,9 +109,15 @@
 // Leaving says that the instance stops.
 func (gate *Gate) Leaving() bool { return gate.leaving.Load() }
 
+// overloaded says that callers do better elsewhere. Where the whole zone is overloaded they do not: the balancer would
+// send all of them to other zones.
+func (gate *Gate) overloaded() bool {
+	return gate.Pressure().Overloaded() && (gate.Room == nil || gate.Room())
+}
+
 // ServeHTTP answers whether the instance is ready for more callers.
 func (gate *Gate) ServeHTTP(writer http.ResponseWriter, _ *http.Request) {
-	if gate.Leaving() || !gate.Catalog().Known || gate.Pressure().Overloaded() {
+	if gate.Leaving() || !gate.Catalog().Known || gate.overloaded() {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -41,6 +41,8 @@
 	MaxActive int64
 	// MaxChoosing is the most requests that wait for a target at once; if there are more, the processor is behind.
 	MaxChoosing int64
+	// Passes says that a caller does better to open a new connection; nil if never.
+	Passes func() bool
 
 	// active counts requests that are not yet answered, admitted those of them that may go to a target, and choosing
 	// those that wait for one.
--- a/ingress/service_test.go
+++ b/ingress/service_test.go
@@ -88,6 +88,8 @@
 	// mostChoosing is how many may wait for a target; slow says that none gets one.
 	mostChoosing int64
 	slow         bool
+	// passes says whether new connections are passed on.
+	passes func() bool
 	// shares is what is known of the teams' shares.
 	shares coltsfootlink.Shares
 	// log is the service's; by default nobody reads it.
@@ -207,6 +209,7 @@
 	service := &Service{
 		Gate: gate, Clock: coltsfootlink.SystemClock{}, Dispatch: offered.inbox, Log: offered.log,
 		Open: new(atomic.Int64), MaxOpen: 100, MaxActive: int64(offered.most), MaxChoosing: cmp.Or(offered.mostChoosing, 100),
+		Passes: offered.passes,
 		Client: &upstream.Client{Clock: coltsfootlink.SystemClock{}, Keeper: keeper.Inbox},
 	}
 	ctx := t.Context()
@@ -453,6 +456,19 @@
 		So(status, ShouldEqual, 503)
 		So(offered.shedsOf(1), ShouldResemble, []dispatch.Shed{{Pool: "p", Team: "team"}})
 	})
+	for name, passes := range map[string]bool{"and others have room": true, "and no other has room": false} {
+		Convey("a refused caller's connection ends if a new one would be passed on: the processor is behind, "+name, t, func() {
+			offered := &offer{slow: true, mostChoosing: -1, passes: func() bool { return passes }}
+			outgoing, err := http.NewRequestWithContext(t.Context(), http.MethodPost, start(t, offered, true)+"/safe/a", strings.NewReader("plan"))
+			So(err, ShouldBeNil)
+			outgoing.Host = "h"
+			response, err := http.DefaultTransport.RoundTrip(outgoing)
+			So(err, ShouldBeNil)
+			_ = response.Body.Close()
+			So(response.StatusCode, ShouldEqual, 503)
+			So(response.Close, ShouldEqual, passes)
+		})
+	}
 	Convey("requests beyond the most that wait for a target are refused before their bodies are read", t, func() {
 		url := start(t, &offer{slow: true, mostChoosing: 1}, true)
 		ctx, leave := context.WithCancel(t.Context())
--- a/pressure/state.go
+++ b/pressure/state.go
@@ -7,6 +7,10 @@
 	"coltsfootlink"
 )
 
+// All is where everything is taken; below it requests beyond their teams' shares are refused first, and below half of
+// it those within shares.
+const All = 2.0
+
 const (
 	// waitAllowed is how long what is ready to run may wait for the processor.
 	waitAllowed = 50 * time.Millisecond
@@ -15,9 +19,6 @@
 	rise = 1.07
 	// least is the least part of the requests within shares that is taken, so that it shows when the flood is over.
 	least = 0.02
-	// all is where everything is taken; below it requests beyond their teams' shares are refused first, and below half
-	// of it those within shares.
-	all = 2.0
 	// overloadedBelow is what is taken below which an instance counts as overloaded, until calmAbove is taken again.
 	overloadedBelow = 0.5
 	calmAbove       = 1.5
@@ -34,23 +35,23 @@
 
 // WithWait returns the state after a look at how long what was ready to run had to wait for the processor.
 func (state State) WithWait(wait time.Duration) State {
-	taken := all - state.refused
+	taken := All - state.refused
 	switch {
 	case wait <= waitAllowed:
-		taken = min(all, taken*rise)
+		taken = min(All, taken*rise)
 	case wait >= state.wait:
 		taken = max(least, taken*fall)
 	}
 	// While the wait gets shorter, too much was taken before and not now.
 	overloaded := taken < overloadedBelow || state.overloaded && taken < calmAbove
-	return State{refused: all - taken, wait: wait, overloaded: overloaded}
+	return State{refused: All - taken, wait: wait, overloaded: overloaded}
 }
 
 // Takes says whether a request is to be taken by how it stands to its team's share; the draw is a number from 0 to 1.
 func (state State) Takes(standing coltsfootlink.Standing, draw float64) bool {
-	taken := all - state.refused
+	taken := All - state.refused
 	if standing != coltsfootlink.Entitled {
-		taken -= all / 2
+		taken -= All / 2
 	}
 	return draw < taken
 }
@@ -62,4 +63,4 @@
 func (state State) Overloaded() bool { return state.overloaded }
 
 // Taken is the part of the requests that is taken within shares and beyond them, from 0 to 2.
-func (state State) Taken() float64 { return all - state.refused }
+func (state State) Taken() float64 { return All - state.refused }
--- a/pressure/state_test.go
+++ b/pressure/state_test.go
@@ -83,7 +83,7 @@
 		for at := time.Duration(0); at < 10*time.Second; at += quiet.pause {
 			So(calm.run(at, coltsfootlink.Surplus, 0.99, quiet), ShouldBeTrue)
 		}
-		flooded := &instance{state: State{refused: all - least}}
+		flooded := &instance{state: State{refused: All - least}}
 		for at := time.Duration(0); at < 10*time.Second; at += quiet.pause {
 			served := flooded.run(at, coltsfootlink.Surplus, 0.99, quiet)
 			So(served || at < 6*time.Second, ShouldBeTrue)
@@ -105,7 +105,7 @@
 	}
 	for name, test := range cases {
 		Convey("what lies beyond shares is refused first: "+name, t, func() {
-			state := State{refused: all - test.taken}
+			state := State{refused: All - test.taken}
 			So(state.Takes(coltsfootlink.Entitled, test.withinDraw), ShouldEqual, test.within)
 			So(state.Takes(coltsfootlink.Surplus, test.draw), ShouldEqual, test.beyond)
 			So(state.Takes(coltsfootlink.Bearable, test.draw), ShouldEqual, test.beyond)
--- /dev/null
+++ b/relay/passing.go
@@ -0,0 +1,138 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"coltsfootlink/metrics"
+)
+
+const (
+	// welcomeLimit is how long another instance may take to take a connection.
+	welcomeLimit = 150 * time.Millisecond
+	// tries is how many instances are asked to take a connection.
+	tries = 2
+	// lingerLimit is how long what a caller still sends is read after the end of the answer.
+	lingerLimit = 500 * time.Millisecond
+	// welcome is the byte with which an instance takes a connection.
+	welcome = 'w'
+	// chunkBytes is the most that is copied at a time.
+	chunkBytes = 8 << 10
+)
+
+var chunks = sync.Pool{New: func() any { return new([chunkBytes]byte) }}
+
+// passing is a caller's connection that is passed on; it owns both sockets.
+type passing struct {
+	task   *Task
+	caller net.Conn
+	back   func(net.Conn)
+}
+
+// run copies between the caller and another instance until one of them ends, or brings the connection back if no
+// instance takes it.
+func (passing *passing) run(ctx context.Context) {
+	other := passing.find(ctx)
+	if other == nil {
+		metrics.Count("connections-brought-back")
+		passing.back(passing.caller)
+		return
+	}
+	metrics.Count("connections-passed-on")
+	stop := context.AfterFunc(ctx, func() {
+		cut(passing.caller)
+		cut(other)
+	})
+	defer stop()
+	go func() {
+		// A caller that has ended waits for nothing more.
+		if err := carry(other, passing.caller); err != nil {
+			cut(other)
+		} else {
+			_ = other.Close()
+		}
+	}()
+	if err := carry(passing.caller, other); err != nil {
+		// An end would make what came look like a whole answer.
+		cut(passing.caller)
+		cut(other)
+		return
+	}
+	linger(passing.caller)
+	_ = other.Close()
+}
+
+// find returns a connection to an instance that takes the caller; nil if none does.
+func (passing *passing) find(ctx context.Context) net.Conn {
+	var tried []string
+	for range tries {
+		address, found := passing.task.Plan().Address(passing.task.Clock.Now(), tried)
+		if !found {
+			return nil
+		}
+		tried = append(tried, address)
+		if other := passing.ask(ctx, address); other != nil {
+			return other
+		}
+		passing.task.tell(address)
+	}
+	return nil
+}
+
+func (passing *passing) ask(ctx context.Context, address string) net.Conn {
+	by := time.Now().Add(welcomeLimit)
+	other, err := (&net.Dialer{Deadline: by, KeepAlive: -1}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil
+	}
+	var answer [1]byte
+	_ = other.SetReadDeadline(by)
+	if _, err := io.ReadFull(other, answer[:]); err != nil || answer[0] != welcome {
+		_ = other.Close()
+		return nil
+	}
+	_ = other.SetReadDeadline(time.Time{})
+	return other
+}
+
+// carry copies until the source ends; the error is that of a connection that broke.
+func carry(to, from net.Conn) error {
+	chunk := chunks.Get().(*[chunkBytes]byte)
+	defer chunks.Put(chunk)
+	for {
+		count, err := from.Read(chunk[:])
+		if count > 0 {
+			if _, writeErr := to.Write(chunk[:count]); writeErr != nil {
+				return writeErr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// linger ends a connection so that what was written to it arrives: what the caller still sends would reset it.
+func linger(conn net.Conn) {
+	if half, is := conn.(interface{ CloseWrite() error }); is && half.CloseWrite() == nil {
+		_ = conn.SetReadDeadline(time.Now().Add(lingerLimit))
+		_, _ = io.Copy(io.Discard, io.LimitReader(conn, chunkBytes))
+	}
+	_ = conn.Close()
+}
+
+// cut ends a connection so that its other end sees that it broke.
+func cut(conn net.Conn) {
+	if tcp, is := conn.(*net.TCPConn); is {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
--- /dev/null
+++ b/relay/task.go
@@ -0,0 +1,117 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+
+	"coltsfootlink"
+	"coltsfootlink/mailbox"
+	"coltsfootlink/pressure"
+)
+
+// refused tells the task that an address has taken no connection.
+type refused struct {
+	coltsfootlink.Local
+	address string
+}
+
+// Task owns the plan of an instance: it is the doorman of the callers' server.
+type Task struct {
+	Self coltsfootlink.Instance
+	// Port is where every instance takes connections of others.
+	Port string
+	// Most bounds the connections that are passed on at a time.
+	Most int64
+	// Draw returns a random number from 0 to 1.
+	Draw  func() float64
+	Clock coltsfootlink.Clock
+	Inbox *mailbox.Deliveries
+
+	// plan is read by the callers' server.
+	plan atomic.Pointer[Plan]
+	open atomic.Int64
+	// life ends the connections that are passed on.
+	life atomic.Pointer[context.Context]
+}
+
+// Run follows the processor and the other instances until the context ends, and with it the connections that are
+// passed on.
+func (task *Task) Run(ctx context.Context) error {
+	task.life.Store(&ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-task.Inbox.Ready():
+		}
+		plan := task.Plan()
+		for _, delivery := range task.Inbox.Drain() {
+			plan = task.follow(plan, delivery.Message)
+		}
+		task.plan.Store(&plan)
+	}
+}
+
+func (task *Task) follow(plan Plan, message coltsfootlink.Message) Plan {
+	switch message := message.(type) {
+	case pressure.Changed:
+		return plan.WithPressure(message.State)
+	case coltsfootlink.ViewChanged:
+		return plan.WithAddresses(task.addresses(message.View))
+	case refused:
+		return plan.WithRefusal(task.Clock.Now(), message.address)
+	default:
+		return plan
+	}
+}
+
+// addresses returns where the others of the zone take connections.
+func (task *Task) addresses(view coltsfootlink.View) []string {
+	var addresses []string
+	for _, member := range view.Candidates(task.Self.Zone) {
+		if host, _, err := net.SplitHostPort(member.PeerAddress); err == nil && member.Name != task.Self.Name {
+			addresses = append(addresses, net.JoinHostPort(host, task.Port))
+		}
+	}
+	return addresses
+}
+
+// Plan returns how much is passed on now.
+func (task *Task) Plan() Plan {
+	if plan := task.plan.Load(); plan != nil {
+		return *plan
+	}
+	return Plan{}
+}
+
+// Passes says whether a new connection would be passed on; so that a caller does better to open one.
+func (task *Task) Passes() bool {
+	return task.open.Load() < task.Most && task.Plan().Passes(task.Clock.Now(), task.Draw())
+}
+
+// Room says whether another instance of the zone may have room.
+func (task *Task) Room() bool { return task.Plan().Room(task.Clock.Now()) }
+
+// Open is the number of connections that are being passed on.
+func (task *Task) Open() int64 { return task.open.Load() }
+
+// Admit passes a connection on or has it served here.
+func (task *Task) Admit(caller net.Conn, back func(net.Conn)) bool {
+	life := task.life.Load()
+	if life == nil || !task.Passes() {
+		return true
+	}
+	task.open.Add(1)
+	passing := &passing{task: task, caller: caller, back: back}
+	go func() {
+		defer task.open.Add(-1)
+		passing.run(*life)
+	}()
+	return false
+}
+
+// tell notes that an address has taken no connection.
+func (task *Task) tell(address string) {
+	task.Inbox.Put(coltsfootlink.Delivery{Message: refused{address: address}})
+}
--- /dev/null
+++ b/relay/task_test.go
@@ -0,0 +1,195 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"coltsfootlink"
+	"coltsfootlink/mailbox"
+	"coltsfootlink/pressure"
+	"coltsfootlink/web"
+)
+
+const (
+	hereHost  = "127.0.0.1"
+	otherHost = "127.0.0.2"
+)
+
+// freeAddress returns an address that nobody listens on.
+func freeAddress(t *testing.T, host string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// serve runs a server until the test ends, and waits until it listens.
+func serve(t *testing.T, server *web.Server) {
+	t.Helper()
+	server.Part, server.Log, server.StopLimit = "test", zerolog.Nop(), time.Second
+	go func() { _ = server.Run(t.Context()) }()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if conn, err := net.Dial("tcp", server.Address); err == nil {
+			_ = conn.Close()
+			return
+		}
+	}
+	t.Fatal("the server does not listen")
+}
+
+// answers echoes bodies after the name of who answers.
+func answers(name string) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		_, _ = writer.Write(append([]byte(name+" "), body...))
+	})
+}
+
+// breaks ends its answers in the middle.
+func breaks() http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		_, _ = writer.Write([]byte("other begins"))
+		_ = http.NewResponseController(writer).Flush()
+		panic(http.ErrAbortHandler)
+	})
+}
+
+func never() bool  { return false }
+func always() bool { return true }
+
+// start runs the relay of an instance whose zone has one other, and waits until its plan is made.
+func start(t *testing.T, state pressure.State, port string) *Task {
+	t.Helper()
+	here := coltsfootlink.Instance{Name: "here", Zone: "z", PeerAddress: net.JoinHostPort(hereHost, "1")}
+	other := coltsfootlink.Instance{Name: "other", Zone: "z", PeerAddress: net.JoinHostPort(otherHost, "1")}
+	far := coltsfootlink.Instance{Name: "far", Zone: "y", PeerAddress: net.JoinHostPort("127.0.0.3", "1")}
+	task := &Task{Self: here, Port: port, Most: 100, Draw: func() float64 { return 0 }, Clock: coltsfootlink.SystemClock{}, Inbox: mailbox.NewDeliveries()}
+	view := coltsfootlink.View{Members: []coltsfootlink.Member{
+		{Instance: far, Live: true}, {Instance: here, Live: true}, {Instance: other, Live: true},
+	}}
+	task.Inbox.Put(coltsfootlink.Delivery{Message: coltsfootlink.ViewChanged{View: view}})
+	task.Inbox.Put(coltsfootlink.Delivery{Message: pressure.Changed{State: state}})
+	go func() { _ = task.Run(t.Context()) }()
+	for end := time.Now().Add(5 * time.Second); len(task.Plan().addresses) == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	So(task.Plan().addresses, ShouldResemble, []string{net.JoinHostPort(otherHost, port)})
+	return task
+}
+
+// post sends a body and returns the answer's; an error if either was cut.
+func post(client *http.Client, address, body string) ([]byte, error) {
+	response, err := client.Post(address, "text/plain", strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return io.ReadAll(response.Body)
+}
+
+func TestConnectionsArePassedOn(t *testing.T) {
+	listens := func(handler http.Handler, full func() bool) func(*testing.T, string) {
+		return func(t *testing.T, address string) {
+			serve(t, &web.Server{Address: address, Handler: handler, Doorman: Entrance{Full: full}})
+		}
+	}
+	cases := map[string]struct {
+		state pressure.State
+		// other starts what is at the address of the other instance.
+		other func(*testing.T, string)
+		by    string
+		cut   bool
+	}{
+		"the other has room":         {behind(30), listens(answers("other"), never), "other", false},
+		"the processor is calm":      {pressure.State{}, listens(answers("other"), never), "here", false},
+		"the other is full":          {behind(30), listens(answers("other"), always), "here", false},
+		"the other is gone":          {behind(30), func(*testing.T, string) {}, "here", false},
+		"the other breaks off":       {behind(30), listens(breaks(), never), "", true},
+		"the other does not welcome": {behind(30), func(t *testing.T, address string) { serve(t, &web.Server{Address: address, Handler: answers("other")}) }, "here", false},
+	}
+	for name, test := range cases {
+		Convey("a caller gets its whole answer, or sees that it broke: "+name, t, func() {
+			address := freeAddress(t, otherHost)
+			test.other(t, address)
+			_, port, err := net.SplitHostPort(address)
+			So(err, ShouldBeNil)
+			task := start(t, test.state, port)
+			callers := freeAddress(t, hereHost)
+			serve(t, &web.Server{Address: callers, Handler: answers("here"), Doorman: task})
+			// What the start of the server brought is over.
+			time.Sleep(2 * refusedPause)
+			client := &http.Client{Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+			for _, size := range []int{1, 100, 1 << 20} {
+				sent := strings.Repeat("x", size)
+				got, err := post(client, "http://"+callers+"/", sent)
+				if test.cut {
+					So(err, ShouldNotBeNil)
+					continue
+				}
+				So(err, ShouldBeNil)
+				So(bytes.Equal(got, []byte(test.by+" "+sent)), ShouldBeTrue)
+			}
+		})
+	}
+}
+
+func TestPassedConnectionsEnd(t *testing.T) {
+	left := make(chan struct{}, 1)
+	waits := http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+		<-request.Context().Done()
+		left <- struct{}{}
+	})
+	cases := map[string]func(caller net.Conn, stop func()){
+		"the caller leaves":      func(caller net.Conn, _ func()) { _ = caller.Close() },
+		"the caller half-closes": func(caller net.Conn, _ func()) { _ = caller.(*net.TCPConn).CloseWrite() },
+		"the relay stops":        func(_ net.Conn, stop func()) { stop() },
+	}
+	for name, end := range cases {
+		Convey("no work goes on, and no connection stays, when "+name, t, func() {
+			address := freeAddress(t, otherHost)
+			serve(t, &web.Server{Address: address, Handler: waits, Doorman: Entrance{Full: never}})
+			_, port, err := net.SplitHostPort(address)
+			So(err, ShouldBeNil)
+			task := start(t, behind(30), port)
+			ctx, stop := context.WithCancel(t.Context())
+			task.life.Store(&ctx)
+			callers := freeAddress(t, hereHost)
+			serve(t, &web.Server{Address: callers, Handler: answers("here"), Doorman: task})
+			time.Sleep(2 * refusedPause)
+			conn, err := net.Dial("tcp", callers)
+			So(err, ShouldBeNil)
+			defer func() { _ = conn.Close() }()
+			_, err = conn.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+			So(err, ShouldBeNil)
+			time.Sleep(100 * time.Millisecond)
+			So(task.Open(), ShouldEqual, 1)
+			end(conn, stop)
+			select {
+			case <-left:
+			case <-time.After(5 * time.Second):
+				So("the other still works", ShouldBeEmpty)
+			}
+			for by := time.Now().Add(5 * time.Second); task.Open() > 0 && time.Now().Before(by); {
+				time.Sleep(time.Millisecond)
+			}
+			So(task.Open(), ShouldEqual, 0)
+			stop()
+		})
+	}
+}
--- a/rig/gateways.go
+++ b/rig/gateways.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -19,6 +20,9 @@
 // defaultDrainDelay is how long a stopping gateway takes new requests.
 const defaultDrainDelay = 500 * time.Millisecond
 
+// relayPort is where gateways take connections of others; each has a host of its own.
+const relayPort = "7414"
+
 // Gateway is one daemon on a stand-in of the users' platform.
 type Gateway struct {
 	*Process
@@ -41,6 +45,7 @@
 ready = "{{.Ready}}"
 peers = "{{.Peers}}"
 metrics = "{{.Metrics}}"
+relay = "{{.Relay}}"
 
 [store]
 address = "{{.Store}}"
@@ -117,13 +122,17 @@
 
 func (gateway *Gateway) start(fleet GatewayFleet, seed string) error {
 	var text bytes.Buffer
+	host, _, err := net.SplitHostPort(gateway.Peers)
+	if err != nil {
+		return errors.Wrap(err, "rig")
+	}
 	store := fleet.Store
 	if gateway.StoreProxy != nil {
 		store = gateway.StoreProxy.Address
 	}
-	err := gatewaySettings.Execute(&text, map[string]any{
+	err = gatewaySettings.Execute(&text, map[string]any{
 		"Name": gateway.Name, "Zone": gateway.Zone, "Seeds": []string{seed}, "Callers": gateway.Callers, "Ready": gateway.Ready,
-		"Peers": gateway.Peers, "Metrics": gateway.Metrics, "Store": store, "Extra": fleet.Extra,
+		"Peers": gateway.Peers, "Metrics": gateway.Metrics, "Relay": net.JoinHostPort(host, relayPort), "Store": store, "Extra": fleet.Extra,
 		"DrainDelay": cmp.Or(fleet.DrainDelay, defaultDrainDelay),
 	})
 	if err != nil {
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -20,6 +20,9 @@
 		Ready   string `toml:"ready"`
 		Peers   string `toml:"peers"`
 		Metrics string `toml:"metrics"`
+		// Relay is where other instances pass callers' connections on, by the same port on all hosts; nothing is passed
+		// on if empty.
+		Relay string `toml:"relay"`
 	} `toml:"listen"`
 	Store struct {
 		Address string `toml:"address"`
@@ -117,6 +120,9 @@
 		"listen.metrics": gateway.Listen.Metrics,
 		"store.address":  gateway.Store.Address,
 	}
+	if gateway.Listen.Relay != "" {
+		addresses["listen.relay"] = gateway.Listen.Relay
+	}
 	for _, key := range sortedKeys(addresses) {
 		doc.check(isAddress(addresses[key]), key, "%q is not host:port", addresses[key])
 	}
