Requests that their dispatcher lost end at their deadline

What callers saw: a request that was with the dispatch task (on our own interface: the entry task) when that failed had no answer, not at its deadline and not after its caller had left. Each kept one of the places of requests that wait for a target; with all of them lost, the instance refused everything as busy for good.

Cause: ingress' choose, and front's wait behind its Depart, waited for the reply alone. A task that fails loses what is left of the batch that it has drained, and its successor knows nothing of it. Ruled out: that the task refuses what it leaves behind. It does so for what is pending (refuseAll), not for what it drained and had not handled; the entry task refuses nothing, and answers a Depart only for requests that it knows.

Both wait until the context ends, which is at the deadline or when the caller has left. A target or permit that comes later is given back as unused; it is waited for up to 10 s.

--- a/front/call.go
+++ b/front/call.go
@@ -12,8 +12,12 @@
 	"coltsfootlink/retry"
 )
 
-// maxBroken is the number of broken connections after which a request is no longer sent.
-const maxBroken = 2
+const (
+	// maxBroken is the number of broken connections after which a request is no longer sent.
+	maxBroken = 2
+	// lateSpan is how long a permit that comes too late is waited for, so that it is given back.
+	lateSpan = 10 * time.Second
+)
 
 // call is the way of one request through the instance.
 type call struct {
@@ -87,18 +91,24 @@
 		return decision
 	case <-ctx.Done():
 	}
-	// The entry task answers at once, unless a permit is already under way.
 	call.tell(entry.Depart{ID: call.request.ID})
-	decision := <-reply
-	if decision.Refusal == nil {
-		call.permit = decision.Permit
-		call.finish(coltsfootlink.Usage{Result: coltsfootlink.Unused})
-		decision.Refusal = coltsfootlink.Refuse(coltsfootlink.CallerGone, "the caller went away")
-	}
+	// An entry task that failed with the request in hand never answers.
+	go call.giveBack(reply)
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		decision.Refusal = coltsfootlink.Refuse(coltsfootlink.PastDeadline, "no target was free before the deadline")
+		return entry.Decision{Refusal: coltsfootlink.Refuse(coltsfootlink.PastDeadline, "no target was free before the deadline")}
+	}
+	return entry.Decision{Refusal: coltsfootlink.Refuse(coltsfootlink.CallerGone, "the caller went away")}
+}
+
+// giveBack gives a permit back that comes too late to be used.
+func (call *call) giveBack(reply <-chan entry.Decision) {
+	select {
+	case decision := <-reply:
+		if decision.Refusal == nil {
+			call.release(decision.Permit, coltsfootlink.Usage{Result: coltsfootlink.Unused})
+		}
+	case <-time.After(lateSpan):
 	}
-	return decision
 }
 
 // noteFailure gives the permit back after a call without an answer.
@@ -116,10 +126,13 @@
 }
 
 // finish gives the permit back.
-func (call *call) finish(usage coltsfootlink.Usage) {
+func (call *call) finish(usage coltsfootlink.Usage) { call.release(call.permit, usage) }
+
+// release gives a permit back.
+func (call *call) release(permit coltsfootlink.Permit, usage coltsfootlink.Usage) {
 	usage.Fingerprint = call.request.Fingerprint
 	usage.Route = call.request.Route.Path
-	call.tell(entry.Finish{Permit: call.permit, Usage: usage})
+	call.tell(entry.Finish{Permit: permit, Usage: usage})
 }
 
 func (call *call) refusal(ctx context.Context, failure *coltsfootlink.CallError) *coltsfootlink.Refusal {
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -129,7 +129,7 @@
 func (current *exchange) serve(ctx context.Context) {
 	current.lastEvent = current.head.LastEvent
 	for {
-		choice := current.choose()
+		choice := current.choose(ctx)
 		current.permit, current.owner = choice.Serial, choice.Owner
 		if choice.Refusal != nil {
 			current.giveUp(ctx, choice.Refusal)
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -20,13 +20,15 @@
 	heldBytes = 1 << 20
 	// maxAnswerBytes is the most of an answer that is passed on; a target that sends more does not end.
 	maxAnswerBytes = 64 << 20
+	// lateSpan is how long a target that comes too late is waited for, so that it is given back.
+	lateSpan = 10 * time.Second
 )
 
 // errAnswerTooLong tells that an answer does not end where answers do.
 var errAnswerTooLong = errors.New("the answer is too long")
 
-// choose asks for a target and waits for it.
-func (current *exchange) choose() dispatch.Choice {
+// choose asks for a target and waits for it until the context ends.
+func (current *exchange) choose(ctx context.Context) dispatch.Choice {
 	current.service.choosing.Add(1)
 	defer current.service.choosing.Add(-1)
 	reply := make(chan dispatch.Choice, 1)
@@ -47,7 +49,25 @@
 		Gone:        current.incoming.Context().Done(),
 		Reply:       reply,
 	}})
-	return <-reply
+	select {
+	case choice := <-reply:
+		return choice
+	case <-ctx.Done():
+	}
+	// A dispatcher that failed with the question in hand never answers it.
+	go current.service.giveBack(reply)
+	return dispatch.Choice{Refusal: coltsfootlink.Refuse(coltsfootlink.PastDeadline, "no target was free before the deadline")}
+}
+
+// giveBack tells the dispatcher that a target which comes too late is not used.
+func (service *Service) giveBack(reply <-chan dispatch.Choice) {
+	select {
+	case choice := <-reply:
+		if choice.Refusal == nil {
+			service.Dispatch.Put(coltsfootlink.Delivery{Message: dispatch.Report{Serial: choice.Serial, Stage: coltsfootlink.Ended, Result: coltsfootlink.Unused}})
+		}
+	case <-time.After(lateSpan):
+	}
 }
 
 // try sends the request to a target; nil if the caller has its answer.
