The bound of requests that wait for a target holds, half of it for shares

What callers saw: requests within their team's share were refused, with "the processor is behind", while the processor was idle and requests beyond their shares held all places. And what the bound is for did not hold: any number of requests passed it whose bodies came slowly, and second attempts.

Cause: the check came before the body was read, the count after it, and nothing was checked when it was taken; all requests shared one bound; and one refusal stood for two reasons. Ruled out: taking the place at the check, before the body. Callers whose bodies come slowly would then hold the places of all.

A place is taken when a target is asked for, by compare and swap, for each attempt. What lies beyond its team's share finds at most half of the places taken (keptPart); requests within, and second attempts, for which work has been done, may have all. The check before the body stays, so that most refusals cost no memory. What finds no place is refused as queue-full, with the same 50 ms, and counts as asked for once. instance-busy now means the processor alone (or too many open requests).

The tests failed so: 20 slow bodies, 20 waited where 2 may; a second attempt got no answer within 1 s where the place was taken; 4 requests beyond their share held the 4 places of which half are kept; the reason with no place was "instance-busy: the processor is behind". They pass, with -race too.

--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -81,21 +81,32 @@
 	return false
 }
 
-// isTaken says whether the instance takes the request while its processor is behind; what waits for the processor until
-// its caller leaves helps nobody.
+// isTaken says whether the instance takes the request now; what waits for the processor until its caller leaves helps
+// nobody.
 func (current *exchange) isTaken(most int64) bool {
-	if current.service.choosing.Load() < current.service.MaxChoosing && current.service.Gate.Pressure().Takes(current.standing, rand.Float64()) {
+	switch {
+	case !current.service.Gate.Pressure().Takes(current.standing, rand.Float64()):
+		current.refuseUnread(most, coltsfootlink.Refuse(coltsfootlink.InstanceBusy, "the processor is behind").WithRetryAt(current.arrived.Add(elsewherePause)))
+		return false
+	case current.service.choosing.Load() >= current.mostChoosing():
+		// The place itself is taken once the body has come, for a slow one is to hold none.
+		current.refuseUnread(most, current.crowded())
+		return false
+	default:
 		return true
 	}
-	current.refuseUnread(most, coltsfootlink.Refuse(coltsfootlink.InstanceBusy, "the processor is behind").WithRetryAt(current.arrived.Add(elsewherePause)))
-	return false
 }
 
-// refuseUnread refuses a request whose body is not needed; it counts as asked for by its team.
-func (current *exchange) refuseUnread(most int64, refusal *coltsfootlink.Refusal) {
+// shed counts a request that is not offered to targets as asked for by its team.
+func (current *exchange) shed() {
 	if current.team != "" {
 		current.service.Dispatch.Put(coltsfootlink.Delivery{Message: dispatch.Shed{Pool: current.pool, Team: current.team, Work: current.head.Work}})
 	}
+}
+
+// refuseUnread refuses a request whose body is not needed; it counts as asked for by its team.
+func (current *exchange) refuseUnread(most int64, refusal *coltsfootlink.Refusal) {
+	current.shed()
 	// An answer before the end of the body would reach a caller that still sends it. Whether all of it came does not
 	// matter here.
 	_, _ = io.Copy(io.Discard, io.LimitReader(current.incoming.Body, most))
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -39,7 +39,8 @@
 	// MaxActive is the most requests that are served at once; further ones are refused, for what piles up when
 	// callers press would take the memory of all.
 	MaxActive int64
-	// MaxChoosing is the most requests that wait for a target at once; if there are more, the processor is behind.
+	// MaxChoosing is the most requests that wait for a target at once, a part of which is for those within their
+	// teams' shares.
 	MaxChoosing int64
 
 	// active counts requests that are not yet answered, admitted those of them that may go to a target, and choosing
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -29,8 +29,13 @@
 
 // choose asks for a target and waits for it until the context ends.
 func (current *exchange) choose(ctx context.Context) dispatch.Choice {
-	current.service.choosing.Add(1)
-	defer current.service.choosing.Add(-1)
+	if !current.takePlace() {
+		if current.attempts == 0 && current.unsent == 0 {
+			current.shed()
+		}
+		return dispatch.Choice{Refusal: current.crowded()}
+	}
+	defer current.leavePlace()
 	reply := make(chan dispatch.Choice, 1)
 	current.service.Dispatch.Put(coltsfootlink.Delivery{Message: dispatch.Want{
 		ID:          current.head.ID,
