Bodies that do not come end at the deadline, or shortly after a refusal

What callers saw: no answer at all, past their deadline, if a part of the body did not come, and the same for requests that were to be "refused at once". Each of them kept a place among the open requests, with nothing that ended it but the caller.

Cause: nothing limited the reading of a body; the server has a limit for the head alone. Refusals for shares and for the processor read the body first; all others (401, 404, not ready) left it to the library, which reads it before it writes the head. Ruled out: a limit for all connections in web (ReadTimeout). It holds from the first byte of the head, is the same for all requests, and would not end at a request's deadline.

A body is read until the request's deadline, which ends it with 408 (not run), and that of any refused request for 250 ms; the limit stays then, for the library reads on before it answers, and the connection is closed. Where the body came whole the limit is taken back, for the server goes on reading to see whether the caller is there. Requests without body get no limit: that reading has begun before them.

--- a/ingress/end.go
+++ b/ingress/end.go
@@ -39,6 +39,7 @@
 
 // refuse answers for the system itself.
 func (current *exchange) refuse(status int, refusal *coltsfootlink.Refusal) {
+	current.skipBody()
 	header := current.writer.Header()
 	platform.EchoRequest(header, current.head.ID)
 	if status == http.StatusServiceUnavailable {
--- a/ingress/places_test.go
+++ b/ingress/places_test.go
@@ -40,11 +40,12 @@
 	return server.Listener.Addr().String()
 }
 
-// plan is a request with a body of four bytes, of which a part is sent at once.
+// plan is a request with a body of four bytes, of which a part is sent at once, or with none.
 type plan struct {
 	path, key string
 	part      int
 	left      time.Duration
+	bodiless  bool
 }
 
 // begin connects and sends the head of a request and a part of its body.
@@ -61,7 +62,10 @@
 
 // send sends the head of the request and a part of its body.
 func (sent plan) send(conn net.Conn) {
-	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nAttempt-Id: r-1\r\nTime-Left-Ms: %d\r\nContent-Length: 4\r\n", sent.path, sent.left.Milliseconds())
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nAttempt-Id: r-1\r\nTime-Left-Ms: %d\r\n", sent.path, sent.left.Milliseconds())
+	if !sent.bodiless {
+		head += "Content-Length: 4\r\n"
+	}
 	if sent.key != "" {
 		head += "Authorization: Bearer " + sent.key + "\r\n"
 	}
@@ -131,7 +135,7 @@
 		address := unserved(t, service, coltsfootlink.Shares{})
 		var conns []net.Conn
 		for range 20 {
-			conns = append(conns, begin(t, address, plan{"/private/a", "key", 1, 1500 * time.Millisecond}))
+			conns = append(conns, begin(t, address, plan{path: "/private/a", key: "key", part: 1, left: 1500 * time.Millisecond}))
 		}
 		So(settles(&service.active, 20), ShouldEqual, 20)
 		for _, conn := range conns {
@@ -148,7 +152,7 @@
 		listener, err := net.Listen("tcp4", "127.0.0.1:0")
 		So(err, ShouldBeNil)
 		defer func() { _ = listener.Close() }()
-		first := begin(t, address, plan{"/private/a", "key", 4, 1500 * time.Millisecond})
+		first := begin(t, address, plan{path: "/private/a", key: "key", part: 4, left: 1500 * time.Millisecond})
 		So(settles(&service.choosing, 1), ShouldEqual, 1)
 		asked := service.Dispatch.Drain()
 		So(asked, ShouldHaveLength, 1)
@@ -156,7 +160,7 @@
 		toTarget, err := listener.Accept()
 		So(err, ShouldBeNil)
 		defer func() { _ = toTarget.Close() }()
-		begin(t, address, plan{"/private/a", "key", 4, 1500 * time.Millisecond})
+		begin(t, address, plan{path: "/private/a", key: "key", part: 4, left: 1500 * time.Millisecond})
 		So(settles(&service.choosing, 1), ShouldEqual, 1)
 		_, _ = io.WriteString(toTarget, shed)
 		So(statusOf(first, time.Second), ShouldEqual, "HTTP/1.1 503")
@@ -187,11 +191,11 @@
 			service := &Service{MaxActive: 100, MaxChoosing: 4}
 			address := unserved(t, service, coltsfootlink.Shares{Pool: "p", Teams: []coltsfootlink.TeamShare{{Team: "team", Surplus: 1}}})
 			for range test.beyond {
-				begin(t, address, plan{"/private/a", "key", 4, 1500 * time.Millisecond})
+				begin(t, address, plan{path: "/private/a", key: "key", part: 4, left: 1500 * time.Millisecond})
 			}
 			So(settles(&service.choosing, min(2, test.beyond)), ShouldEqual, min(2, test.beyond))
 			for range test.within {
-				begin(t, address, plan{"/private/a", "other", 4, 1500 * time.Millisecond})
+				begin(t, address, plan{path: "/private/a", key: "other", part: 4, left: 1500 * time.Millisecond})
 			}
 			So(settles(&service.choosing, test.waiting), ShouldEqual, test.waiting)
 			So(settles(&service.active, test.waiting), ShouldEqual, test.waiting)
@@ -218,7 +222,7 @@
 			service := &Service{MaxActive: 100, MaxChoosing: test.maxChoosing, Log: zerolog.New(noted)}
 			address := unserved(t, service, coltsfootlink.Shares{Pool: "p", Teams: []coltsfootlink.TeamShare{{Team: "team", Surplus: 1}}})
 			service.Gate.pressure.Store(&test.state)
-			So(statusOf(begin(t, address, plan{"/private/a", "key", 4, 1500 * time.Millisecond}), time.Second), ShouldEqual, "HTTP/1.1 503")
+			So(statusOf(begin(t, address, plan{path: "/private/a", key: "key", part: 4, left: 1500 * time.Millisecond}), time.Second), ShouldEqual, "HTTP/1.1 503")
 			So(<-noted, ShouldContainSubstring, test.why)
 		})
 	}
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -71,6 +71,9 @@
 	body     []byte
 	// held is the buffer that the body lies in; nil before it is read.
 	held *bytes.Buffer
+	// mostBytes is the size of the largest body that is read; received says that reading has begun.
+	mostBytes int64
+	received  bool
 	// fingerprint identifies requests that are alike by path, team and body.
 	fingerprint uint64
 	// lastEvent is the last event that the caller has of a stream that can be resumed.
@@ -108,6 +111,8 @@
 		arrived:  arrived,
 		head:     platform.DecodeCaller(incoming, arrived),
 		avoid:    make(map[coltsfootlink.TargetName]bool),
+
+		mostBytes: defaultBodyBytes,
 	}
 	if service.Gate.Leaving() || service.Open.Load() > service.MaxOpen {
 		writer.Header().Set("Connection", "close")
