What is refused for too many open requests counts as asked for

Cause: this refusal was the first thing of all, before the request's pool and team are known, and told the dispatcher nothing.

It stands now beside the refusals for the processor and for places, behind the team's share. What it saves is the body and the way to a target, and it still saves these; finding rule and team takes no memory. Unknown keys and routes get their 401 and 404 then, too, and not a 503 that has them return.

TestWhatIsBeyondTheOpenRequestsCounts failed in three of four cases: no Shed with the body and without, and 503 for an unknown key. It passes, with -race too.

--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -68,19 +68,29 @@
 	return false
 }
 
-// isTaken says whether the instance takes the request now; what waits for the processor until its caller leaves helps
-// nobody.
+// isTaken says whether the instance takes the request now.
 func (current *exchange) isTaken() bool {
+	refusal := current.overload()
+	if refusal != nil {
+		current.refuseUnread(refusal)
+	}
+	return refusal == nil
+}
+
+// overload says why the instance does not take the request now; nil if it does. What waits until its caller leaves
+// helps nobody.
+func (current *exchange) overload() *coltsfootlink.Refusal {
+	again := current.arrived.Add(elsewherePause)
 	switch {
+	case current.service.active.Load() > current.service.MaxActive:
+		return coltsfootlink.Refuse(coltsfootlink.InstanceBusy, "too many requests at once").WithRetryAt(again)
 	case !current.service.Gate.Pressure().Takes(current.standing, rand.Float64()):
-		current.refuseUnread(coltsfootlink.Refuse(coltsfootlink.InstanceBusy, "the processor is behind").WithRetryAt(current.arrived.Add(elsewherePause)))
-		return false
+		return coltsfootlink.Refuse(coltsfootlink.InstanceBusy, "the processor is behind").WithRetryAt(again)
 	case current.service.choosing.Load() >= current.mostChoosing():
 		// The place itself is taken once the body has come, for a slow one is to hold none.
-		current.refuseUnread(current.crowded())
-		return false
+		return current.crowded()
 	default:
-		return true
+		return nil
 	}
 }
 
--- a/ingress/places_test.go
+++ b/ingress/places_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -227,3 +228,27 @@
 		})
 	}
 }
+
+func TestWhatIsBeyondTheOpenRequestsCounts(t *testing.T) {
+	cases := map[string]struct {
+		sent   plan
+		status string
+		sheds  int
+	}{
+		"with a team":          {plan{path: "/private/a", key: "key", part: 4}, "HTTP/1.1 503", 1},
+		"its body is not read": {plan{path: "/private/a", key: "key", part: 1}, "HTTP/1.1 503", 1},
+		"without a team":       {plan{path: "/safe/a", part: 4}, "HTTP/1.1 503", 0},
+		"an unknown key":       {plan{path: "/private/a", key: "guess", part: 4}, "HTTP/1.1 401", 0},
+	}
+	for name, test := range cases {
+		Convey("what is refused because too many requests are open counts as asked for by its team: "+name, t, func() {
+			noted := make(lines, 10)
+			service := &Service{MaxActive: 0, MaxChoosing: 100, Log: zerolog.New(noted)}
+			test.sent.left = 300 * time.Millisecond
+			conn := begin(t, unserved(t, service, coltsfootlink.Shares{}), test.sent)
+			So(statusOf(conn, time.Second), ShouldEqual, test.status)
+			So(kindsOf(service)["dispatch.Shed"], ShouldEqual, test.sheds)
+			So(strings.Contains(<-noted, "too many requests at once"), ShouldEqual, test.status == "HTTP/1.1 503")
+		})
+	}
+}
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -117,10 +117,6 @@
 	if service.Gate.Leaving() || service.Open.Load() > service.MaxOpen {
 		writer.Header().Set("Connection", "close")
 	}
-	if service.active.Load() > service.MaxActive {
-		current.refuse(http.StatusServiceUnavailable, coltsfootlink.Refuse(coltsfootlink.InstanceBusy, "too many requests at once").WithRetryAt(arrived.Add(elsewherePause)))
-		return
-	}
 	defer current.releaseBody()
 	if current.admit(service.Gate.Catalog()) {
 		service.admitted.Add(1)
