Pressure is told again each second

What callers saw: during a long flood a task that had started anew, or had failed with the last word in hand, went on with a state of long ago: the instance said that it was not ready though it was calm, or garbage was collected as in quiet times though the processor was behind.

Cause: subscribers were told of changes alone, and a steady flood changes nothing: what is taken stays at its least. Ruled out: telling at the subscriber's start. The task of pressure knows nothing of the others' restarts, and a word lost in a batch is lost without one.

The state is told again a second after the last word, as the keeper of shares does. Who knows it already does nothing: the collector of garbage sets nothing, the gate and the dispatcher keep the same value.

TestSubscribersAreToldAgain failed in all four cases: no word in 5 s where 5 are due, and the heap's growth stayed at 30 where 90 is due after the collector's second start. It passes, with -race too.

--- a/pressure/task.go
+++ b/pressure/task.go
@@ -17,6 +17,8 @@
 	lookInterval = 50 * time.Millisecond
 	// tellStep is how much what is taken has changed when it is told.
 	tellStep = 0.02
+	// renewInterval is the longest time between two words on a state that stays about the same.
+	renewInterval = time.Second
 	// logInterval is the time between two lines of the log while the processor is behind.
 	logInterval = time.Second
 )
@@ -32,24 +34,39 @@
 	Meter coltsfootlink.WaitMeter
 	Clock coltsfootlink.Clock
 	Log   zerolog.Logger
-	// Subscribers are told of each change.
+	// Subscribers are told of each change, and again each second, for one that starts anew knows nothing.
 	Subscribers []*mailbox.Deliveries
 
 	state, told State
+	// renewAt is when the subscribers are told again.
+	renewAt time.Time
 	// logAt is when the next line of the log is due while the processor is behind.
 	logAt time.Time
 }
 
 // Run looks until the context ends.
 func (task *Task) Run(ctx context.Context) error {
-	task.state = State{}
-	task.tell()
+	task.start()
 	for coltsfootlink.Pause(ctx, lookInterval) {
-		task.look()
+		task.turn()
 	}
 	return nil
 }
 
+// start takes back what was told before.
+func (task *Task) start() {
+	task.state = State{}
+	task.tell()
+}
+
+// turn looks, and tells again what a subscriber may have lost.
+func (task *Task) turn() {
+	task.look()
+	if !task.Clock.Now().Before(task.renewAt) {
+		task.tell()
+	}
+}
+
 func (task *Task) look() {
 	wait := task.Meter.Wait()
 	task.state = task.state.WithWait(wait)
@@ -67,6 +84,7 @@
 // tell tells the subscribers how much the instance takes.
 func (task *Task) tell() {
 	task.told = task.state
+	task.renewAt = task.Clock.Now().Add(renewInterval)
 	for _, box := range task.Subscribers {
 		box.Put(coltsfootlink.Delivery{Message: Changed{State: task.state}})
 	}
--- a/pressure/task_test.go
+++ b/pressure/task_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"runtime/debug"
+	"slices"
 	"testing"
 	"time"
 
@@ -50,3 +52,72 @@
 		So(told[0].Message, ShouldResemble, Changed{})
 	})
 }
+
+// clock is a clock that a test moves.
+type clock struct{ at time.Time }
+
+// Now returns the clock's time.
+func (moved *clock) Now() time.Time { return moved.at }
+
+// looks lets a task look that many times.
+func (moved *clock) looks(task *Task, count int) {
+	for range count {
+		moved.at = moved.at.Add(lookInterval)
+		task.turn()
+	}
+}
+
+func TestSubscribersAreToldAgain(t *testing.T) {
+	cases := map[string]struct {
+		// waits are those of the looks before the subscriber loses what it has been told, a second's looks each.
+		waits      []time.Duration
+		overloaded bool
+	}{
+		"calm from the start": {[]time.Duration{0}, false},
+		"behind":              {slices.Repeat([]time.Duration{time.Second}, 5), true},
+		"calm again":          {append(slices.Repeat([]time.Duration{time.Second}, 5), slices.Repeat([]time.Duration{0}, 10)...), false},
+	}
+	for name, test := range cases {
+		Convey("a subscriber that lost a word hears of the state again, once a second: "+name, t, func() {
+			box := mailbox.NewDeliveries()
+			moved := &clock{at: time.Unix(1_000_000, 0)}
+			task := &Task{Clock: moved, Log: zerolog.Nop(), Subscribers: []*mailbox.Deliveries{box}}
+			task.start()
+			for _, wait := range test.waits {
+				task.Meter = waits(wait)
+				moved.looks(task, int(time.Second/lookInterval))
+			}
+			box.Drain()
+			moved.looks(task, int(5*time.Second/lookInterval))
+			told := box.Drain()
+			So(told, ShouldHaveLength, 5)
+			So(told[0].Message.(Changed).State.Overloaded(), ShouldEqual, test.overloaded)
+		})
+	}
+	Convey("a collector that starts anew during a flood follows it", t, func() {
+		before := debug.SetGCPercent(50)
+		defer debug.SetGCPercent(before)
+		collector := &Collector{Calm: 30, Behind: 90, Inbox: mailbox.NewDeliveries()}
+		moved := &clock{at: time.Unix(1_000_000, 0)}
+		task := &Task{Meter: waits(time.Second), Clock: moved, Log: zerolog.Nop(), Subscribers: []*mailbox.Deliveries{collector.Inbox}}
+		task.start()
+		moved.looks(task, 100)
+		for range 2 {
+			// What the collector left behind at its end is not to be taken for what it sets.
+			debug.SetGCPercent(50)
+			ctx, stop := context.WithCancel(t.Context())
+			stopped := make(chan struct{})
+			go func() {
+				defer close(stopped)
+				_ = collector.Run(ctx)
+			}()
+			moved.looks(task, int(2*time.Second/lookInterval))
+			for end := time.Now().Add(time.Second); percent() != 90 && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			stop()
+			<-stopped
+			So(percent(), ShouldEqual, 90)
+		}
+	})
+}
