Log what follows from the machine's size

What operators saw: nothing. Settings without processor-share or cores count as one whole core, so that an instance with a fifth of one had 200 places for requests that wait for a target, and no line said so.

One line at the start (gateway: bounds) has the sizes and the bounds on connections, requests and waiting requests that follow from them. The defaults stay: the template sets both.

TestBoundsAreLogged did not compile before, for there was no such line; it passes, with -race too.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,6 +89,7 @@
 	debug.SetMemoryLimit(int64(gateway.Settings.MemoryMB * memoryShare * bytesPerMB))
 	gateway.prepare()
 	gateway.Log.Info().Str("zone", gateway.Settings.Zone).Str("address", gateway.self.PeerAddress).Msg("gateway: starts")
+	gateway.noteBounds()
 	// The tree outlives the context: the requests are finished first.
 	treeContext, stopTree := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopTree()
@@ -197,6 +198,14 @@
 	}
 }
 
+// noteBounds logs what follows from the machine's size; a size that is not set counts as one whole core.
+func (gateway *Gateway) noteBounds() {
+	gateway.Log.Info().
+		Float64("memory-mb", gateway.Settings.MemoryMB).Float64("processor-share", gateway.Settings.ProcessorShare).Float64("cores", gateway.Settings.Cores).
+		Int64("connections", gateway.service.MaxOpen).Int64("requests", gateway.service.MaxActive).Int64("waiting", gateway.service.MaxChoosing).
+		Msg("gateway: bounds")
+}
+
 func (gateway *Gateway) addPeers(branch *supervisor.Branch) {
 	branch.Add("server", &peer.Server{
 		Address: gateway.Settings.Listen.Peers,
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"coltsfootlink/settings"
+)
+
+func TestBoundsAreLogged(t *testing.T) {
+	cases := map[string]struct {
+		processorShare, cores float64
+		choosing              float64
+	}{
+		"not set":         {0, 0, 200},
+		"a small machine": {0.4, 0.48, 39},
+	}
+	for name, test := range cases {
+		Convey("the log says what follows from the machine: "+name, t, func() {
+			document := settings.GatewayDefaults()
+			document.MemoryMB = 184
+			if test.cores > 0 {
+				document.ProcessorShare, document.Cores = test.processorShare, test.cores
+			}
+			log := new(bytes.Buffer)
+			gateway := &Gateway{Settings: document, Log: zerolog.New(log)}
+			gateway.prepare()
+			gateway.noteBounds()
+			var line map[string]any
+			So(json.Unmarshal(log.Bytes(), &line), ShouldBeNil)
+			So(line, ShouldResemble, map[string]any{
+				"level": "info", "message": "gateway: bounds", "memory-mb": 184.0,
+				"processor-share": document.ProcessorShare, "cores": document.Cores,
+				"connections": 1472.0, "requests": 736.0, "waiting": test.choosing,
+			})
+		})
+	}
+}
