--- a/ingress/service.go
+++ b/ingress/service.go
@@ -39,7 +39,8 @@
 	// MaxActive is the most requests that are served at once; further ones are refused, for what piles up when
 	// callers press would take the memory of all.
 	MaxActive int64
-	// MaxChoosing is the most requests that wait for a target at once; if there are more, the processor is behind.
+	// MaxChoosing is the most requests that wait for a target at once, a part of which is for those within their
+	// teams' shares.
 	MaxChoosing int64
 	// Passes says that a caller does better to open a new connection; nil if never.
 	Passes func() bool
@@ -72,6 +73,9 @@
 	body     []byte
 	// held is the buffer that the body lies in; nil before it is read.
 	held *bytes.Buffer
+	// mostBytes is the size of the largest body that is read; received says that reading has begun.
+	mostBytes int64
+	received  bool
 	// fingerprint identifies requests that are alike by path, team and body.
 	fingerprint uint64
 	// lastEvent is the last event that the caller has of a stream that can be resumed.
@@ -109,14 +113,12 @@
 		arrived:  arrived,
 		head:     platform.DecodeCaller(incoming, arrived),
 		avoid:    make(map[coltsfootlink.TargetName]bool),
+
+		mostBytes: defaultBodyBytes,
 	}
 	if service.Gate.Leaving() || service.Open.Load() > service.MaxOpen {
 		writer.Header().Set("Connection", "close")
 	}
-	if service.active.Load() > service.MaxActive {
-		current.refuse(http.StatusServiceUnavailable, coltsfootlink.Refuse(coltsfootlink.InstanceBusy, "too many requests at once").WithRetryAt(arrived.Add(elsewherePause)))
-		return
-	}
 	defer current.releaseBody()
 	if current.admit(service.Gate.Catalog()) {
 		service.admitted.Add(1)
@@ -131,7 +133,7 @@
 func (current *exchange) serve(ctx context.Context) {
 	current.lastEvent = current.head.LastEvent
 	for {
-		choice := current.choose()
+		choice := current.choose(ctx)
 		current.permit, current.owner = choice.Serial, choice.Owner
 		if choice.Refusal != nil {
 			current.giveUp(ctx, choice.Refusal)
