Count the time that a request waits unseen against its deadline

A request that was sent at 18.987 s with two seconds left reached its target at 19.999 s, passed on by an instance that was behind, and ran until 21.652 s.

Cause: time left counts from when a request is read, and that is late where the processor is behind. Now what is ready to run had to wait is taken off, by the pressure's measure, and an instance that passes a connection on tells the other how late its first bytes are (wait, dial and welcome) in two bytes.

Ruled out by reading: that cancelling was late. The run lasted 0.67 s past the deadline; the second instance, which was not behind, ends a request at the deadline that it knows.

TestLateRequests failed before (1.50 s for 0.4 to 0.9, and for 0 to 0.4) and passes now. TestLatenessIsPassedOn is new with it.

--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -36,7 +36,7 @@
 		current.team = team
 	}
 	current.pool = rule.Pool(current.head.ID.Draw(""))
-	current.deadline = current.arrived.Add(rule.Timeout)
+	current.deadline = current.sentAt.Add(rule.Timeout)
 	if left := current.head.Deadline; !left.IsZero() && left.Before(current.deadline) {
 		current.deadline = left
 	}
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -13,6 +13,7 @@
 	"coltsfootlink/mailbox"
 	"coltsfootlink/platform"
 	"coltsfootlink/upstream"
+	"coltsfootlink/web"
 )
 
 const (
@@ -59,10 +60,12 @@
 	writer   http.ResponseWriter
 	incoming *http.Request
 	arrived  time.Time
-	head     platform.CallerHead
-	rule     coltsfootlink.RoutingRule
-	team     coltsfootlink.TeamName
-	pool     coltsfootlink.PoolName
+	// sentAt is when the request is taken to have reached the system, before it was seen.
+	sentAt time.Time
+	head   platform.CallerHead
+	rule   coltsfootlink.RoutingRule
+	team   coltsfootlink.TeamName
+	pool   coltsfootlink.PoolName
 	// rank is how many priorities of the pool's requests go before this one's.
 	rank int
 	// standing is how the request stands to its team's fair share.
@@ -106,12 +109,14 @@
 	service.active.Add(1)
 	defer service.active.Add(-1)
 	arrived := service.Clock.Now()
+	sentAt := arrived.Add(-service.lateness(incoming))
 	current := &exchange{
 		service:  service,
 		writer:   writer,
 		incoming: incoming,
 		arrived:  arrived,
-		head:     platform.DecodeCaller(incoming, arrived),
+		sentAt:   sentAt,
+		head:     platform.DecodeCaller(incoming, sentAt),
 		avoid:    make(map[coltsfootlink.TargetName]bool),
 
 		mostBytes: defaultBodyBytes,
@@ -129,6 +134,12 @@
 	}
 }
 
+// lateness is how long a request waited unseen while the processor was behind, here or where its connection was
+// passed on.
+func (service *Service) lateness(incoming *http.Request) time.Duration {
+	return web.Lateness(incoming) + service.Gate.Pressure().Wait()
+}
+
 // serve sends the request to targets until one has answered or it is given up.
 func (current *exchange) serve(ctx context.Context) {
 	current.lastEvent = current.head.LastEvent
--- a/ingress/service_test.go
+++ b/ingress/service_test.go
@@ -21,6 +21,7 @@
 	"coltsfootlink"
 	"coltsfootlink/dispatch"
 	"coltsfootlink/mailbox"
+	"coltsfootlink/pressure"
 	"coltsfootlink/share"
 	"coltsfootlink/upstream"
 )
@@ -88,6 +89,8 @@
 	// mostChoosing is how many may wait for a target; slow says that none gets one.
 	mostChoosing int64
 	slow         bool
+	// state is how far the processor is behind.
+	state pressure.State
 	// passes says whether new connections are passed on.
 	passes func() bool
 	// shares is what is known of the teams' shares.
@@ -203,6 +206,7 @@
 	}
 	standings := share.Standings{}.WithShares(time.Now(), offered.shares)
 	gate.standings.Store(&standings)
+	gate.pressure.Store(&offered.state)
 	if !offered.endsAt.IsZero() {
 		gate.endsAt.Store(&offered.endsAt)
 	}
@@ -493,6 +497,32 @@
 	})
 }
 
+func TestLateRequests(t *testing.T) {
+	cases := map[string]struct {
+		wait        time.Duration
+		least, most time.Duration
+	}{
+		"calm":                    {0, 1400 * time.Millisecond, 1900 * time.Millisecond},
+		"late by the allowed":     {50 * time.Millisecond, 1400 * time.Millisecond, 1900 * time.Millisecond},
+		"late by a second":        {time.Second, 400 * time.Millisecond, 900 * time.Millisecond},
+		"later than its deadline": {time.Minute, 0, 400 * time.Millisecond},
+	}
+	for name, test := range cases {
+		Convey("no request is worked on after its caller has left, however late it was seen: "+name, t, func() {
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			defer func() { _ = listener.Close() }()
+			silent := &fakeTarget{Target: coltsfootlink.Target{Name: "t", Address: listener.Addr().String()}}
+			url := start(t, &offer{targets: []*fakeTarget{silent}, state: pressure.State{}.WithWait(test.wait)}, true)
+			began := time.Now()
+			status, _, _, err := request(t, url, "/safe/a", "plan", "")
+			So(err, ShouldBeNil)
+			So(status, ShouldBeIn, 503, 504)
+			So(time.Since(began), ShouldBeBetween, test.least, test.most)
+		})
+	}
+}
+
 // TestShares holds for requests of a team that asks for more than its share.
 func TestShares(t *testing.T) {
 	cases := map[string]struct {
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -43,7 +43,7 @@
 		Team:        current.team,
 		Rule:        current.rule.Name,
 		Work:        current.head.Work,
-		Objective:   current.arrived.Add(current.rule.Objective),
+		Objective:   current.sentAt.Add(current.rule.Objective),
 		Deadline:    current.deadline,
 		Rank:        current.rank,
 		Standing:    current.standing,
--- a/pressure/state.go
+++ b/pressure/state.go
@@ -59,6 +59,14 @@
 // Refuses says whether anything may be refused, for the processor was behind lately.
 func (state State) Refuses() bool { return state.refused > 0 }
 
+// Wait is how long what was ready to run had to wait for the processor at the last look; zero while nothing is refused.
+func (state State) Wait() time.Duration {
+	if !state.Refuses() {
+		return 0
+	}
+	return state.wait
+}
+
 // Overloaded says that more callers had better go to other instances.
 func (state State) Overloaded() bool { return state.overloaded }
 
--- a/relay/passing.go
+++ b/relay/passing.go
@@ -32,6 +32,8 @@
 	task   *Task
 	caller net.Conn
 	back   func(net.Conn)
+	// sentAt is when the caller is taken to have sent its first request.
+	sentAt time.Time
 }
 
 // run copies between the caller and another instance until one of them ends, or brings the connection back if no
@@ -49,15 +51,16 @@
 		cut(other)
 	})
 	defer stop()
+	late := lateness(passing.task.Clock.Now().Sub(passing.sentAt))
 	go func() {
 		// A caller that has ended waits for nothing more.
-		if err := carry(other, passing.caller); err != nil {
+		if err := carry(other, passing.caller, late[:]); err != nil {
 			cut(other)
 		} else {
 			_ = other.Close()
 		}
 	}()
-	if err := carry(passing.caller, other); err != nil {
+	if err := carry(passing.caller, other, nil); err != nil {
 		// An end would make what came look like a whole answer.
 		cut(passing.caller)
 		cut(other)
@@ -100,16 +103,18 @@
 	return other
 }
 
-// carry copies until the source ends; the error is that of a connection that broke.
-func carry(to, from net.Conn) error {
+// carry copies until the source ends, the head before the first bytes; the error is that of a connection that broke.
+func carry(to, from net.Conn, head []byte) error {
 	chunk := chunks.Get().(*[chunkBytes]byte)
 	defer chunks.Put(chunk)
+	filled := copy(chunk[:], head)
 	for {
-		count, err := from.Read(chunk[:])
+		count, err := from.Read(chunk[filled:])
 		if count > 0 {
-			if _, writeErr := to.Write(chunk[:count]); writeErr != nil {
+			if _, writeErr := to.Write(chunk[:filled+count]); writeErr != nil {
 				return writeErr
 			}
+			filled = 0
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
--- a/relay/plan.go
+++ b/relay/plan.go
@@ -17,6 +17,8 @@
 type Plan struct {
 	// part is the part of the new connections that is passed on, from 0 to 1.
 	part float64
+	// wait is how long what is ready to run waits for the processor here.
+	wait time.Duration
 	// addresses are where the others take connections, and resting until when some of them are not asked.
 	addresses []string
 	resting   map[string]time.Time
@@ -24,7 +26,7 @@
 
 // WithPressure returns the plan by how much the instance itself takes.
 func (plan Plan) WithPressure(state pressure.State) Plan {
-	plan.part = 1 - state.Taken()/pressure.All
+	plan.part, plan.wait = 1-state.Taken()/pressure.All, state.Wait()
 	return plan
 }
 
--- a/relay/task.go
+++ b/relay/task.go
@@ -97,18 +97,19 @@
 func (task *Task) Open() int64 { return task.open.Load() }
 
 // Admit passes a connection on or has it served here.
-func (task *Task) Admit(caller net.Conn, back func(net.Conn)) bool {
+func (task *Task) Admit(caller net.Conn, back func(net.Conn)) net.Conn {
 	life := task.life.Load()
 	if life == nil || !task.Passes() {
-		return true
+		return caller
 	}
 	task.open.Add(1)
-	passing := &passing{task: task, caller: caller, back: back}
+	now := task.Clock.Now()
+	passing := &passing{task: task, caller: caller, back: back, sentAt: now.Add(-task.Plan().wait)}
 	go func() {
 		defer task.open.Add(-1)
 		passing.run(*life)
 	}()
-	return false
+	return nil
 }
 
 // tell notes that an address has taken no connection.
--- a/relay/task_test.go
+++ b/relay/task_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -193,3 +194,41 @@
 		})
 	}
 }
+
+func TestLatenessIsPassedOn(t *testing.T) {
+	cases := map[string]struct {
+		late, told time.Duration
+	}{
+		"not late":         {0, 0},
+		"late":             {321 * time.Millisecond, 321 * time.Millisecond},
+		"a clock set back": {-time.Second, 0},
+		"very late":        {2 * time.Minute, 65535 * time.Millisecond},
+	}
+	for name, test := range cases {
+		Convey("the first request of a connection that was passed on knows how late it is: "+name, t, func() {
+			lateness := lateness(test.late)
+			var told []time.Duration
+			address := freeAddress(t, otherHost)
+			serve(t, &web.Server{Address: address, Doorman: Entrance{Full: never}, Handler: http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+				told = append(told, web.Lateness(request))
+			})})
+			conn, err := net.Dial("tcp", address)
+			So(err, ShouldBeNil)
+			defer func() { _ = conn.Close() }()
+			reader := bufio.NewReader(conn)
+			got, err := reader.ReadByte()
+			So(err, ShouldBeNil)
+			So(got, ShouldEqual, welcome)
+			head := lateness[:]
+			for range 2 {
+				_, err = conn.Write(append(head, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"...))
+				So(err, ShouldBeNil)
+				response, err := http.ReadResponse(reader, nil)
+				So(err, ShouldBeNil)
+				So(response.StatusCode, ShouldEqual, http.StatusOK)
+				head = nil
+			}
+			So(told, ShouldResemble, []time.Duration{test.told, 0})
+		})
+	}
+}
--- a/web/doorway.go
+++ b/web/doorway.go
@@ -18,8 +18,11 @@
 func (doorway *doorway) Accept() (net.Conn, error) {
 	for {
 		conn, err := doorway.Listener.Accept()
-		if err != nil || doorway.doorman.Admit(conn, doorway.returned.put) {
-			return conn, err
+		if err != nil {
+			return nil, err
+		}
+		if admitted := doorway.doorman.Admit(conn, doorway.returned.put); admitted != nil {
+			return admitted, nil
 		}
 	}
 }
--- a/web/doorway_test.go
+++ b/web/doorway_test.go
@@ -14,21 +14,21 @@
 )
 
 // usher is a doorman of the tests.
-type usher func(net.Conn, func(net.Conn)) bool
+type usher func(net.Conn, func(net.Conn)) net.Conn
 
 // Admit asks the usher.
-func (usher usher) Admit(conn net.Conn, back func(net.Conn)) bool { return usher(conn, back) }
+func (usher usher) Admit(conn net.Conn, back func(net.Conn)) net.Conn { return usher(conn, back) }
 
 func TestDoorman(t *testing.T) {
 	certFile, keyFile, roots := certificate(t)
-	admits := func(net.Conn, func(net.Conn)) bool { return true }
-	returns := func(conn net.Conn, back func(net.Conn)) bool {
+	admits := func(conn net.Conn, _ func(net.Conn)) net.Conn { return conn }
+	returns := func(conn net.Conn, back func(net.Conn)) net.Conn {
 		time.AfterFunc(10*time.Millisecond, func() { back(conn) })
-		return false
+		return nil
 	}
-	closes := func(conn net.Conn, _ func(net.Conn)) bool {
+	closes := func(conn net.Conn, _ func(net.Conn)) net.Conn {
 		_ = conn.Close()
-		return false
+		return nil
 	}
 	cases := map[string]struct {
 		usher            usher
--- a/web/server.go
+++ b/web/server.go
@@ -85,10 +85,24 @@
 	return errors.Wrap(err, server.Part)
 }
 
-// endKey is the key of the time at which a connection is too old.
-type endKey struct{}
+// endKey is the key of the time at which a connection is too old, and lateKey that of a connection that came late.
+type (
+	endKey  struct{}
+	lateKey struct{}
+)
 
-func (server *Server) connContext(ctx context.Context, _ net.Conn) context.Context {
+// Lateness is how much later than it was sent a request was read, as far as its connection knows.
+func Lateness(request *http.Request) time.Duration {
+	if late, is := request.Context().Value(lateKey{}).(coltsfootlink.Late); is {
+		return late.TakeLateness()
+	}
+	return 0
+}
+
+func (server *Server) connContext(ctx context.Context, conn net.Conn) context.Context {
+	if late, is := conn.(coltsfootlink.Late); is {
+		ctx = context.WithValue(ctx, lateKey{}, late)
+	}
 	if server.LifeLimit == 0 {
 		return ctx
 	}
