Trust an instance's own heartbeat before others' word of its silence

With the first messages after it, the zone's instances say so of everybody else. At equal sequence numbers the word "silent" goes before the word "live", so c-1 takes c-2 for silent 24 ms after the return, although it had heard from it within the last second, takes over c-2's shard, and awaits nobody, for it sees nobody. It grants half of each limit while the 8 requests that c-2 has granted still run. 10 to 450 ms later the accused have contradicted.

Cause: a word of another instance that is older than one's own knowledge was believed. An instance cannot be found silent sooner than by two questions in a row that it leaves unanswered; what was heard of itself within that time is the newer knowledge, and is kept as a deadline.

Ruled out: requests and messages that the proxies had held and let go (all nine requests were sent within a second; the ninth after the return), orphans given up too early by a report.

Test: membership.TestReturn; pairs on one side of which one takes the other for silent, before: 14, 14, 14 of 8 instances, 6 of 5; now 0. With 30 instances 304 before and 43 now, with 71 1,915 and 1,030: there not every instance hears from every other within the time, so the rest of the fault stays in large fleets.

--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -119,6 +119,59 @@
 	return true
 }
 
+// mistaken returns how many pairs of instances that run on one side there are of which the first takes the second
+// for silent.
+func (fleet *fleet) mistaken() int {
+	count := 0
+	for _, observer := range fleet.names {
+		view := fleet.states[observer].View()
+		for _, other := range fleet.names {
+			member, _ := view.Member(other)
+			if fleet.side[observer] == fleet.side[other] && !member.Live {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// TestReturn holds for a zone that comes back: what each side believes of the other while they were cut off makes
+// nobody take an instance of its own side for silent.
+func TestReturn(t *testing.T) {
+	cases := map[string]struct {
+		size int
+		span time.Duration
+	}{
+		"after a short cut":  {8, 3 * time.Second},
+		"after a cut":        {8, 6 * time.Second},
+		"after a long cut":   {8, 30 * time.Second},
+		"in a smaller fleet": {5, 6 * time.Second},
+	}
+	for name, test := range cases {
+		Convey(name, t, func() {
+			fleet := newFleet(test.size)
+			fleet.run(4 * time.Second)
+			sides := make(map[coltsfootlink.InstanceName]int)
+			for place, name := range fleet.names {
+				sides[name] = place % 3 / 2
+			}
+			fleet.side = sides
+			fleet.run(test.span)
+			So(fleet.agree(), ShouldBeTrue)
+			most := 0
+			for range 120 {
+				fleet.side = make(map[coltsfootlink.InstanceName]int)
+				fleet.run(step)
+				fleet.side = sides
+				most = max(most, fleet.mistaken())
+			}
+			So(most, ShouldEqual, 0)
+			clear(fleet.side)
+			So(fleet.agree(), ShouldBeTrue)
+		})
+	}
+}
+
 // TestFleet holds for fleets of which all answer: nobody is taken for silent, and what an instance sends does not
 // grow with the fleet.
 func TestFleet(t *testing.T) {
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -35,7 +35,7 @@
 		// Others learn of it by their signatures.
 		state.news = before.news
 	}
-	state = state.withAnswer(from)
+	state = state.withAnswer(from).withTrust(now, from)
 	var outgoing []Outgoing
 	sender, found := state.members.Get(from)
 	switch {
@@ -62,14 +62,14 @@
 	return state, outgoing
 }
 
-// withWord takes a word on another instance if it is newer than what is known; one that contradicts what is known
-// makes that news again.
+// withWord takes a word on another instance if it is newer than what is known and not mistaken; one that contradicts
+// what is known makes that news again.
 func (state State) withWord(now time.Time, beat coltsfootlink.Beat) State {
 	known, found := state.members.Get(beat.Instance.Name)
 	switch {
 	case !found && beat.Silent:
 		return state
-	case found && !newer(beat, known.beat):
+	case found && (!newer(beat, known.beat) || known.trusted(now, beat)):
 		if beat.Silent != known.beat.Silent {
 			state.news = state.news.Set(beat.Instance.Name, 0)
 		}
@@ -113,6 +113,18 @@
 	return state.withMember(known.withoutProbe())
 }
 
+// withTrust notes that an instance was heard of by itself. Its silence cannot be found out sooner than by two
+// questions in a row that it leaves unanswered. Instances that were cut off took all on the other side for silent, and
+// say so when they are back.
+func (state State) withTrust(now time.Time, name coltsfootlink.InstanceName) State {
+	known, found := state.members.Get(name)
+	if !found {
+		return state
+	}
+	known.trustedUntil = now.Add(2 * state.policy.AnswerLimit)
+	return state.withMember(known)
+}
+
 // withNews fills heartbeats with the instance's own beat, what their receivers believe wrongly, and the news that
 // was told least often.
 func (state State) withNews(outgoing []Outgoing) (State, []Outgoing) {
--- a/membership/member.go
+++ b/membership/member.go
@@ -17,6 +17,8 @@
 	listed, seed bool
 	// silentSince is when the instance was last taken for silent.
 	silentSince time.Time
+	// trustedUntil is how long the instance's own last heartbeat goes before others' words that it is silent.
+	trustedUntil time.Time
 	// answerBy is when the instance has to have answered a question; zero if none is open.
 	answerBy time.Time
 	// indirect says that others were asked to find out whether the instance answers.
@@ -26,6 +28,12 @@
 // live says that the instance answers, as far as is known.
 func (member member) live() bool { return !member.beat.Silent }
 
+// trusted says whether the instance itself was heard of so lately that a word of its silence must be mistaken.
+func (member member) trusted(now time.Time, word coltsfootlink.Beat) bool {
+	sameLife := word.Instance.Incarnation == member.beat.Instance.Incarnation
+	return member.live() && sameLife && word.Silent && now.Before(member.trustedUntil)
+}
+
 // withoutProbe returns the member with no question open.
 func (member member) withoutProbe() member {
 	member.answerBy = time.Time{}
