Charge no permit for time in which its holder is out of touch

Seen: after an instance died, one to three teams that had called it got nothing for 3 s, though their callers had come to another instance within 0.1 s.

It held about 40 of 96 permits. Until its silence was noticed at 22.1 its permits went on to age, and each was charged up to the largest cost: team-12's counter at one owner went from 31,461 to 37,342 tokens (14.7 L) by 21.148, those of team-08 and team-10 by 9 L, while no other team's rose by more than 6. The dead instance never says what its requests cost, so nothing was taken back, and the three teams waited until the others had caught up: 22.7 and 24.0. In a cut zone the same happens to all whose permits are held on the other side.

Cause: an owner charges a permit by its age, also for the 2 to 3 s in which its holder is dead or cut off and not yet known to be. Now the age counts up to 250 ms after the last message from the holder, or until a message to it is lost; once the holder speaks again, all of the age counts.

Ruled out: that demand comes late (it was at the owners within 0.2 s), and the floor of idle teams. Not changed: the dead instance's permits still count against the targets until it is silent and they have reported, so 40 slots stay empty for 2.8 s.

Test: permit.TestAgesOfADeadInstance. TestNoPermitsForADeadInstance calls the method by its new name, WithBrokenLink, and checks what it checked.

--- a/owner/task.go
+++ b/owner/task.go
@@ -85,6 +85,9 @@
 
 func (task *Task) handle(delivery coltsfootlink.Delivery) {
 	now := task.Clock.Now()
+	if delivery.From != "" {
+		task.state = task.state.WithTouch(now, delivery.From)
+	}
 	switch message := delivery.Message.(type) {
 	case coltsfootlink.Demand:
 		task.step(task.state.WithDemand(delivery.From, message))
@@ -98,7 +101,7 @@
 		task.shareCounters(message)
 		task.repeatFaults(message.Owner)
 	case coltsfootlink.LinkBroken:
-		task.state = task.state.WithoutDemand(message.To)
+		task.state = task.state.WithBrokenLink(now, message.To)
 	case coltsfootlink.Counters:
 		task.state = task.state.WithCounters(message)
 	case coltsfootlink.MoveFault:
--- a/permit/aging.go
+++ b/permit/aging.go
@@ -33,7 +33,7 @@
 	owned = owned.withSlots(func(slot Slot) Slot {
 		for _, held := range slot.holdings() {
 			team, found := state.configuration.Teams[held.permit.Team]
-			likely := owned.likelyCost(now, held, pool)
+			likely := owned.likelyCost(state.lastAge(now, held.permit.Holder), held, pool)
 			missing := likely - held.permit.Charge
 			orphan := !held.orphanUntil.IsZero()
 			if !found || orphan || missing < agingStep*pool.MaxCost {
--- a/permit/state.go
+++ b/permit/state.go
@@ -20,6 +20,9 @@
 	startLimit = 2 * time.Second
 	// confirmLimit is how long a permit counts before its holder has to confirm it.
 	confirmLimit = 5 * time.Second
+	// touchLimit is how long the ages of an instance's permits count after its last message. Instances whose
+	// permits are used up by waiting teams send several in that time.
+	touchLimit = 250 * time.Millisecond
 )
 
 // Rules are the choices that operators make for an owner.
@@ -50,15 +53,18 @@
 	targets       []coltsfootlink.Target
 	shards        *immutable.SortedMap[string, shard]
 	shares        *immutable.SortedMap[coltsfootlink.PoolName, coltsfootlink.FairShare]
+	// agesUntil is until when the ages of an instance's permits count, for instances that were heard of.
+	agesUntil *immutable.SortedMap[coltsfootlink.InstanceName, time.Time]
 }
 
 // NewState returns the state of an owner without shards.
 func NewState(self coltsfootlink.InstanceName, rules Rules) State {
 	return State{
-		self:   self,
-		rules:  rules,
-		shards: immutable.NewSortedMap[string, shard](nil),
-		shares: immutable.NewSortedMap[coltsfootlink.PoolName, coltsfootlink.FairShare](nil),
+		self:      self,
+		rules:     rules,
+		shards:    immutable.NewSortedMap[string, shard](nil),
+		shares:    immutable.NewSortedMap[coltsfootlink.PoolName, coltsfootlink.FairShare](nil),
+		agesUntil: immutable.NewSortedMap[coltsfootlink.InstanceName, time.Time](nil),
 	}
 }
 
@@ -111,16 +117,35 @@
 	return state, posts
 }
 
-// WithoutDemand forgets what waits on an instance that may be gone; one that is not says it again. Permits
-// would otherwise go to a dead instance until its silence is noticed. Those that it holds stay counted.
-func (state State) WithoutDemand(from coltsfootlink.InstanceName) State {
+// WithTouch notes that an instance was heard of, so that the ages of its permits count a little longer. The time for
+// which nothing is heard of it counts as well once it speaks again, but not if it never does: its teams would be
+// charged for service that nobody had.
+func (state State) WithTouch(now time.Time, from coltsfootlink.InstanceName) State {
+	state.agesUntil = state.agesUntil.Set(from, now.Add(touchLimit))
+	return state
+}
+
+// WithBrokenLink forgets what waits on an instance that may be gone, and stops the ages of its permits; one that
+// is not says both again. Permits would otherwise go to a dead instance until its silence is noticed, and its
+// teams would be charged for time in which they were not served. The permits that it holds stay counted.
+func (state State) WithBrokenLink(now time.Time, to coltsfootlink.InstanceName) State {
 	for _, owned := range state.owned() {
-		owned.demands = owned.demands.Delete(from)
+		owned.demands = owned.demands.Delete(to)
 		state = state.withShard(owned)
 	}
+	state.agesUntil = state.agesUntil.Set(to, state.lastAge(now, to))
 	return state
 }
 
+// lastAge returns until when the ages of an instance's permits count.
+func (state State) lastAge(now time.Time, holder coltsfootlink.InstanceName) time.Time {
+	until, touched := state.agesUntil.Get(holder)
+	if touched && until.Before(now) {
+		return until
+	}
+	return now
+}
+
 // WithDemand notes the requests that wait on an instance. One that follows a former owner is told.
 func (state State) WithDemand(from coltsfootlink.InstanceName, report coltsfootlink.Demand) (State, []Post) {
 	owned, found := state.shards.Get(report.Shard.String())
--- a/permit/state_test.go
+++ b/permit/state_test.go
@@ -182,7 +182,7 @@
 
 func TestNoPermitsForADeadInstance(t *testing.T) {
 	Convey("once messages to an instance are lost, it gets no permits until it asks again", t, func() {
-		state := withDemand(owning(), "x", 5).WithoutDemand("a-1")
+		state := withDemand(owning(), "x", 5).WithBrokenLink(start, "a-1")
 		state, posts := state.WithGrants(start)
 		So(granted(posts), ShouldBeEmpty)
 		_, posts = withDemand(state, "x", 5).WithGrants(start)
@@ -420,6 +420,33 @@
 	})
 }
 
+func TestAgesOfADeadInstance(t *testing.T) {
+	half, late, now := start.Add(time.Second/2), start.Add(2900*time.Millisecond), start.Add(3*time.Second)
+	cases := map[string]struct {
+		change  func(State) State
+		service float64
+	}{
+		"a permit ages while its holder is in touch":     {func(state State) State { return state.WithTouch(late, "a-1") }, 90},
+		"not while nothing is heard of its holder":       {func(state State) State { return state.WithTouch(half, "a-1") }, 50},
+		"though something is heard of another":           {func(state State) State { return state.WithTouch(half, "a-1").WithTouch(late, "a-2") }, 50},
+		"all of its age counts once its holder speaks":   {func(state State) State { return state.WithTouch(half, "a-1").WithTouch(late, "a-1") }, 90},
+		"not once messages to its holder are lost":       {func(state State) State { return state.WithBrokenLink(half, "a-1") }, 50},
+		"nor because messages are lost again":            {func(state State) State { return state.WithBrokenLink(half, "a-1").WithBrokenLink(late, "a-1") }, 50},
+		"though messages to another are lost":            {func(state State) State { return state.WithTouch(late, "a-1").WithBrokenLink(half, "a-2") }, 90},
+		"again once its holder speaks over another link": {func(state State) State { return state.WithBrokenLink(half, "a-1").WithTouch(late, "a-1") }, 90},
+	}
+	for name, test := range cases {
+		Convey(name, t, func() {
+			state, posts := withDemand(owning(), "x", 2).WithGrants(start)
+			state = state.WithRelease(start.Add(time.Second), coltsfootlink.Release{
+				Permit: granted(posts)[0], Usage: coltsfootlink.Usage{Result: coltsfootlink.Succeeded, Cost: 30},
+			})
+			state = test.change(state).WithAgedCharges(now)
+			So(state.Service("pool")["x"], ShouldAlmostEqual, 30+test.service, 1e-6)
+		})
+	}
+}
+
 // TestNeverMoreThanTheLimit lets two holders use permits while messages are lost, doubled and late.
 func TestNeverMoreThanTheLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/permit/takeover.go
+++ b/permit/takeover.go
@@ -110,6 +110,7 @@
 
 func (state State) withLostHolders(now time.Time, previous coltsfootlink.View) State {
 	for _, member := range arrived(state.view, previous) {
+		state.agesUntil = state.agesUntil.Delete(member.Name)
 		for _, owned := range state.owned() {
 			state = state.withShard(owned.withHolderLost(member.Name, now.Add(orphanLimit)))
 		}
