Grant nothing in a split zone before the target has reported to its new owner

Seen: a target ran 9 requests where it bears 8.

Cause: what the portions of both sides add up to holds once what ran before has ended; a new owner that lacks announcements has only the report to know it by. Now it grants nothing on a target before that has reported, as long as instances of the zone are out of sight. Where all announce their permits nothing changes.

Ruled out: awaiting the silent instances too, for up to 2 s without grants.

Test: permit.TestTakeoverWhileAnInstanceIsOutOfSight; 1 permit before, 0 now.

What remains is another cause: a request that is on the wire when a zone is cut off, and held there, runs when the zone is back, beside 8 others; its permit was given up after its holder fell silent and the target reported that it does not run it.

--- a/permit/shard.go
+++ b/permit/shard.go
@@ -58,6 +58,14 @@
 	})
 }
 
+// withReportsAwaited notes that the targets have not reported to this owner yet.
+func (owned shard) withReportsAwaited() shard {
+	return owned.withSlots(func(slot Slot) Slot {
+		slot.unreported = true
+		return slot
+	})
+}
+
 // withAnnouncement notes the permits that an instance holds.
 func (owned shard) withAnnouncement(now time.Time, from coltsfootlink.InstanceName, holdings coltsfootlink.Holdings) shard {
 	collecting := owned.awaiting[from]
--- a/permit/slot.go
+++ b/permit/slot.go
@@ -19,6 +19,8 @@
 	regained int
 	// unsettled says that others may have granted permits that are not known here.
 	unsettled bool
+	// unreported says that the target has not reported since the shard was taken over.
+	unreported bool
 	// downSince is when the target was found not to answer; zero if it answers.
 	downSince time.Time
 	// suspects are the fingerprints of requests whose connections broke since the target was last known to run.
@@ -139,6 +141,7 @@
 	if asked.After(slot.downSince) {
 		slot.downSince = time.Time{}
 	}
+	slot.unreported = false
 	slot = slot.withoutEndedOrphans(load.Running, asked)
 	slot.unsettled = slot.unsettled && load.Running > slot.peak
 	slot.foreign = 0
--- a/permit/state.go
+++ b/permit/state.go
@@ -230,7 +230,12 @@
 	if state.configuration.ZoneOut(slot.Target.Zone) {
 		return 0
 	}
-	return slot.headroom(state.portion(owned, slot.Limit()))
+	portion := state.portion(owned, slot.Limit())
+	if portion < slot.Limit() && slot.unreported {
+		// An instance out of sight may still use the whole limit, and nobody announces its permits.
+		return 0
+	}
+	return slot.headroom(portion)
 }
 
 func (state State) announcement(owned shard) coltsfootlink.Takeover {
--- a/permit/state_test.go
+++ b/permit/state_test.go
@@ -403,6 +403,50 @@
 	})
 }
 
+func TestTakeoverWhileAnInstanceIsOutOfSight(t *testing.T) {
+	report := func(running int) func(State) State {
+		return func(state State) State {
+			load := coltsfootlink.Load{Target: "t", Incarnation: 1, Running: running}
+			state, _ = state.WithLoad(start, load, start)
+			return state
+		}
+	}
+	none := func(state State) State { return state }
+	cases := map[string]struct {
+		live    bool
+		change  func(State) State
+		permits int
+	}{
+		"all announce their permits, so no report is needed":   {true, none, 2},
+		"nothing is granted before the target has reported":    {false, none, 0},
+		"nor while it runs what the other instance granted":    {false, report(8), 0},
+		"the portion is granted on a target that runs nothing": {false, report(0), 1},
+	}
+	for name, test := range cases {
+		Convey(name, t, func() {
+			members := []coltsfootlink.Member{memberOf("a-0", test.live), memberOf("a-1", true)}
+			state := NewState("a-1", rules())
+			state.rules.Placement = ownedByLast{}
+			state, _ = state.WithView(start, coltsfootlink.View{Members: members})
+			state, _ = state.WithTargets(start, []coltsfootlink.Target{target("t")})
+			state, _ = state.WithConfiguration(start, configuration())
+			for _, member := range members {
+				state, _ = state.WithHoldings(start, member.Name, coltsfootlink.Holdings{Shard: shard0})
+			}
+			_, posts := test.change(withDemand(state, "x", 5)).WithGrants(start)
+			So(granted(posts), ShouldHaveLength, test.permits)
+		})
+	}
+}
+
+// ownedByLast gives every shard to the last of the live instances.
+type ownedByLast struct{ ownership.Rendezvous }
+
+func (ownedByLast) Owner(_ coltsfootlink.Shard, view coltsfootlink.View) (coltsfootlink.InstanceName, bool) {
+	live := view.Live()
+	return live[len(live)-1].Name, true
+}
+
 func TestAgedCharges(t *testing.T) {
 	Convey("a long request counts before it ends, and its cost replaces the aged charge", t, func() {
 		state, posts := withDemand(owning(), "x", 2).WithGrants(start)
--- a/permit/takeover.go
+++ b/permit/takeover.go
@@ -66,7 +66,7 @@
 	if found {
 		return owned.withTargets(now, targets, start), nil
 	}
-	return state.takenOver(now, newShard(name).withTargets(now, targets, start))
+	return state.takenOver(now, newShard(name).withTargets(now, targets, start).withReportsAwaited())
 }
 
 // takenOver starts a new epoch of a shard and asks every live instance for its permits.
