--- a/peer/link.go
+++ b/peer/link.go
@@ -58,6 +58,8 @@
 type outStream struct {
 	grpc.ClientStreamingClient[peerpb.Batch, peerpb.Nothing]
 	names *encoder
+	// stamp is the latest that the receiver was told.
+	stamp coltsfootlink.Stamp
 }
 
 // Run sends messages until the context ends. Messages that cannot be sent are lost.
@@ -104,7 +106,7 @@
 // send sends messages in one batch; false if the stream is broken. Questions whose callers no longer wait are left out:
 // times travel as spans, so that their owners would not know.
 func (link *link) send(stream *outStream, messages []coltsfootlink.Message) bool {
-	batch := &peerpb.Batch{Stamp: uint64(link.stamper.Next())}
+	batch := new(peerpb.Batch)
 	for _, message := range messages {
 		if ask, is := message.(coltsfootlink.Ask); is && ask.Expired(time.Now()) {
 			continue
@@ -120,10 +122,20 @@
 	if len(batch.Messages) == 0 {
 		return true
 	}
+	batch.Stamp = uint64(stream.freshStamp(link.stamper.Latest()))
 	batch.Names = stream.names.takeFresh()
 	return stream.Send(batch) == nil
 }
 
+// freshStamp returns a stamp that the receiver was not told yet; zero if it was. Only events make new ones.
+func (stream *outStream) freshStamp(latest coltsfootlink.Stamp) coltsfootlink.Stamp {
+	if latest == stream.stamp {
+		return 0
+	}
+	stream.stamp = latest
+	return latest
+}
+
 // kindOf returns the name of a message's type.
 func kindOf(message coltsfootlink.Message) string {
 	return reflect.TypeOf(message).Name()
--- a/permit/takeover.go
+++ b/permit/takeover.go
@@ -66,7 +66,7 @@
 	if found {
 		return owned.withTargets(now, targets, start), nil
 	}
-	return state.takenOver(now, newShard(name).withTargets(now, targets, start))
+	return state.takenOver(now, newShard(name).withTargets(now, targets, start).withReportsAwaited())
 }
 
 // takenOver starts a new epoch of a shard and asks every live instance for its permits.
@@ -110,6 +110,7 @@
 
 func (state State) withLostHolders(now time.Time, previous coltsfootlink.View) State {
 	for _, member := range arrived(state.view, previous) {
+		state.agesUntil = state.agesUntil.Delete(member.Name)
 		for _, owned := range state.owned() {
 			state = state.withShard(owned.withHolderLost(member.Name, now.Add(orphanLimit)))
 		}
