Bound the connections that are being handed over by the processor

Cause: it passed on 99 in 100 connections, and that, too, costs more than it has: a connection is dialled, welcomed and copied, where a refusal costs a part of it. What waits in its queue is passed on after its caller has left.

Ruled out: instances that hold requests. Few answers took over 0.9 s but for streams; nine ended at the deadline.

Change: at most 200 connections for each core are being handed over at a time, as many as requests may wait for a target. A processor that follows hands one over in milliseconds and never comes near; one that does not refuses the rest.

TestPassingIsBounded is new with it.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -200,7 +200,7 @@
 		Open:        new(atomic.Int64),
 		MaxOpen:     int64(gateway.Settings.MemoryMB * openPerMB),
 		MaxActive:   int64(gateway.Settings.MemoryMB * activePerMB),
-		MaxChoosing: int64(math.Ceil(gateway.Settings.ProcessorShare * gateway.Settings.Cores * choosingPerCore)),
+		MaxChoosing: gateway.mostChoosing(),
 	}
 }
 
@@ -212,6 +212,11 @@
 		Msg("gateway: bounds")
 }
 
+// mostChoosing is the most requests that wait for a target, and connections for another instance, at a time.
+func (gateway *Gateway) mostChoosing() int64 {
+	return int64(math.Ceil(gateway.Settings.ProcessorShare * gateway.Settings.Cores * choosingPerCore))
+}
+
 func (gateway *Gateway) addPeers(branch *supervisor.Branch) {
 	branch.Add("server", &peer.Server{
 		Address: gateway.Settings.Listen.Peers,
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -19,11 +19,13 @@
 
 func (gateway *Gateway) prepareRelay() {
 	gateway.relay = &relay.Task{
-		Self:  gateway.self,
-		Most:  int64(gateway.Settings.MemoryMB * passedPerMB),
-		Draw:  rand.Float64,
-		Clock: gateway.clock,
-		Inbox: gateway.boxes.relay,
+		Self: gateway.self,
+		Most: int64(gateway.Settings.MemoryMB * passedPerMB),
+
+		MostOpening: gateway.mostChoosing(),
+		Draw:        rand.Float64,
+		Clock:       gateway.clock,
+		Inbox:       gateway.boxes.relay,
 	}
 	if gateway.Settings.Listen.Relay != "" {
 		gateway.gate.Room = gateway.relay.Room
--- a/relay/passing.go
+++ b/relay/passing.go
@@ -40,6 +40,7 @@
 // instance takes it.
 func (passing *passing) run(ctx context.Context) {
 	other := passing.find(ctx)
+	passing.task.opening.Add(-1)
 	if other == nil {
 		metrics.Count("connections-brought-back")
 		passing.back(passing.caller)
--- a/relay/task.go
+++ b/relay/task.go
@@ -21,8 +21,9 @@
 	Self coltsfootlink.Instance
 	// Port is where every instance takes connections of others.
 	Port string
-	// Most bounds the connections that are passed on at a time.
-	Most int64
+	// Most bounds the connections that are passed on at a time, and MostOpening those of them that no other instance has
+	// taken yet: where the processor cannot follow, to refuse costs less.
+	Most, MostOpening int64
 	// Draw returns a random number from 0 to 1.
 	Draw  func() float64
 	Clock coltsfootlink.Clock
@@ -31,6 +32,8 @@
 	// plan is read by the callers' server.
 	plan atomic.Pointer[Plan]
 	open atomic.Int64
+	// opening is the number of connections that no other instance has taken yet.
+	opening atomic.Int64
 	// life ends the connections that are passed on.
 	life atomic.Pointer[context.Context]
 }
@@ -87,7 +90,7 @@
 
 // Passes says whether a new connection would be passed on; so that a caller does better to open one.
 func (task *Task) Passes() bool {
-	return task.open.Load() < task.Most && task.Plan().Passes(task.Clock.Now(), task.Draw())
+	return task.open.Load() < task.Most && task.opening.Load() < task.MostOpening && task.Plan().Passes(task.Clock.Now(), task.Draw())
 }
 
 // Room says whether another instance of the zone may have room.
@@ -103,6 +106,7 @@
 		return caller
 	}
 	task.open.Add(1)
+	task.opening.Add(1)
 	now := task.Clock.Now()
 	passing := &passing{task: task, caller: caller, back: back, sentAt: now.Add(-task.Plan().wait)}
 	go func() {
--- a/relay/task_test.go
+++ b/relay/task_test.go
@@ -79,7 +79,7 @@
 	here := coltsfootlink.Instance{Name: "here", Zone: "z", PeerAddress: net.JoinHostPort(hereHost, "1")}
 	other := coltsfootlink.Instance{Name: "other", Zone: "z", PeerAddress: net.JoinHostPort(otherHost, "1")}
 	far := coltsfootlink.Instance{Name: "far", Zone: "y", PeerAddress: net.JoinHostPort("127.0.0.3", "1")}
-	task := &Task{Self: here, Port: port, Most: 100, Draw: func() float64 { return 0 }, Clock: coltsfootlink.SystemClock{}, Inbox: mailbox.NewDeliveries()}
+	task := &Task{Self: here, Port: port, Most: 100, MostOpening: 10, Draw: func() float64 { return 0 }, Clock: coltsfootlink.SystemClock{}, Inbox: mailbox.NewDeliveries()}
 	view := coltsfootlink.View{Members: []coltsfootlink.Member{
 		{Instance: far, Live: true}, {Instance: here, Live: true}, {Instance: other, Live: true},
 	}}
@@ -150,6 +150,25 @@
 	}
 }
 
+func TestPassingIsBounded(t *testing.T) {
+	cases := map[string]struct {
+		open, opening int64
+		passes        bool
+	}{
+		"few":                            {99, 9, true},
+		"as many as may be passed on":    {100, 0, false},
+		"as many as may be being opened": {10, 10, false},
+	}
+	for name, test := range cases {
+		Convey("what is passed on is bounded: "+name, t, func() {
+			task := start(t, behind(30), "7414")
+			task.open.Store(test.open)
+			task.opening.Store(test.opening)
+			So(task.Passes(), ShouldEqual, test.passes)
+		})
+	}
+}
+
 func TestPassedConnectionsEnd(t *testing.T) {
 	left := make(chan struct{}, 1)
 	waits := http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
@@ -180,6 +199,7 @@
 			So(err, ShouldBeNil)
 			time.Sleep(100 * time.Millisecond)
 			So(task.Open(), ShouldEqual, 1)
+			So(task.opening.Load(), ShouldEqual, 0)
 			end(conn, stop)
 			select {
 			case <-left:
