Make operators' tables in one place for the soak and the overload suite

Table now has the host, the connections and the promised tokens as fields, EngineTable is gone, and the headers are standin's.

--- a/cmd/soak/caller.go
+++ b/cmd/soak/caller.go
@@ -223,7 +223,7 @@
 	path := "/" + tried.route + "/x?call=" + wanted.name
 	body := content("body of "+tried.id, 1+wanted.size%3000)
 	// The method and the address are sound, so that this cannot fail.
-	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://h"+path, bytes.NewReader(body))
+	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+routeHost+path, bytes.NewReader(body))
 	header := request.Header
 	header.Set(standin.RequestIDHeader, tried.id)
 	header.Set(standin.LeftHeader, fmt.Sprint(max(1, time.Until(wanted.deadline).Milliseconds())))
--- a/cmd/soak/operator.go
+++ b/cmd/soak/operator.go
@@ -19,6 +19,11 @@
 	storePause = 20 * time.Millisecond
 	// moveSeconds is how long a move may take.
 	moveSeconds = 12
+	// routeHost is the host of all routes, targetConnections what a target accepts, and tokensPerSecond what operators
+	// promise of the engines.
+	routeHost         = "h"
+	targetConnections = 500
+	tokensPerSecond   = 100_000
 )
 
 // terms is a version of the operators' table.
@@ -95,10 +100,12 @@
 		keys[team] = []string{"key-" + team}
 	}
 	services := []standin.TableService{
-		{Name: plainPool, ColdSeconds: coldSpan.Seconds(), ColdPerSecond: coldPerSecond},
-		{Name: enginePool, ColdSeconds: coldSpan.Seconds(), ColdPerSecond: coldPerSecond, MemoryTokens: 400_000},
+		{Name: plainPool, Connections: targetConnections, ColdSeconds: coldSpan.Seconds(), ColdPerSecond: coldPerSecond},
+		{Name: enginePool, Connections: targetConnections, ColdSeconds: coldSpan.Seconds(), ColdPerSecond: coldPerSecond, MemoryTokens: 400_000},
 	}
-	return standin.Table{Version: held.version, Routes: routes, Services: services, Keys: keys, BodyBytes: answerBodyLimit}.Document()
+	return standin.Table{
+		Version: held.version, Host: routeHost, Routes: routes, Services: services, Keys: keys, BodyBytes: answerBodyLimit, TokensPerSecond: tokensPerSecond,
+	}.Document()
 }
 
 // operator writes orders and entries into the store, and tells what the store has acknowledged.
--- a/cmd/soak/target.go
+++ b/cmd/soak/target.go
@@ -228,8 +228,11 @@
 	}
 	defer func() { _ = connection.Close() }()
 	_ = connection.SetDeadline(time.Now().Add(linkLimit))
-	const other = "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nAnswer-Stamp: other\r\nContent-Length: 5\r\n\r\nother"
-	whole := fmt.Sprintf("HTTP/1.1 %d Status\r\nAttempt-Id: %s\r\nAnswer-Stamp: %s\r\nContent-Length: %d\r\n\r\n%s", status, request.Header.Get(standin.RequestIDHeader), stamp, len(body), body)
+	answer := func(status int, id, stamp string, body []byte) string {
+		return fmt.Sprintf("HTTP/1.1 %d Status\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", status, standin.RequestIDHeader, id, standin.StampHeader, stamp, len(body), body)
+	}
+	other := answer(http.StatusOK, "other", "other", []byte("other"))
+	whole := answer(status, request.Header.Get(standin.RequestIDHeader), stamp, body)
 	beginnings := []string{"", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nX: ", other, whole, whole + other}
 	_, _ = io.WriteString(connection, beginnings[rand.IntN(len(beginnings))])
 	garbage := content(request.Header.Get(standin.RequestIDHeader), 1<<10)
--- a/cmd/surge/overload.go
+++ b/cmd/surge/overload.go
@@ -25,10 +25,12 @@
 const (
 	// daySettle is the time from the gateways' start to the day's: owners ask engines for their reports first.
 	daySettle = 2 * time.Second
-	// dayHost is the host that callers name, dayPool the pool of all engines, and dayConnections what each accepts.
+	// dayHost is the host that callers name, dayPool the pool of all engines, dayConnections what each accepts, and
+	// dayBodyBytes the largest body of a request.
 	dayHost        = "day"
 	dayPool        = "models"
 	dayConnections = 1000
+	dayBodyBytes   = 1 << 20
 	// plotWidth and plotHeight are the size of a plot.
 	plotWidth  = 16 * vg.Centimeter
 	plotHeight = 9 * vg.Centimeter
@@ -139,22 +141,26 @@
 
 // publish writes the configuration and the engines' entries into the store.
 func (read day) publish(ctx context.Context, store *platform.Store, policy string, engines []*standin.Engine) error {
-	var rules []coltsfootlink.RoutingRule
+	var routes []standin.TableRoute
 	for _, one := range read.Classes {
-		rules = append(rules, coltsfootlink.RoutingRule{
-			Name: one.Name, Host: dayHost, Prefix: "/" + one.Name + "/", MaxAttempts: 1, Timeout: millis(one.TimeoutMillis), Objective: millis(one.ObjectiveMillis),
+		routes = append(routes, standin.TableRoute{
+			Name: one.Name, Kind: "streaming", Service: dayPool, Attempts: 1,
+			TimeoutMillis: int64(one.TimeoutMillis), Objective: int64(one.ObjectiveMillis),
 		})
 	}
-	var teams []string
+	keys := make(map[string][]string)
 	for team := range read.Teams {
-		teams = append(teams, dayTeam(team))
+		keys[dayTeam(team)] = []string{dayTeam(team)}
 	}
 	promised := 0.0
 	if policy == inForce {
 		promised = read.TokensPerSecond
 	}
-	pool := coltsfootlink.PoolTraits{Name: dayPool, ConnectionLimit: dayConnections, MemoryTokens: read.Engine.MemoryTokens}
-	documents := map[string]any{"config": standin.EngineTable(rules, pool, teams, promised)}
+	table := standin.Table{
+		Version: 1, Host: dayHost, Routes: routes, Keys: keys, BodyBytes: dayBodyBytes, TokensPerSecond: promised,
+		Services: []standin.TableService{{Name: dayPool, Connections: dayConnections, MemoryTokens: read.Engine.MemoryTokens}},
+	}
+	documents := map[string]any{"config": table.Document()}
 	if err := write(ctx, store, platform.OperatorTopic, documents); err != nil {
 		return err
 	}
--- a/standin/table.go
+++ b/standin/table.go
@@ -2,13 +2,17 @@
 
 // Table is a configuration as operators write it into the store.
 type Table struct {
-	Version  int
+	Version int
+	// Host is that of all routes.
+	Host     string
 	Routes   []TableRoute
 	Services []TableService
 	// Keys are the keys of each team.
 	Keys map[string][]string
 	// BodyBytes is the largest body of a request.
 	BodyBytes int
+	// TokensPerSecond is what operators promise of the engines.
+	TokensPerSecond float64
 }
 
 // TableRoute is a route of a configuration; times are in milliseconds.
@@ -22,31 +26,26 @@
 // TableService is a service of a configuration.
 type TableService struct {
 	Name string
+	// Connections is what a target accepts.
+	Connections int
 	// ColdSeconds is how long a target is cold, and ColdPerSecond what it bears meanwhile.
 	ColdSeconds, ColdPerSecond float64
 	// MemoryTokens is the memory of an engine; zero for other services.
 	MemoryTokens int
 }
 
-const (
-	// tableHost is the host of all routes.
-	tableHost = "h"
-	// tokensPerSecond is what operators promise of the engines.
-	tokensPerSecond = 100_000
-)
-
 // Document is the configuration as the store has it.
 func (table Table) Document() map[string]any {
 	var routes, services, teams []any
 	for _, route := range table.Routes {
 		routes = append(routes, map[string]any{
-			"name": route.Name, "host": tableHost, "path_prefix": "/" + route.Name + "/", "kind": route.Kind, "timeout_ms": route.TimeoutMillis,
+			"name": route.Name, "host": table.Host, "path_prefix": "/" + route.Name + "/", "kind": route.Kind, "timeout_ms": route.TimeoutMillis,
 			"target_latency_ms": route.Objective, "service": route.Service, "max_attempts": route.Attempts, "resumable": route.Resumable,
 		})
 	}
 	for _, service := range table.Services {
 		document := map[string]any{
-			"name": service.Name, "connection_limit": 500, "cold_start_s": service.ColdSeconds, "cold_per_s": service.ColdPerSecond, "health_path": "/health",
+			"name": service.Name, "connection_limit": service.Connections, "cold_start_s": service.ColdSeconds, "cold_per_s": service.ColdPerSecond, "health_path": "/health",
 		}
 		if service.MemoryTokens > 0 {
 			document["engine"] = map[string]any{"kv_capacity_tokens": service.MemoryTokens}
@@ -59,7 +58,7 @@
 	return map[string]any{
 		"version": table.Version, "routes": routes, "services": services, "tenants": teams,
 		"limits": map[string]any{
-			"max_body_bytes": table.BodyBytes, "max_header_bytes": 16384, "header_timeout_ms": 5000, "idle_timeout_ms": 15000, "tokens_per_s": tokensPerSecond,
+			"max_body_bytes": table.BodyBytes, "max_header_bytes": 16384, "header_timeout_ms": 5000, "idle_timeout_ms": 15000, "tokens_per_s": table.TokensPerSecond,
 		},
 	}
 }
