Look at the relay's port once, and say what is read across tasks

Whether connections are passed on was asked twice, in two ways; the port alone says so now. The relay's tests take the rig's free addresses in place of their own; their assertions stay.

--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -89,7 +89,7 @@
 	pressure pressure.State
 	catalog  coltsfootlink.Catalog
 	view     coltsfootlink.View
-	// owners are the owners of targets that were asked for since the view last changed.
+	// owners are the owners of targets that were asked for since the view or the catalog last changed.
 	owners map[place]coltsfootlink.InstanceName
 	// live are the zones with live instances.
 	live    map[coltsfootlink.ZoneName]bool
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -18,8 +18,11 @@
 )
 
 func (gateway *Gateway) prepareRelay() {
+	// The settings are checked; without an address there is no port, and nothing is passed on.
+	_, port, _ := net.SplitHostPort(gateway.Settings.Listen.Relay)
 	gateway.relay = &relay.Task{
 		Self: gateway.self,
+		Port: port,
 		Most: int64(gateway.Settings.MemoryMB * passedPerMB),
 
 		MostOpening: gateway.mostChoosing(),
@@ -27,18 +30,16 @@
 		Clock:       gateway.clock,
 		Inbox:       gateway.boxes.relay,
 	}
-	if gateway.Settings.Listen.Relay != "" {
+	if port != "" {
 		gateway.gate.Room = gateway.relay.Room
 	}
 }
 
 // addRelay adds what passes callers' connections on and what takes those of others.
 func (gateway *Gateway) addRelay(front *supervisor.Branch, callers *web.Server) {
-	_, port, err := net.SplitHostPort(gateway.Settings.Listen.Relay)
-	if err != nil {
+	if gateway.relay.Port == "" {
 		return
 	}
-	gateway.relay.Port = port
 	callers.Doorman = gateway.relay
 	front.Add("relay", gateway.relay)
 	entrance := gateway.server("entrance", gateway.Settings.Listen.Relay, gateway.service)
--- a/relay/task_test.go
+++ b/relay/task_test.go
@@ -17,23 +17,18 @@
 	"coltsfootlink"
 	"coltsfootlink/mailbox"
 	"coltsfootlink/pressure"
+	"coltsfootlink/rig"
 	"coltsfootlink/web"
 )
 
-const (
-	hereHost  = "127.0.0.1"
-	otherHost = "127.0.0.2"
-)
-
-// freeAddress returns an address that nobody listens on.
-func freeAddress(t *testing.T, host string) string {
+// freeAddress returns an address, of a host of its own, that nobody listens on.
+func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+	address, err := rig.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return address
 }
 
 // serve runs a server until the test ends, and waits until it listens.
@@ -73,12 +68,15 @@
 func never() bool  { return false }
 func always() bool { return true }
 
-// start runs the relay of an instance whose zone has one other, and waits until its plan is made.
-func start(t *testing.T, state pressure.State, port string) *Task {
+// start runs the relay of an instance whose zone has one other, which takes connections at an address, and waits until
+// its plan is made.
+func start(t *testing.T, state pressure.State, address string) *Task {
 	t.Helper()
-	here := coltsfootlink.Instance{Name: "here", Zone: "z", PeerAddress: net.JoinHostPort(hereHost, "1")}
+	otherHost, port, err := net.SplitHostPort(address)
+	So(err, ShouldBeNil)
+	here := coltsfootlink.Instance{Name: "here", Zone: "z", PeerAddress: "127.0.0.1:1"}
 	other := coltsfootlink.Instance{Name: "other", Zone: "z", PeerAddress: net.JoinHostPort(otherHost, "1")}
-	far := coltsfootlink.Instance{Name: "far", Zone: "y", PeerAddress: net.JoinHostPort("127.0.0.3", "1")}
+	far := coltsfootlink.Instance{Name: "far", Zone: "y", PeerAddress: "127.0.0.3:1"}
 	task := &Task{Self: here, Port: port, Most: 100, MostOpening: 10, Draw: func() float64 { return 0 }, Clock: coltsfootlink.SystemClock{}, Inbox: mailbox.NewDeliveries()}
 	view := coltsfootlink.View{Members: []coltsfootlink.Member{
 		{Instance: far, Live: true}, {Instance: here, Live: true}, {Instance: other, Live: true},
@@ -89,7 +87,7 @@
 	for end := time.Now().Add(5 * time.Second); len(task.Plan().addresses) == 0 && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
-	So(task.Plan().addresses, ShouldResemble, []string{net.JoinHostPort(otherHost, port)})
+	So(task.Plan().addresses, ShouldResemble, []string{address})
 	return task
 }
 
@@ -125,12 +123,10 @@
 	}
 	for name, test := range cases {
 		Convey("a caller gets its whole answer, or sees that it broke: "+name, t, func() {
-			address := freeAddress(t, otherHost)
+			address := freeAddress(t)
 			test.other(t, address)
-			_, port, err := net.SplitHostPort(address)
-			So(err, ShouldBeNil)
-			task := start(t, test.state, port)
-			callers := freeAddress(t, hereHost)
+			task := start(t, test.state, address)
+			callers := freeAddress(t)
 			serve(t, &web.Server{Address: callers, Handler: answers("here"), Doorman: task})
 			// What the start of the server brought is over.
 			time.Sleep(2 * refusedPause)
@@ -161,7 +157,7 @@
 	}
 	for name, test := range cases {
 		Convey("what is passed on is bounded: "+name, t, func() {
-			task := start(t, behind(30), "7414")
+			task := start(t, behind(30), "127.0.0.2:7414")
 			task.open.Store(test.open)
 			task.opening.Store(test.opening)
 			So(task.Passes(), ShouldEqual, test.passes)
@@ -182,14 +178,12 @@
 	}
 	for name, end := range cases {
 		Convey("no work goes on, and no connection stays, when "+name, t, func() {
-			address := freeAddress(t, otherHost)
+			address := freeAddress(t)
 			serve(t, &web.Server{Address: address, Handler: waits, Doorman: Entrance{Full: never}})
-			_, port, err := net.SplitHostPort(address)
-			So(err, ShouldBeNil)
-			task := start(t, behind(30), port)
+			task := start(t, behind(30), address)
 			ctx, stop := context.WithCancel(t.Context())
 			task.life.Store(&ctx)
-			callers := freeAddress(t, hereHost)
+			callers := freeAddress(t)
 			serve(t, &web.Server{Address: callers, Handler: answers("here"), Doorman: task})
 			time.Sleep(2 * refusedPause)
 			conn, err := net.Dial("tcp", callers)
@@ -228,7 +222,7 @@
 		Convey("the first request of a connection that was passed on knows how late it is: "+name, t, func() {
 			lateness := lateness(test.late)
 			var told []time.Duration
-			address := freeAddress(t, otherHost)
+			address := freeAddress(t)
 			serve(t, &web.Server{Address: address, Doorman: Entrance{Full: never}, Handler: http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
 				told = append(told, web.Lateness(request))
 			})})
