Log what teams ask for and get, by the keeper of their shares

Callers of a flooding team got a fraction of their share, and no line said whether the share or what comes behind it was too small. Ten lines a second at most, by the one instance that keeps a pool.

--- a/share/maxmin.go
+++ b/share/maxmin.go
@@ -138,6 +138,18 @@
 	return ledger.withSurplus()
 }
 
+// asks returns what a team asks for in tokens a second; zero if it is not known.
+func (ledger Ledger) asks(team coltsfootlink.TeamName) float64 {
+	known, _ := ledger.teams.Get(team)
+	return known.asks
+}
+
+// gets returns what a team gets in tokens a second; zero if it is not known.
+func (ledger Ledger) gets(team coltsfootlink.TeamName) float64 {
+	known, _ := ledger.teams.Get(team)
+	return known.gets
+}
+
 // withPatience lets requests beyond what is promised wait longer while those within it are not refused.
 func (ledger Ledger) withPatience(weight float64) Ledger {
 	if ledger.tried > 0 {
--- a/share/task.go
+++ b/share/task.go
@@ -1,8 +1,10 @@
 package share
 
 import (
+	"cmp"
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -19,6 +21,9 @@
 	renewInterval = time.Second
 	// sameWithin is how far figures may differ that count as about the same, as a part of the larger one.
 	sameWithin = 0.1
+	// logInterval is the time between two rows of lines on the teams of one pool, and maxLogged the most lines of a row.
+	logInterval = time.Second
+	maxLogged   = 10
 )
 
 // Task keeps the shares of the pools that fall to its instance.
@@ -44,6 +49,8 @@
 	shares coltsfootlink.Shares
 	// renewAt is when they are told again.
 	renewAt time.Time
+	// logAt is when the next lines of the log are due.
+	logAt time.Time
 }
 
 // Keeper returns the instance that keeps the shares of a pool.
@@ -107,20 +114,35 @@
 			continue
 		}
 		shares := ledger.Shares(pool, promised, promised*task.BearableFactor)
-		if last := task.told[pool]; now.Before(last.renewAt) && alike(shares, last.shares) {
+		last := task.told[pool]
+		if now.Before(last.renewAt) && alike(shares, last.shares) {
 			continue
 		}
-		task.told[pool] = told{shares: shares, renewAt: now.Add(renewInterval)}
+		logAt := task.log(now, last.logAt, ledger, shares)
+		task.told[pool] = told{shares: shares, renewAt: now.Add(renewInterval), logAt: logAt}
 		for _, member := range task.view.Live() {
 			task.Sender.Send(member.Name, shares)
 		}
-		for _, team := range shares.Teams {
-			task.Log.Debug().Str("pool", string(pool)).Str("team", string(team.Team)).Float64("entitled", team.Entitled).
-				Float64("bearable", team.Bearable).Float64("patience", shares.Patience).Msg("share: team asks for more than its share")
-		}
 	}
 }
 
+// log writes what the teams that ask for most ask for and get, if the next lines are due, and returns when they are then.
+func (task *Task) log(now, due time.Time, ledger Ledger, shares coltsfootlink.Shares) time.Time {
+	if now.Before(due) {
+		return due
+	}
+	largest := slices.SortedFunc(slices.Values(shares.Teams), func(one, other coltsfootlink.TeamShare) int {
+		return cmp.Compare(ledger.asks(other.Team), ledger.asks(one.Team))
+	})
+	for _, team := range largest[:min(maxLogged, len(largest))] {
+		task.Log.Info().Str("pool", string(shares.Pool)).Str("team", string(team.Team)).
+			Float64("asks", ledger.asks(team.Team)).Float64("gets", ledger.gets(team.Team)).
+			Float64("entitled", team.Entitled).Float64("bearable", team.Bearable).Float64("surplus", team.Surplus).
+			Float64("patience", shares.Patience).Int("teams-over", len(shares.Teams)).Msg("share: team asks for more than its share")
+	}
+	return now.Add(logInterval)
+}
+
 // alike says whether two words on shares say about the same.
 func alike(one, other coltsfootlink.Shares) bool {
 	if len(one.Teams) != len(other.Teams) || !near(one.Patience, other.Patience) {
