--- /dev/null
+++ b/share/fair_test.go
@@ -0,0 +1,127 @@
+package share
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"coltsfootlink"
+)
+
+// crowd is a team of a simulated pool; its figures are of looks, from when the traffic begins.
+type crowd struct {
+	// asks is what the team asks for in tokens a second.
+	asks func(look int) float64
+	// served is the part of what it may offer to targets that small instances and full targets leave of it.
+	served float64
+	// every is the number of looks between two reports of what it asked for; a busy instance reports seldom.
+	every int
+}
+
+const (
+	simulatedPromised = 3_000_000.0
+	simulatedFactor   = 1.8
+	looksPerSecond    = int(time.Second / interval)
+	windowSeconds     = 6
+)
+
+// steadily asks for the same all the time.
+func steadily(rate float64) func(int) float64 { return func(int) float64 { return rate } }
+
+// play returns what each crowd asks for and gets in each second.
+func play(crowds map[coltsfootlink.TeamName]crowd, seconds int) (asked, got map[coltsfootlink.TeamName][]float64) {
+	now := time.UnixMilli(1_700_000_000_000)
+	ledger, shares := NewLedger(now, 0.1), coltsfootlink.Shares{}
+	asked, got = make(map[coltsfootlink.TeamName][]float64), make(map[coltsfootlink.TeamName][]float64)
+	unsaid := make(map[coltsfootlink.TeamName]coltsfootlink.TeamOffer)
+	for look := range seconds * looksPerSecond {
+		now = now.Add(interval)
+		standings := make(map[coltsfootlink.TeamName]coltsfootlink.TeamShare)
+		for _, share := range shares.Teams {
+			standings[share.Team] = share
+		}
+		// What was reported at the last look makes the shares of the next one.
+		shares = ledger.Shares("p", simulatedPromised, simulatedPromised*simulatedFactor)
+		var total float64
+		gets := make(map[coltsfootlink.TeamName]float64)
+		for team, crowd := range crowds {
+			share, over := standings[team]
+			if !over {
+				share = coltsfootlink.TeamShare{Entitled: 1, Bearable: 1}
+			}
+			offered := share.Entitled + (share.Bearable-share.Entitled)/2 + (1-share.Bearable)*share.Surplus/10
+			gets[team] = crowd.asks(look) / float64(looksPerSecond) * offered * crowd.served
+			total += gets[team]
+		}
+		room := min(1, simulatedPromised*simulatedFactor/float64(looksPerSecond)/total)
+		for team, crowd := range crowds {
+			offer := unsaid[team]
+			offer.Team = team
+			offer.Tokens += crowd.asks(look) / float64(looksPerSecond)
+			offer.Granted += gets[team] * room
+			unsaid[team] = offer
+			if look%looksPerSecond == 0 {
+				asked[team], got[team] = append(asked[team], 0), append(got[team], 0)
+			}
+			asked[team][look/looksPerSecond] += crowd.asks(look) / float64(looksPerSecond)
+			got[team][look/looksPerSecond] += gets[team] * room
+			if (look+1)%crowd.every == 0 {
+				ledger = ledger.WithOffered(coltsfootlink.Offered{Pool: "p", Teams: []coltsfootlink.TeamOffer{offer}})
+				delete(unsaid, team)
+			}
+		}
+		ledger = ledger.WithTime(now)
+	}
+	return asked, got
+}
+
+// unfair returns the first window in which a team gets less than half of what it asks for and of what another gets.
+func unfair(asked, got map[coltsfootlink.TeamName][]float64) string {
+	for team := range asked {
+		for best := range got {
+			for from := 0; from+windowSeconds <= len(got[team]); from++ {
+				var owed, gets float64
+				for second := from; second < from+windowSeconds; second++ {
+					owed += min(asked[team][second], got[best][second])
+					gets += got[team][second]
+				}
+				if gets < owed/2 {
+					return fmt.Sprintf("from %d s %s gets %.0f, less than half of %.0f, what it asks for or %s gets", from, team, gets, owed, best)
+				}
+			}
+		}
+	}
+	return ""
+}
+
+func TestTeamsWhoseRequestsAreLostBehindTheirSharesGetHalfOfWhatOthersGet(t *testing.T) {
+	flood := func(from int, before, rate float64) func(int) float64 {
+		return func(look int) float64 {
+			if look < from*looksPerSecond {
+				return before
+			}
+			return rate
+		}
+	}
+	waves := func(look int) float64 { return 4e6 * (1 + math.Sin(float64(look))) }
+	small := crowd{steadily(200_000), 1, 1}
+	cases := map[string]map[coltsfootlink.TeamName]crowd{
+		"nothing is lost":                    {"large": {steadily(6e6), 1, 1}, "next": {steadily(1e6), 1, 1}, "small": small},
+		"most of one team is":                {"large": {steadily(6e6), 0.3, 1}, "next": {steadily(1e6), 1, 1}, "small": small},
+		"nine tenths of one team are":        {"large": {steadily(6e6), 0.1, 1}, "next": {steadily(2e6), 1, 1}, "small": small},
+		"what is asked for is told late":     {"large": {steadily(6e6), 0.3, 4}, "next": {steadily(1e6), 1, 1}, "small": small},
+		"a flood begins":                     {"large": {flood(6, 1e6, 8e6), 0.2, 1}, "next": {steadily(1e6), 1, 1}, "small": small},
+		"a flood ends":                       {"large": {flood(6, 8e6, 1e6), 0.2, 1}, "next": {steadily(1e6), 1, 1}, "small": small},
+		"three teams flood":                  {"large": {steadily(9e6), 0.15, 2}, "next": {steadily(5e6), 1, 1}, "third": {steadily(4e6), 0.4, 1}},
+		"what one asks for goes up and down": {"large": {waves, 0.2, 2}, "next": {steadily(2e6), 1, 1}, "small": small},
+	}
+	for name, crowds := range cases {
+		Convey("teams that ask for more than their shares get alike, whatever is lost behind them: "+name, t, func() {
+			asked, got := play(crowds, 24)
+			So(unfair(asked, got), ShouldBeEmpty)
+		})
+	}
+}
