--- a/share/fair_test.go
+++ b/share/fair_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"coltsfootlink"
@@ -31,49 +32,67 @@
 // steadily asks for the same all the time.
 func steadily(rate float64) func(int) float64 { return func(int) float64 { return rate } }
 
+// teller keeps the newest word on the shares.
+type teller struct{ shares coltsfootlink.Shares }
+
+// Send keeps a word.
+func (teller *teller) Send(_ coltsfootlink.InstanceName, message coltsfootlink.Message) {
+	if shares, is := message.(coltsfootlink.Shares); is {
+		teller.shares = shares
+	}
+}
+
+// offered returns the part of a team's requests that is offered to targets, and served if there is room; the pool
+// serves half of what is beyond what is promised, and a tenth of what is beyond what it bears.
+func (teller *teller) offered(team coltsfootlink.TeamName) float64 {
+	for _, share := range teller.shares.Teams {
+		if share.Team == team {
+			return share.Entitled + (share.Bearable-share.Entitled)/2 + (1-share.Bearable)*share.Surplus/10
+		}
+	}
+	return 1
+}
+
+// newKeeper returns a task that keeps the shares of a simulated pool, and where its words go.
+func newKeeper(clock *hands) (*Task, *teller) {
+	words := new(teller)
+	task := &Task{Self: "a", BearableFactor: simulatedFactor, LeastPatience: 0.1, Clock: clock, Sender: words, Log: zerolog.Nop()}
+	task.reset()
+	task.handle(coltsfootlink.ViewChanged{View: coltsfootlink.View{Members: []coltsfootlink.Member{{Instance: coltsfootlink.Instance{Name: "a"}, Live: true}}}})
+	task.handle(coltsfootlink.CatalogChanged{Catalog: coltsfootlink.Catalog{}.WithTable(coltsfootlink.RoutingTable{TokensPerSecond: simulatedPromised})})
+	return task, words
+}
+
 // play returns what each crowd asks for and gets in each second.
 func play(crowds map[coltsfootlink.TeamName]crowd, seconds int) (asked, got map[coltsfootlink.TeamName][]float64) {
-	now := time.UnixMilli(1_700_000_000_000)
-	ledger, shares := NewLedger(now, 0.1), coltsfootlink.Shares{}
+	clock := &hands{now: time.UnixMilli(1_700_000_000_000)}
+	task, words := newKeeper(clock)
 	asked, got = make(map[coltsfootlink.TeamName][]float64), make(map[coltsfootlink.TeamName][]float64)
 	unsaid := make(map[coltsfootlink.TeamName]coltsfootlink.TeamOffer)
 	for look := range seconds * looksPerSecond {
-		now = now.Add(interval)
-		standings := make(map[coltsfootlink.TeamName]coltsfootlink.TeamShare)
-		for _, share := range shares.Teams {
-			standings[share.Team] = share
-		}
-		// What was reported at the last look makes the shares of the next one.
-		shares = ledger.Shares("p", simulatedPromised, simulatedPromised*simulatedFactor)
+		clock.now = clock.now.Add(interval)
 		var total float64
-		gets := make(map[coltsfootlink.TeamName]float64)
 		for team, crowd := range crowds {
-			share, over := standings[team]
-			if !over {
-				share = coltsfootlink.TeamShare{Entitled: 1, Bearable: 1}
-			}
-			offered := share.Entitled + (share.Bearable-share.Entitled)/2 + (1-share.Bearable)*share.Surplus/10
-			gets[team] = crowd.asks(look) / float64(looksPerSecond) * offered * crowd.served
-			total += gets[team]
+			total += crowd.asks(look) * words.offered(team) * crowd.served
 		}
-		room := min(1, simulatedPromised*simulatedFactor/float64(looksPerSecond)/total)
+		room := min(1, simulatedPromised*simulatedFactor/max(1, total))
 		for team, crowd := range crowds {
+			asks := crowd.asks(look) / float64(looksPerSecond)
+			gets := asks * words.offered(team) * crowd.served * room
 			offer := unsaid[team]
-			offer.Team = team
-			offer.Tokens += crowd.asks(look) / float64(looksPerSecond)
-			offer.Granted += gets[team] * room
+			offer = coltsfootlink.TeamOffer{Team: team, Tokens: offer.Tokens + asks, Granted: offer.Granted + gets}
 			unsaid[team] = offer
 			if look%looksPerSecond == 0 {
 				asked[team], got[team] = append(asked[team], 0), append(got[team], 0)
 			}
-			asked[team][look/looksPerSecond] += crowd.asks(look) / float64(looksPerSecond)
-			got[team][look/looksPerSecond] += gets[team] * room
+			asked[team][look/looksPerSecond] += asks
+			got[team][look/looksPerSecond] += gets
 			if (look+1)%crowd.every == 0 {
-				ledger = ledger.WithOffered(coltsfootlink.Offered{Pool: "p", Teams: []coltsfootlink.TeamOffer{offer}})
+				task.handle(coltsfootlink.Offered{Pool: "p", Teams: []coltsfootlink.TeamOffer{offer}})
 				delete(unsaid, team)
 			}
 		}
-		ledger = ledger.WithTime(now)
+		task.tell()
 	}
 	return asked, got
 }
