Let through what makes up for what a team loses behind its share

The part of its requests that is let through was its level over what it asks for; the processor of the instance and full targets then refused a part of these, and nothing made up for it. Besides, what it asks for was a mean of a second that began at nothing.

New teams are known from the first look on.

--- a/share/maxmin.go
+++ b/share/maxmin.go
@@ -46,6 +46,29 @@
 	asked, granted float64
 	// surplus is the part of the requests beyond what is bearable that may be offered to targets.
 	surplus float64
+	// part is the part of the requests within the share that instances were told last, and parts its mean as long as that
+	// of what the team gets.
+	part, parts float64
+	// seen is for how many seconds the team has been known, up to memory.
+	seen float64
+}
+
+// withTime brings the means forward by some seconds; those of a team that is new are of what has come of it so far.
+func (team rate) withTime(span float64) rate {
+	team.seen = min(memory.Seconds(), team.seen+span)
+	weight := min(1, span/team.seen)
+	team.asks += weight * (team.asked/span - team.asks)
+	team.gets += weight * (team.granted/span - team.gets)
+	team.parts += weight * (team.part - team.parts)
+	team.asked, team.granted = 0, 0
+	return team
+}
+
+// entitled returns the part of the team's requests that lies within its share, if its level is exceeded: the level over what
+// it asks for, and more where the processor and full targets take a part of what is let through.
+func (team rate) entitled(level float64) float64 {
+	lost := team.parts * team.asks / max(1, team.gets)
+	return min(1, level/team.asks*min(mostCorrection, max(1, lost)))
 }
 
 // refused says that the team gets far less than it asks for.
@@ -91,6 +114,11 @@
 	patienceFall    = 0.8
 	patienceRise    = 1.05
 	mostPatience    = 0.4
+	// mostCorrection is how many times its share of requests a team may offer because most of them are lost; what is offered
+	// beyond finds no room either.
+	mostCorrection = 5.0
+	// leastYielded is the part of their level that teams have in any case.
+	leastYielded = 0.5
 	// kept is the part of its promised share that a team gets if it is not kept from it.
 	kept = 0.85
 	// forgiven is how much less than its share a team may get in tokens a second, for requests come in lumps.
@@ -104,7 +132,7 @@
 	for _, offer := range offered.Teams {
 		known, found := ledger.teams.Get(offer.Team)
 		if !found {
-			known.surplus = 1
+			known = rate{surplus: 1, part: 1, parts: 1}
 		}
 		known.asked += offer.Tokens
 		known.granted += offer.Granted
@@ -126,9 +154,7 @@
 	ledger = ledger.withPatience(weight)
 	for iterator := ledger.teams.Iterator(); !iterator.Done(); {
 		team, known, _ := iterator.Next()
-		known.asks += weight * (known.asked/span - known.asks)
-		known.gets += weight * (known.granted/span - known.gets)
-		known.asked, known.granted = 0, 0
+		known = known.withTime(span)
 		if known.asks < forgotten {
 			ledger.teams = ledger.teams.Delete(team)
 			continue
@@ -199,6 +225,39 @@
 	return least
 }
 
+// yieldedLevel returns the level at which teams get hardly more than fairness allows while one gets less, though it asks for
+// more; at least a part of the given level, for a team that nothing helps is not to cost the others all of theirs.
+func (ledger Ledger) yieldedLevel(level float64) float64 {
+	least := level
+	for iterator := ledger.teams.Iterator(); !iterator.Done(); {
+		if _, known, _ := iterator.Next(); known.asks > level && known.refused() {
+			least = min(least, known.gets)
+		}
+	}
+	return min(level, max(leastYielded*level, mostOverRefused*least))
+}
+
+// WithTold notes which parts of the teams' requests instances are told to offer.
+func (ledger Ledger) WithTold(shares coltsfootlink.Shares) Ledger {
+	parts := make(map[coltsfootlink.TeamName]float64, len(shares.Teams))
+	for _, team := range shares.Teams {
+		parts[team.Team] = team.Entitled
+	}
+	for iterator := ledger.teams.Iterator(); !iterator.Done(); {
+		team, known, _ := iterator.Next()
+		part, over := parts[team]
+		if !over {
+			part = 1
+		}
+		if part == known.part {
+			continue
+		}
+		known.part = part
+		ledger.teams = ledger.teams.Set(team, known)
+	}
+	return ledger
+}
+
 // Shares returns the teams that ask for more than their share, by what is promised and what can be borne, both
 // in tokens a second.
 func (ledger Ledger) Shares(pool coltsfootlink.PoolName, promised, bearable float64) coltsfootlink.Shares {
@@ -210,22 +269,28 @@
 	entitledLevel := Level(demands, promised)
 	bearableLevel := Level(demands, max(promised, bearable))
 	least := ledger.leastBelow(entitledLevel)
+	yielded := ledger.yieldedLevel(entitledLevel)
 	shares := coltsfootlink.Shares{Pool: pool, Patience: ledger.patience}
 	// More than what targets can bear is not worth asking for.
 	offered := min(1, max(promised, bearable)/max(1, sum(demands)))
 	for iterator := ledger.teams.Iterator(); !iterator.Done(); {
 		team, known, _ := iterator.Next()
-		if known.asks <= entitledLevel {
+		within := entitledLevel
+		if known.gets > yielded {
+			within = yielded
+		}
+		if known.asks <= within {
 			continue
 		}
 		level := bearableLevel
 		if known.gets > mostOverRefused*least {
-			level = entitledLevel
+			level = within
 		}
+		entitled := known.entitled(within)
 		shares.Teams = append(shares.Teams, coltsfootlink.TeamShare{
 			Team:     team,
-			Entitled: entitledLevel / known.asks,
-			Bearable: min(1, level/known.asks),
+			Entitled: entitled,
+			Bearable: max(entitled, min(1, level/known.asks)),
 			Surplus:  known.surplus * offered,
 		})
 	}
--- a/share/task.go
+++ b/share/task.go
@@ -118,6 +118,7 @@
 		if now.Before(last.renewAt) && alike(shares, last.shares) {
 			continue
 		}
+		task.ledgers[pool] = ledger.WithTold(shares)
 		logAt := task.log(now, last.logAt, ledger, shares)
 		task.told[pool] = told{shares: shares, renewAt: now.Add(renewInterval), logAt: logAt}
 		for _, member := range task.view.Live() {
