Own interface: take no answer without identifier for ours where the target names requests

On our own interface an answer without identifier was taken for that of the newest request, whatever the target had named before; a repeated 429 or 200 was passed on as 'ran'.

A target that has named a request on a connection names each on it now, and an answer without a name there is crossed (502). Targets that never name any are as before: nothing tells their answers apart, and requests that may not be repeated have a connection each.

TestEarlierAnswersThatComeAgain...: two of five cases failed before (one that names none, a success that names none), none now.

--- a/target/client.go
+++ b/target/client.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -37,8 +36,8 @@
 // NewClient returns a client with transports of its own.
 func NewClient(clock coltsfootlink.Clock) *Client {
 	return &Client{
-		Reuse: &http.Transport{MaxIdleConnsPerHost: idleConnections, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes},
-		Fresh: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes},
+		Reuse: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: idleConnections, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes},
+		Fresh: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes},
 		Clock: clock,
 	}
 }
@@ -46,16 +45,21 @@
 // Call sends a request and waits for the first byte of its answer.
 func (client *Client) Call(ctx context.Context, target coltsfootlink.Target, pool coltsfootlink.Pool, request coltsfootlink.Request) (coltsfootlink.Answer, error) {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
-	sent := new(atomic.Bool)
+	carrier := new(carrier)
 	started := client.Clock.Now()
-	response, err := client.send(ctx, target, request, sent)
+	response, err := client.send(ctx, target, request, carrier)
 	if err != nil {
 		// The cause is looked at before the context is ended here.
-		failure := coltsfootlink.NewCallError(ctx, sent.Load(), err)
+		failure := coltsfootlink.NewCallError(ctx, carrier.sent(), err)
 		cancel()
 		return coltsfootlink.Answer{}, failure
 	}
-	answer, err := client.answer(response, pool, request, started, cancel)
+	if err := crossed(response, request.ID, carrier); err != nil {
+		cancel()
+		_ = response.Body.Close()
+		return coltsfootlink.Answer{}, err
+	}
+	answer, err := client.answer(response, pool, started, cancel)
 	if err != nil {
 		cancel()
 		_ = response.Body.Close()
@@ -88,10 +92,9 @@
 	return load, nil
 }
 
-func (client *Client) send(ctx context.Context, target coltsfootlink.Target, request coltsfootlink.Request, sent *atomic.Bool) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+func (client *Client) send(ctx context.Context, target coltsfootlink.Target, request coltsfootlink.Request, carrier *carrier) (*http.Response, error) {
 	address := "http://" + target.Address + "/" + request.Route.Path
-	outgoing, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, address, bytes.NewReader(request.Body))
+	outgoing, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, carrier.trace()), http.MethodPost, address, bytes.NewReader(request.Body))
 	if err != nil {
 		return nil, err
 	}
@@ -108,13 +111,23 @@
 	return client.Fresh.RoundTrip(outgoing)
 }
 
-// answer checks the head of an answer and waits for its first byte.
-func (client *Client) answer(response *http.Response, pool coltsfootlink.Pool, request coltsfootlink.Request, started time.Time, cancel context.CancelFunc) (coltsfootlink.Answer, error) {
+// crossed is the error of an answer that is another request's; nil if it is not. A target that names requests in its answers names
+// each: what comes without a name on the same connection is said once more of an earlier one.
+func crossed(response *http.Response, id coltsfootlink.RequestID, carrier *carrier) error {
 	echoed := response.Header.Get(RequestIDHeader)
-	if echoed != "" && echoed != string(request.ID) {
-		cause := errors.Newf("answer of request %s", echoed)
-		return coltsfootlink.Answer{}, &coltsfootlink.CallError{Sent: true, Result: coltsfootlink.Failed, Reason: coltsfootlink.AnswerCrossed, Cause: cause}
+	opened := carrier.newest.Load()
+	if echoed == string(id) {
+		opened.echoes.Store(true)
+		return nil
 	}
+	if echoed == "" && !opened.echoes.Load() {
+		return nil
+	}
+	return &coltsfootlink.CallError{Sent: true, Result: coltsfootlink.Failed, Reason: coltsfootlink.AnswerCrossed, Cause: errors.Newf("answer of request %q", echoed)}
+}
+
+// answer checks the head of an answer and waits for its first byte.
+func (client *Client) answer(response *http.Response, pool coltsfootlink.Pool, started time.Time, cancel context.CancelFunc) (coltsfootlink.Answer, error) {
 	if cause := unusable(response); cause != nil {
 		return coltsfootlink.Answer{}, &coltsfootlink.CallError{Sent: true, Result: coltsfootlink.Failed, Reason: coltsfootlink.TargetFailed, Cause: cause}
 	}
--- a/target/ends_test.go
+++ b/target/ends_test.go
@@ -113,3 +113,89 @@
 		})
 	}
 }
+
+// startEchoing runs a target that keeps its connections; the first answer names its request if asked to, and before
+// each later one comes an earlier answer once more.
+func startEchoing(t *testing.T, echoes bool, earlier string) coltsfootlink.Target {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		requests := bufio.NewReader(conn)
+		before := ""
+		for {
+			request, err := http.ReadRequest(requests)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			name := ""
+			if echoes {
+				name = RequestIDHeader + ": " + request.Header.Get(RequestIDHeader) + "\r\n"
+			}
+			_, _ = conn.Write([]byte(before + "HTTP/1.1 200 OK\r\n" + name + "Content-Length: 4\r\n\r\nroof"))
+			before = earlier
+		}
+	}()
+	return coltsfootlink.Target{Name: "t", Address: listener.Addr().String()}
+}
+
+func TestEarlierAnswersThatComeAgainAreNotTakenForOurs(t *testing.T) {
+	const full = "HTTP/1.1 429 Too Many Requests\r\n"
+	const rest = "Content-Length: 4\r\n\r\nbusy"
+	cases := map[string]struct {
+		echoes  bool
+		earlier string
+		crossed bool
+	}{
+		"one that names another request": {true, full + RequestIDHeader + ": r-0\r\n" + rest, true},
+		"one that names none":            {true, full + rest, true},
+		"a success that names none":      {true, "HTTP/1.1 200 OK\r\n" + rest, true},
+		"none, and requests are named":   {true, "", false},
+		"none, and no request is named":  {false, "", false},
+	}
+	for name, test := range cases {
+		Convey("an earlier answer that comes once more on a kept connection is not passed on: "+name, t, func() {
+			target, client := startEchoing(t, test.echoes, test.earlier), NewClient(coltsfootlink.SystemClock{})
+			defer client.Reuse.CloseIdleConnections()
+			answer, err := client.Call(t.Context(), target, unmarked, requestOf(true))
+			So(err, ShouldBeNil)
+			_, err = io.ReadAll(answer.Body)
+			So(err, ShouldBeNil)
+			So(answer.Body.Close(), ShouldBeNil)
+			answer, err = client.Call(t.Context(), target, unmarked, requestOf(true))
+			if !test.crossed {
+				So(err, ShouldBeNil)
+				So(answer.Status, ShouldEqual, http.StatusOK)
+				So(answer.Body.Close(), ShouldBeNil)
+				return
+			}
+			var failure *coltsfootlink.CallError
+			So(errors.As(err, &failure), ShouldBeTrue)
+			So(failure.Sent, ShouldBeTrue)
+			So(failure.Reason, ShouldEqual, coltsfootlink.AnswerCrossed)
+		})
+	}
+}
+
+func TestHeadsThatBreakOffAreNoAnswers(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\n"
+	for name, repeatable := range map[string]bool{"that may be repeated": true, "that may not": false} {
+		Convey("a target that stops in the head of its answer has not answered a request "+name, t, func() {
+			for cut := range len(head) {
+				_, err := NewClient(coltsfootlink.SystemClock{}).Call(t.Context(), startRaw(t, head[:cut]), unmarked, requestOf(repeatable))
+				var failure *coltsfootlink.CallError
+				So(errors.As(err, &failure), ShouldBeTrue)
+				So(failure.Sent, ShouldBeTrue)
+			}
+		})
+	}
+}
