Send nothing to a target for a caller who has left, and accept no such connection

Callers of flooded instances had left long before their requests reached a target (GONE): one sent at 0.007 s, given up at 2.407 s, reached its target at 5.226 s and ran until 6.541 s.

The kernel knows. It is asked before a target is asked for, and again before the request is written; a connection whose caller has left is closed when it is accepted, before it costs a goroutine and a request.

--- a/ingress/service.go
+++ b/ingress/service.go
@@ -143,6 +143,11 @@
 // serve sends the request to targets until one has answered or it is given up.
 func (current *exchange) serve(ctx context.Context) {
 	current.lastEvent = current.head.LastEvent
+	if web.Left(current.incoming) {
+		// What is refused needs no such look, which costs more than to answer.
+		current.giveUp(ctx, coltsfootlink.Refuse(coltsfootlink.CallerGone, "before its request was read"))
+		return
+	}
 	for {
 		choice := current.choose(ctx)
 		current.permit, current.owner = choice.Serial, choice.Owner
--- a/ingress/service_test.go
+++ b/ingress/service_test.go
@@ -89,6 +89,8 @@
 	// mostChoosing is how many may wait for a target; slow says that none gets one.
 	mostChoosing int64
 	slow         bool
+	// hold is called before a target is offered; nil if none waits.
+	hold func()
 	// state is how far the processor is behind.
 	state pressure.State
 	// passes says whether new connections are passed on.
@@ -113,6 +115,9 @@
 		for _, delivery := range offer.inbox.Drain() {
 			switch message := delivery.Message.(type) {
 			case dispatch.Want:
+				if offer.hold != nil {
+					offer.hold()
+				}
 				if !offer.slow {
 					message.Reply <- offer.choose(message)
 					continue
@@ -190,8 +195,8 @@
 	}
 }
 
-// start serves callers with the given targets and returns the address.
-func start(t *testing.T, offered *offer, known bool) string {
+// newService returns a service with the given targets, whose tasks run until the test ends.
+func newService(t *testing.T, offered *offer, known bool) *Service {
 	t.Helper()
 	offered.inbox = mailbox.NewDeliveries()
 	if offered.most == 0 {
@@ -219,7 +224,13 @@
 	ctx := t.Context()
 	go func() { _ = keeper.Run(ctx) }()
 	go offered.run(ctx.Done())
-	server := httptest.NewServer(service)
+	return service
+}
+
+// start serves callers with the given targets and returns the address.
+func start(t *testing.T, offered *offer, known bool) string {
+	t.Helper()
+	server := httptest.NewServer(newService(t, offered, known))
 	t.Cleanup(server.Close)
 	return server.URL
 }
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -118,6 +118,9 @@
 	if !errors.As(err, &call) {
 		call = &coltsfootlink.CallError{Sent: true, Result: coltsfootlink.Failed, Reason: coltsfootlink.TargetFailed, Cause: err}
 	}
+	if call.Reason == coltsfootlink.CallerGone {
+		return coltsfootlink.Refuse(call.Reason, call.Cause.Error()), call.Result
+	}
 	if !call.Sent {
 		current.unsent++
 		return coltsfootlink.Refuse(coltsfootlink.TargetDown, call.Cause.Error()), call.Result
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -15,6 +15,7 @@
 	"coltsfootlink"
 	"coltsfootlink/mailbox"
 	"coltsfootlink/platform"
+	"coltsfootlink/web"
 )
 
 const (
@@ -63,6 +64,10 @@
 		_ = conn.Close()
 		return Answer{}, coltsfootlink.NewCallError(ctx, false, err)
 	}
+	if web.Left(forward.Incoming) {
+		client.giveBack(conn)
+		return Answer{}, &coltsfootlink.CallError{Result: coltsfootlink.Unused, Reason: coltsfootlink.CallerGone, Cause: errCallerLeft}
+	}
 	// The end of the context ends whatever waits on the socket.
 	stop := context.AfterFunc(ctx, conn.abort)
 	written := write(conn, text)
@@ -105,6 +110,9 @@
 	return dial(ctx, target)
 }
 
+// errCallerLeft tells that nobody waits for the answer any more.
+var errCallerLeft = errors.New("the caller has left")
+
 // errNotWritten tells that no byte of a request has left.
 var errNotWritten = errors.New("no byte was sent")
 
@@ -217,10 +225,23 @@
 		_ = body.conn.Close()
 		return
 	}
-	now := body.client.Clock.Now()
-	body.conn.idleSince = now
-	body.conn.idleUntil = now.Add(idleSpan(body.answer.Header.Get("Keep-Alive")))
-	body.client.Keeper.Put(coltsfootlink.Delivery{Message: give{conn: body.conn}})
+	body.client.keep(body.conn, body.answer.Header.Get("Keep-Alive"))
+}
+
+// giveBack gives a connection to the keeper that was taken in vain; one that was kept is as old as before.
+func (client *Client) giveBack(conn *conn) {
+	if !conn.reused {
+		client.keep(conn, "")
+		return
+	}
+	client.Keeper.Put(coltsfootlink.Delivery{Message: give{conn: conn}})
+}
+
+// keep gives a connection to the keeper, for as long as the target says it keeps it.
+func (client *Client) keep(conn *conn, keepAlive string) {
+	conn.idleSince = client.Clock.Now()
+	conn.idleUntil = conn.idleSince.Add(idleSpan(keepAlive))
+	client.Keeper.Put(coltsfootlink.Delivery{Message: give{conn: conn}})
 }
 
 // sent says that the whole request was sent; a rest of it would be taken for the next one.
--- a/web/doorway.go
+++ b/web/doorway.go
@@ -7,6 +7,24 @@
 	"coltsfootlink"
 )
 
+// attended is a listener of connections whose clients are still there: behind a flood, most of those that wait to be
+// accepted are not.
+type attended struct{ net.Listener }
+
+// Accept returns the next connection whose client has not left, and closes the others.
+func (attended *attended) Accept() (net.Conn, error) {
+	for {
+		conn, err := attended.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if !leftConn(conn) {
+			return conn, nil
+		}
+		_ = conn.Close()
+	}
+}
+
 // doorway is a listener whose connections a doorman sees first.
 type doorway struct {
 	net.Listener
--- a/web/server.go
+++ b/web/server.go
@@ -72,6 +72,7 @@
 	if server.Certificate != "" {
 		serve = func(listener net.Listener) error { return web.ServeTLS(listener, server.Certificate, server.Key) }
 	}
+	listener = &attended{Listener: listener}
 	if server.Doorman != nil {
 		returned := newReturned(listener.Addr())
 		listener = &doorway{Listener: listener, doorman: server.Doorman, returned: returned}
@@ -100,6 +101,7 @@
 }
 
 func (server *Server) connContext(ctx context.Context, conn net.Conn) context.Context {
+	ctx = withSocket(ctx, conn)
 	if late, is := conn.(coltsfootlink.Late); is {
 		ctx = context.WithValue(ctx, lateKey{}, late)
 	}
