Count the time until connections are accepted as waiting for the processor

Callers of instances that are flooded by new connections gave up unread, while the instance took all that it could see and said that it was ready: the runtime tells how long goroutines wait, and connections that nobody has accepted are none.

--- a/clock.go
+++ b/clock.go
@@ -28,8 +28,8 @@
 	}
 }
 
-// WaitMeter tells how long what is ready to run waits for the processor.
+// WaitMeter tells how long what is ready to run, or to be accepted, waits for the processor.
 type WaitMeter interface {
-	// Wait returns what nine in ten waits since the last call did not exceed.
+	// Wait returns what nearly all newest waits did not exceed; zero if nothing is known.
 	Wait() time.Duration
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -79,6 +79,8 @@
 	gate     *ingress.Gate
 	service  *ingress.Service
 	relay    *relay.Task
+	// probe measures how long callers' connections wait to be accepted.
+	probe *web.Probe
 }
 
 // boxes are the mailboxes of the tasks.
@@ -106,9 +108,11 @@
 	front := supervisor.New("coltsfootd/front", gateway.Log)
 	callers := gateway.server("front", gateway.Settings.Listen.Callers, gateway.service)
 	callers.Open = gateway.service.Open
+	callers.Probe = gateway.probe
 	callers.IdleLimit = gateway.Settings.Timing.IdleLimit.Duration
 	gateway.addRelay(front, callers)
 	front.Add("server", callers)
+	front.Add("probe", gateway.probe)
 	frontDone := make(chan error, 1)
 	go func() { frontDone <- front.Run(frontContext) }()
 	select {
@@ -188,6 +192,7 @@
 	}
 	gateway.store = platform.NewStore("http://" + gateway.Settings.Store.Address)
 	gateway.gate = &ingress.Gate{Inbox: gateway.boxes.gate, Clock: gateway.clock, Log: gateway.Log}
+	gateway.probe = &web.Probe{Address: gateway.Settings.Listen.Callers, Clock: gateway.clock, Inbox: mailbox.NewDeliveries()}
 	gateway.prepareRelay()
 	gateway.service = &ingress.Service{
 		Passes:   gateway.relay.Passes,
@@ -327,7 +332,7 @@
 func (gateway *Gateway) addReadiness(branch *supervisor.Branch) {
 	branch.Add("gate", gateway.gate)
 	branch.Add("pressure", &pressure.Task{
-		Meter:       &pressure.Meter{},
+		Meters:      []coltsfootlink.WaitMeter{&pressure.Meter{}, gateway.probe},
 		Clock:       gateway.clock,
 		Log:         gateway.Log,
 		Subscribers: []*mailbox.Deliveries{gateway.boxes.gate, gateway.boxes.dispatch, gateway.boxes.collector, gateway.boxes.relay},
--- a/pressure/task.go
+++ b/pressure/task.go
@@ -31,9 +31,10 @@
 
 // Task looks at the processor and tells what the instance takes.
 type Task struct {
-	Meter coltsfootlink.WaitMeter
-	Clock coltsfootlink.Clock
-	Log   zerolog.Logger
+	// Meters measure what waits for the processor; the longest wait counts.
+	Meters []coltsfootlink.WaitMeter
+	Clock  coltsfootlink.Clock
+	Log    zerolog.Logger
 	// Subscribers are told of each change, and again each second, for one that starts anew knows nothing.
 	Subscribers []*mailbox.Deliveries
 
@@ -68,7 +69,7 @@
 }
 
 func (task *Task) look() {
-	wait := task.Meter.Wait()
+	wait := task.wait()
 	task.state = task.state.WithWait(wait)
 	metrics.SetPressure(wait.Milliseconds(), task.state.Taken())
 	if alike(task.state, task.told) {
@@ -81,6 +82,15 @@
 	}
 }
 
+// wait returns the longest wait of all meters.
+func (task *Task) wait() time.Duration {
+	var longest time.Duration
+	for _, meter := range task.Meters {
+		longest = max(longest, meter.Wait())
+	}
+	return longest
+}
+
 // tell tells the subscribers how much the instance takes.
 func (task *Task) tell() {
 	task.told = task.state
--- a/web/doorway.go
+++ b/web/doorway.go
@@ -9,7 +9,11 @@
 
 // attended is a listener of connections whose clients are still there: behind a flood, most of those that wait to be
 // accepted are not.
-type attended struct{ net.Listener }
+type attended struct {
+	net.Listener
+	// probe measures how long they wait; nil if nobody wants to know.
+	probe *Probe
+}
 
 // Accept returns the next connection whose client has not left, and closes the others.
 func (attended *attended) Accept() (net.Conn, error) {
@@ -18,13 +22,18 @@
 		if err != nil {
 			return nil, err
 		}
-		if !leftConn(conn) {
+		if !attended.probes(conn) && !leftConn(conn) {
 			return conn, nil
 		}
 		_ = conn.Close()
 	}
 }
 
+// probes says whether a connection is the probe's.
+func (attended *attended) probes(conn net.Conn) bool {
+	return attended.probe != nil && attended.probe.asks(conn)
+}
+
 // doorway is a listener whose connections a doorman sees first.
 type doorway struct {
 	net.Listener
--- a/web/server.go
+++ b/web/server.go
@@ -41,6 +41,8 @@
 	Handler   http.Handler
 	// Doorman decides which connections are served; all if nil.
 	Doorman coltsfootlink.Doorman
+	// Probe measures how long new connections wait; nil if nobody wants to know.
+	Probe *Probe
 	// Open counts the connections that are open; nil if nobody wants to know.
 	Open *atomic.Int64
 	Log  zerolog.Logger
@@ -72,7 +74,7 @@
 	if server.Certificate != "" {
 		serve = func(listener net.Listener) error { return web.ServeTLS(listener, server.Certificate, server.Key) }
 	}
-	listener = &attended{Listener: listener}
+	listener = &attended{Listener: listener, probe: server.Probe}
 	if server.Doorman != nil {
 		returned := newReturned(listener.Addr())
 		listener = &doorway{Listener: listener, doorman: server.Doorman, returned: returned}
--- a/web/socket.go
+++ b/web/socket.go
@@ -57,6 +57,9 @@
 	return gone
 }
 
+// broke says that a connection broke, or could not be made.
+func broke(descriptor int) bool { return polled(descriptor, 0) }
+
 // polled says that one of some events, or the end of the connection, has come to a socket.
 func polled(descriptor int, events int16) bool {
 	sockets := []unix.PollFd{{Fd: int32(descriptor), Events: events}}
