--- a/ingress/left_test.go
+++ b/ingress/left_test.go
@@ -44,7 +44,7 @@
 }
 
 // serveBehind serves callers with a doorman and returns the address.
-func serveBehind(t *testing.T, service *Service, doorman coltsfootlink.Doorman) string {
+func serveBehind(t testing.TB, service *Service, doorman coltsfootlink.Doorman) string {
 	t.Helper()
 	address, err := rig.FreeAddress()
 	if err != nil {
@@ -113,7 +113,7 @@
 }
 
 // dialUntil connects to a server that is about to listen.
-func dialUntil(t *testing.T, address string) net.Conn {
+func dialUntil(t testing.TB, address string) net.Conn {
 	t.Helper()
 	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		if conn, err := net.Dial("tcp4", address); err == nil {
--- a/ingress/service_test.go
+++ b/ingress/service_test.go
@@ -196,7 +196,7 @@
 }
 
 // newService returns a service with the given targets, whose tasks run until the test ends.
-func newService(t *testing.T, offered *offer, known bool) *Service {
+func newService(t testing.TB, offered *offer, known bool) *Service {
 	t.Helper()
 	offered.inbox = mailbox.NewDeliveries()
 	if offered.most == 0 {
