--- /dev/null
+++ b/share/steering.go
@@ -0,0 +1,85 @@
+package share
+
+import "math"
+
+const (
+	// mostOverRefused is how much more than a team that is badly off another may get before its surplus is cut;
+	// fairness ends at twice as much.
+	mostOverRefused = 1.6
+	// surplusFall and surplusRise change the part of the surplus that is offered, at each look.
+	surplusFall = 0.6
+	surplusRise = 0.1
+	// pressureAllowed is the part of the work within shares that full targets may refuse; above it requests beyond what is
+	// promised may wait less at each look, and otherwise longer, up to mostPatience of their objective.
+	pressureAllowed = 0.02
+	patienceFall    = 0.8
+	patienceRise    = 1.05
+	mostPatience    = 0.4
+	// leastYielded is the part of their level that teams have in any case.
+	leastYielded = 0.5
+	// kept is the part of its promised share that a team gets if it is not kept from it.
+	kept = 0.85
+	// forgiven is how much less than its share a team may get in tokens a second, for requests come in lumps.
+	forgiven = 10_000.0
+)
+
+// withPatience lets requests beyond what is promised wait longer while those within it are not refused.
+func (ledger Ledger) withPatience(weight float64) Ledger {
+	if ledger.tried > 0 {
+		ledger.pressure += weight * (ledger.full/ledger.tried - ledger.pressure)
+	}
+	ledger.tried, ledger.full = 0, 0
+	if ledger.pressure > pressureAllowed {
+		ledger.patience = max(ledger.least, ledger.patience*patienceFall)
+	} else {
+		ledger.patience = min(max(ledger.least, mostPatience), ledger.patience*patienceRise)
+	}
+	return ledger
+}
+
+// withSurplus lets teams have less beyond their shares that get much more than a team that is refused, and the
+// others more.
+func (ledger Ledger) withSurplus() Ledger {
+	least := math.Inf(1)
+	for iterator := ledger.teams.Iterator(); !iterator.Done(); {
+		if _, known, _ := iterator.Next(); known.refused() {
+			least = min(least, known.gets)
+		}
+	}
+	for iterator := ledger.teams.Iterator(); !iterator.Done(); {
+		team, known, _ := iterator.Next()
+		if known.gets > mostOverRefused*least {
+			known.surplus *= surplusFall
+		} else {
+			known.surplus = min(1, known.surplus+surplusRise)
+		}
+		ledger.teams = ledger.teams.Set(team, known)
+	}
+	return ledger
+}
+
+// leastBelow returns the least that a team gets which is kept from its promised share, as one whose callers reach few
+// small instances; infinite if there is none.
+func (ledger Ledger) leastBelow(level float64) float64 {
+	least := math.Inf(1)
+	for iterator := ledger.teams.Iterator(); !iterator.Done(); {
+		_, known, _ := iterator.Next()
+		owed := min(known.asks, level)
+		if known.gets < kept*owed && owed-known.gets > forgiven {
+			least = min(least, known.gets)
+		}
+	}
+	return least
+}
+
+// yieldedLevel returns the level at which teams get hardly more than fairness allows while one gets less, though it asks for
+// more; at least a part of the given level, for a team that nothing helps is not to cost the others all of theirs.
+func (ledger Ledger) yieldedLevel(level float64) float64 {
+	least := level
+	for iterator := ledger.teams.Iterator(); !iterator.Done(); {
+		if _, known, _ := iterator.Next(); known.asks > level && known.refused() {
+			least = min(least, known.gets)
+		}
+	}
+	return min(level, max(leastYielded*level, mostOverRefused*least))
+}
--- /dev/null
+++ b/share/word.go
@@ -0,0 +1,69 @@
+package share
+
+import (
+	"cmp"
+	"slices"
+
+	"coltsfootlink"
+)
+
+// WithTold notes which parts of the teams' requests instances are told to offer.
+func (ledger Ledger) WithTold(shares coltsfootlink.Shares) Ledger {
+	parts := make(map[coltsfootlink.TeamName]float64, len(shares.Teams))
+	for _, team := range shares.Teams {
+		parts[team.Team] = team.Entitled
+	}
+	for iterator := ledger.teams.Iterator(); !iterator.Done(); {
+		team, known, _ := iterator.Next()
+		part, over := parts[team]
+		if !over {
+			part = 1
+		}
+		if part == known.part {
+			continue
+		}
+		known.part = part
+		ledger.teams = ledger.teams.Set(team, known)
+	}
+	return ledger
+}
+
+// Shares returns the teams that ask for more than their share, by what is promised and what can be borne, both
+// in tokens a second.
+func (ledger Ledger) Shares(pool coltsfootlink.PoolName, promised, bearable float64) coltsfootlink.Shares {
+	var demands []float64
+	for iterator := ledger.teams.Iterator(); !iterator.Done(); {
+		_, known, _ := iterator.Next()
+		demands = append(demands, known.asks)
+	}
+	entitledLevel := Level(demands, promised)
+	bearableLevel := Level(demands, max(promised, bearable))
+	least := ledger.leastBelow(entitledLevel)
+	yielded := ledger.yieldedLevel(entitledLevel)
+	shares := coltsfootlink.Shares{Pool: pool, Patience: ledger.patience}
+	// More than what targets can bear is not worth asking for.
+	offered := min(1, max(promised, bearable)/max(1, sum(demands)))
+	for iterator := ledger.teams.Iterator(); !iterator.Done(); {
+		team, known, _ := iterator.Next()
+		within := entitledLevel
+		if known.gets > yielded {
+			within = yielded
+		}
+		if known.asks <= within {
+			continue
+		}
+		level := bearableLevel
+		if known.gets > mostOverRefused*least {
+			level = within
+		}
+		entitled := known.entitled(within)
+		shares.Teams = append(shares.Teams, coltsfootlink.TeamShare{
+			Team:     team,
+			Entitled: entitled,
+			Bearable: max(entitled, min(1, level/known.asks)),
+			Surplus:  known.surplus * offered,
+		})
+	}
+	slices.SortFunc(shares.Teams, func(left, right coltsfootlink.TeamShare) int { return cmp.Compare(left.Team, right.Team) })
+	return shares
+}
