One listener for the tests' targets of their own protocols

Five tests had written the same loop of accepting and closing; loopback.Serve has it, beside the free addresses, in a package that the targets' client can use too. Assertions unchanged.

--- a/cmd/soak/post.go
+++ b/cmd/soak/post.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"coltsfootlink/loopback"
 	"coltsfootlink/mailbox"
 	"coltsfootlink/platform"
 	"coltsfootlink/rig"
@@ -116,7 +117,7 @@
 func (post *post) begin(ctx context.Context, version string, twin, bad bool, address string, cold time.Duration) {
 	var err error
 	if address == "" {
-		if address, err = rig.FreeAddress(); err != nil {
+		if address, err = loopback.FreeAddress(); err != nil {
 			return
 		}
 	}
--- a/cmd/soak/site.go
+++ b/cmd/soak/site.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"coltsfootlink"
+	"coltsfootlink/loopback"
 	"coltsfootlink/mailbox"
 	"coltsfootlink/platform"
 	"coltsfootlink/rig"
@@ -60,7 +61,7 @@
 
 // start starts all parts and waits until every instance takes callers.
 func (site *site) start(ctx context.Context) error {
-	address, err := rig.FreeAddress()
+	address, err := loopback.FreeAddress()
 	if err != nil {
 		return err
 	}
--- a/cmd/surge/overload.go
+++ b/cmd/surge/overload.go
@@ -17,6 +17,7 @@
 	"gonum.org/v1/plot/vg"
 
 	"coltsfootlink"
+	"coltsfootlink/loopback"
 	"coltsfootlink/platform"
 	"coltsfootlink/rig"
 	"coltsfootlink/standin"
@@ -89,7 +90,7 @@
 func startEngines(ctx context.Context, played day) ([]*standin.Engine, error) {
 	var engines []*standin.Engine
 	for number := range played.Engines {
-		address, err := rig.FreeAddress()
+		address, err := loopback.FreeAddress()
 		if err != nil {
 			return nil, err
 		}
@@ -109,7 +110,7 @@
 	if policy == leastLoaded {
 		return &leastLoadedAim{engines: engines, running: make([]atomic.Int64, len(engines))}, nil
 	}
-	address, err := rig.FreeAddress()
+	address, err := loopback.FreeAddress()
 	if err != nil {
 		return nil, err
 	}
--- a/ingress/ends_test.go
+++ b/ingress/ends_test.go
@@ -14,6 +14,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"coltsfootlink"
+	"coltsfootlink/loopback"
 )
 
 // lines is a log that a test reads.
@@ -28,24 +29,17 @@
 // startSilent runs a target that writes text after a request and then keeps the connection open.
 func startSilent(t *testing.T, text string) *fakeTarget {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = conn.Close() }()
+	address, err := loopback.Serve(t.Context(), func(conn net.Conn) {
 		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
 			return
 		}
 		_, _ = conn.Write([]byte(text))
 		_, _ = io.Copy(io.Discard, conn)
-	}()
-	return &fakeTarget{Target: coltsfootlink.Target{Name: "t", Pool: "p", Address: listener.Addr().String()}}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &fakeTarget{Target: coltsfootlink.Target{Name: "t", Pool: "p", Address: address}}
 }
 
 // resultsOf waits until that many requests have ended, and returns how.
--- a/ingress/faulty_test.go
+++ b/ingress/faulty_test.go
@@ -12,45 +12,33 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"coltsfootlink"
+	"coltsfootlink/loopback"
 )
 
 // startKept runs a target that keeps its connections; it writes what the script says of each request, and closes behind a
 // text that says so.
 func startKept(t *testing.T, name coltsfootlink.TargetName, script func(count int32, id string) string) *fakeTarget {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
 	seen := new(atomic.Int32)
-	go func() {
+	address, err := loopback.Serve(t.Context(), func(conn net.Conn) {
+		requests := bufio.NewReader(conn)
 		for {
-			conn, err := listener.Accept()
+			request, err := http.ReadRequest(requests)
 			if err != nil {
 				return
 			}
-			go answerKept(conn, seen, script)
-		}
-	}()
-	return &fakeTarget{Target: coltsfootlink.Target{Name: name, Pool: "p", Address: listener.Addr().String()}}
-}
-
-func answerKept(conn net.Conn, seen *atomic.Int32, script func(count int32, id string) string) {
-	defer func() { _ = conn.Close() }()
-	requests := bufio.NewReader(conn)
-	for {
-		request, err := http.ReadRequest(requests)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, request.Body)
-		text := script(seen.Add(1), request.Header.Get("Attempt-Id"))
-		_, _ = conn.Write([]byte(text))
-		if strings.HasSuffix(text, closes) {
-			return
+			_, _ = io.Copy(io.Discard, request.Body)
+			text := script(seen.Add(1), request.Header.Get("Attempt-Id"))
+			_, _ = conn.Write([]byte(text))
+			if strings.HasSuffix(text, closes) {
+				return
+			}
 		}
+	})
+	if err != nil {
+		t.Fatal(err)
 	}
+	return &fakeTarget{Target: coltsfootlink.Target{Name: name, Pool: "p", Address: address}}
 }
 
 // closes ends the text behind which a target closes the connection.
--- a/ingress/left_test.go
+++ b/ingress/left_test.go
@@ -12,7 +12,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"coltsfootlink"
-	"coltsfootlink/rig"
+	"coltsfootlink/loopback"
 	"coltsfootlink/web"
 )
 
@@ -46,7 +46,7 @@
 // serveBehind serves callers with a doorman and returns the address.
 func serveBehind(t testing.TB, service *Service, doorman coltsfootlink.Doorman) string {
 	t.Helper()
-	address, err := rig.FreeAddress()
+	address, err := loopback.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/ingress/service_test.go
+++ b/ingress/service_test.go
@@ -20,6 +20,7 @@
 
 	"coltsfootlink"
 	"coltsfootlink/dispatch"
+	"coltsfootlink/loopback"
 	"coltsfootlink/mailbox"
 	"coltsfootlink/pressure"
 	"coltsfootlink/share"
@@ -36,30 +37,20 @@
 // startTarget runs a target that writes text after each request and then closes the connection.
 func startTarget(t *testing.T, name coltsfootlink.TargetName, text string) *fakeTarget {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	fake := &fakeTarget{Target: coltsfootlink.Target{Name: name, Pool: "p"}}
+	var err error
+	if text == nobody {
+		fake.Address, err = loopback.FreeAddress()
+	} else {
+		fake.Address, err = loopback.Serve(t.Context(), func(conn net.Conn) { fake.answer(conn, text) })
+	}
 	if err != nil {
 		t.Fatal(err)
 	}
-	fake := &fakeTarget{Target: coltsfootlink.Target{Name: name, Pool: "p", Address: listener.Addr().String()}}
-	if text == nobody {
-		_ = listener.Close()
-		return fake
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go fake.answer(conn, text)
-		}
-	}()
 	return fake
 }
 
 func (fake *fakeTarget) answer(conn net.Conn, text string) {
-	defer func() { _ = conn.Close() }()
 	request, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
 		return
--- a/rig/address.go
+++ b/loopback/address.go
@@ -1,4 +1,5 @@
-package rig
+// Package loopback has what tests and measurements need of the loopback addresses.
+package loopback
 
 import (
 	"fmt"
@@ -22,7 +23,7 @@
 			continue
 		}
 		address := listener.Addr().String()
-		return address, errors.Wrap(listener.Close(), "rig: address")
+		return address, errors.Wrap(listener.Close(), "loopback: address")
 	}
-	return "", errors.Wrap(last, "rig: address")
+	return "", errors.Wrap(last, "loopback: address")
 }
--- a/relay/task_test.go
+++ b/relay/task_test.go
@@ -15,16 +15,16 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"coltsfootlink"
+	"coltsfootlink/loopback"
 	"coltsfootlink/mailbox"
 	"coltsfootlink/pressure"
-	"coltsfootlink/rig"
 	"coltsfootlink/web"
 )
 
 // freeAddress returns an address, of a host of its own, that nobody listens on.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	address, err := rig.FreeAddress()
+	address, err := loopback.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/rig/fleet.go
+++ b/rig/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"coltsfootlink"
+	"coltsfootlink/loopback"
 	"coltsfootlink/settings"
 	"coltsfootlink/standin"
 )
@@ -320,7 +321,7 @@
 // addresses fills in unused addresses.
 func addresses(places ...*string) error {
 	for _, place := range places {
-		address, err := FreeAddress()
+		address, err := loopback.FreeAddress()
 		if err != nil {
 			return err
 		}
--- a/rig/proxy.go
+++ b/rig/proxy.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"coltsfootlink/loopback"
 )
 
 // Mode is what a proxy does to its connections.
@@ -55,7 +57,7 @@
 
 // StartProxy starts a proxy before an address; it ends with the context.
 func StartProxy(ctx context.Context, target string) (*Proxy, error) {
-	address, err := FreeAddress()
+	address, err := loopback.FreeAddress()
 	if err != nil {
 		return nil, err
 	}
--- a/target/ends_test.go
+++ b/target/ends_test.go
@@ -12,6 +12,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"coltsfootlink"
+	"coltsfootlink/loopback"
 )
 
 func TestSuccessesWithoutTheirMarkerAreNotWhole(t *testing.T) {
@@ -48,22 +49,15 @@
 // startRaw runs a target that writes text after a request and closes the connection.
 func startRaw(t *testing.T, text string) coltsfootlink.Target {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = conn.Close() }()
+	address, err := loopback.Serve(t.Context(), func(conn net.Conn) {
 		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
 			_, _ = conn.Write([]byte(text))
 		}
-	}()
-	return coltsfootlink.Target{Name: "t", Address: listener.Addr().String()}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return coltsfootlink.Target{Name: "t", Address: address}
 }
 
 func TestStatusesThatNoCallerCanTakeAreFailures(t *testing.T) {
@@ -118,17 +112,7 @@
 // each later one comes an earlier answer once more.
 func startEchoing(t *testing.T, echoes bool, earlier string) coltsfootlink.Target {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = conn.Close() }()
+	address, err := loopback.Serve(t.Context(), func(conn net.Conn) {
 		requests := bufio.NewReader(conn)
 		before := ""
 		for {
@@ -144,8 +128,11 @@
 			_, _ = conn.Write([]byte(before + "HTTP/1.1 200 OK\r\n" + name + "Content-Length: 4\r\n\r\nroof"))
 			before = earlier
 		}
-	}()
-	return coltsfootlink.Target{Name: "t", Address: listener.Addr().String()}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return coltsfootlink.Target{Name: "t", Address: address}
 }
 
 func TestEarlierAnswersThatComeAgainAreNotTakenForOurs(t *testing.T) {
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -16,6 +16,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"coltsfootlink"
+	"coltsfootlink/loopback"
 	"coltsfootlink/mailbox"
 	"coltsfootlink/platform"
 )
@@ -26,26 +27,15 @@
 // startTarget runs a target that counts its connections until the test ends.
 func startTarget(t *testing.T, act script) (coltsfootlink.Target, *atomic.Int32) {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	connections := new(atomic.Int32)
+	address, err := loopback.Serve(t.Context(), func(conn net.Conn) {
+		connections.Add(1)
+		act(conn, bufio.NewReader(conn))
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	connections := new(atomic.Int32)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			connections.Add(1)
-			go func() {
-				defer func() { _ = conn.Close() }()
-				act(conn, bufio.NewReader(conn))
-			}()
-		}
-	}()
-	t.Cleanup(func() { _ = listener.Close() })
-	return coltsfootlink.Target{Name: "t", Address: listener.Addr().String()}, connections
+	return coltsfootlink.Target{Name: "t", Address: address}, connections
 }
 
 // readRequest reads one request; false if the connection has ended.
