Tell callers whose connection was passed on when the other instance dies unanswered

The relay now notes whether a request has begun behind which no byte of an answer has come, by its method, and tells the caller with 502 then. Where a part of an answer has come the connection breaks as before; what goes on with a request behind an early answer is not taken for a new one.

TestCallersAreToldWhenTheOtherInstanceDies: with the new branch taken out three of six cases fail (killed, broken off, second request), none with it.

--- a/relay/passing.go
+++ b/relay/passing.go
@@ -1,10 +1,12 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,6 +25,8 @@
 	welcome = 'w'
 	// chunkBytes is the most that is copied at a time.
 	chunkBytes = 8 << 10
+	// maxMethodBytes is the longest method of a request.
+	maxMethodBytes = 16
 )
 
 var chunks = sync.Pool{New: func() any { return new([chunkBytes]byte) }}
@@ -34,10 +38,14 @@
 	back   func(net.Conn)
 	// sentAt is when the caller is taken to have sent its first request.
 	sentAt time.Time
+	// unanswered says that a request has begun behind which no byte of an answer has come.
+	unanswered atomic.Bool
 }
 
-// run copies between the caller and another instance until one of them ends, or brings the connection back if no
-// instance takes it.
+// failure is the answer to a request that was passed on and may have run, but will not be answered.
+const failure = "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+// run passes the connection on, or brings it back if no instance takes it.
 func (passing *passing) run(ctx context.Context) {
 	other := passing.find(ctx)
 	passing.task.opening.Add(-1)
@@ -47,6 +55,11 @@
 		return
 	}
 	metrics.Count("connections-passed-on")
+	passing.between(ctx, other)
+}
+
+// between copies between the caller and the other instance until one of them ends.
+func (passing *passing) between(ctx context.Context, other net.Conn) {
 	stop := context.AfterFunc(ctx, func() {
 		cut(passing.caller)
 		cut(other)
@@ -55,13 +68,19 @@
 	late := lateness(passing.task.Clock.Now().Sub(passing.sentAt))
 	go func() {
 		// A caller that has ended waits for nothing more.
-		if err := carry(other, passing.caller, late[:]); err != nil {
+		if err := carry(other, passing.caller, late[:], passing.noteRequest); err != nil {
 			cut(other)
 		} else {
 			_ = other.Close()
 		}
 	}()
-	if err := carry(passing.caller, other, nil); err != nil {
+	err := carry(passing.caller, other, nil, func([]byte) { passing.unanswered.Store(false) })
+	switch {
+	case passing.unanswered.Load():
+		metrics.Count("passed-on-unanswered")
+		// An error means that the caller has left.
+		_, _ = io.WriteString(passing.caller, failure)
+	case err != nil:
 		// An end would make what came look like a whole answer.
 		cut(passing.caller)
 		cut(other)
@@ -71,6 +90,20 @@
 	_ = other.Close()
 }
 
+// noteRequest notes that a request begins, if it begins with these bytes: what goes on with one may come behind a part of
+// its answer.
+func (passing *passing) noteRequest(fresh []byte) {
+	if beginsRequest(fresh) {
+		passing.unanswered.Store(true)
+	}
+}
+
+// beginsRequest says whether bytes begin with a method and a blank.
+func beginsRequest(fresh []byte) bool {
+	method, _, found := bytes.Cut(fresh[:min(len(fresh), maxMethodBytes+1)], []byte(" "))
+	return found && len(method) > 0 && len(bytes.Trim(method, "ABCDEFGHIJKLMNOPQRSTUVWXYZ")) == 0
+}
+
 // find returns a connection to an instance that takes the caller; nil if none does.
 func (passing *passing) find(ctx context.Context) net.Conn {
 	var tried []string
@@ -104,14 +137,16 @@
 	return other
 }
 
-// carry copies until the source ends, the head before the first bytes; the error is that of a connection that broke.
-func carry(to, from net.Conn, head []byte) error {
+// carry copies until the source ends, the head before the first bytes, and notes what it copies before it does; the error is
+// that of a connection that broke.
+func carry(to, from net.Conn, head []byte, note func(fresh []byte)) error {
 	chunk := chunks.Get().(*[chunkBytes]byte)
 	defer chunks.Put(chunk)
 	filled := copy(chunk[:], head)
 	for {
 		count, err := from.Read(chunk[filled:])
 		if count > 0 {
+			note(chunk[filled : filled+count])
 			if _, writeErr := to.Write(chunk[:filled+count]); writeErr != nil {
 				return writeErr
 			}
--- a/relay/task_test.go
+++ b/relay/task_test.go
@@ -146,6 +146,75 @@
 	}
 }
 
+func TestCallersAreToldWhenTheOtherInstanceDies(t *testing.T) {
+	const request = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nplan"
+	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nroof"
+	cases := map[string]struct {
+		// sent is what the caller sends in turn, and answers what the other answers to each before it ends.
+		sent, answers []string
+		reset         bool
+		// got is all that the caller gets; broke says that the connection then breaks.
+		got   string
+		broke bool
+	}{
+		"it is killed before it answers":          {[]string{request}, []string{""}, false, failure, false},
+		"it breaks off before it answers":         {[]string{request}, []string{""}, true, failure, false},
+		"with the second request of a connection": {[]string{request, request}, []string{whole, ""}, true, whole + failure, false},
+		"in an answer": {[]string{request}, []string{whole[:20]}, true, whole[:20], true},
+		"in an answer that came before all was sent": {[]string{request[:len(request)-2], "an"}, []string{whole[:20], ""}, true, whole[:20], true},
+		"after its answer":                           {[]string{request}, []string{whole}, false, whole, false},
+	}
+	for name, test := range cases {
+		Convey("a caller whose request was passed on has an answer, or sees that it broke: "+name, t, func() {
+			caller, here := pair(t)
+			there, other := pair(t)
+			task := &Task{Clock: coltsfootlink.SystemClock{}}
+			passing := &passing{task: task, caller: here}
+			ended := make(chan struct{})
+			go func() {
+				passing.between(t.Context(), there)
+				close(ended)
+			}()
+			buffer := make([]byte, 1<<10)
+			for turn, sent := range test.sent {
+				_, err := io.WriteString(caller, sent)
+				So(err, ShouldBeNil)
+				_, err = other.Read(buffer)
+				So(err, ShouldBeNil)
+				_, err = io.WriteString(other, test.answers[turn])
+				So(err, ShouldBeNil)
+				time.Sleep(20 * time.Millisecond)
+			}
+			if test.reset {
+				_ = other.(*net.TCPConn).SetLinger(0)
+			}
+			_ = other.Close()
+			got, err := io.ReadAll(caller)
+			So(string(got), ShouldEqual, test.got)
+			So(err != nil, ShouldEqual, test.broke)
+			_ = caller.Close()
+			<-ended
+		})
+	}
+}
+
+// pair returns both ends of a connection.
+func pair(t *testing.T) (net.Conn, net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	defer func() { _ = listener.Close() }()
+	near, err := net.Dial("tcp4", listener.Addr().String())
+	So(err, ShouldBeNil)
+	far, err := listener.Accept()
+	So(err, ShouldBeNil)
+	t.Cleanup(func() {
+		_ = near.Close()
+		_ = far.Close()
+	})
+	return near, far
+}
+
 func TestPassingIsBounded(t *testing.T) {
 	cases := map[string]struct {
 		open, opening int64
