--- a/share/fair_test.go
+++ b/share/fair_test.go
@@ -41,6 +41,16 @@
 // steadily asks for the same all the time.
 func steadily(rate float64) func(int) float64 { return func(int) float64 { return rate } }
 
+// flood asks for one rate, and from some second on for another.
+func flood(from int, before, rate float64) func(int) float64 {
+	return func(look int) float64 {
+		if look < from*looksPerSecond {
+			return before
+		}
+		return rate
+	}
+}
+
 // teller keeps the newest word on the shares.
 type teller struct{ shares coltsfootlink.Shares }
 
@@ -126,14 +136,6 @@
 }
 
 func TestTeamsWhoseRequestsAreLostBehindTheirSharesGetHalfOfWhatOthersGet(t *testing.T) {
-	flood := func(from int, before, rate float64) func(int) float64 {
-		return func(look int) float64 {
-			if look < from*looksPerSecond {
-				return before
-			}
-			return rate
-		}
-	}
 	waves := func(look int) float64 { return 4e6 * (1 + math.Sin(float64(look))) }
 	small := crowd{steadily(200_000), 1, 1}
 	cases := map[string]map[coltsfootlink.TeamName]crowd{
@@ -153,3 +155,23 @@
 		})
 	}
 }
+
+func TestTeamsWhoseDemandChangesGetNoMoreAndNoLessThanTheirShares(t *testing.T) {
+	large := crowd{steadily(10e6), 0.5, 1}
+	cases := map[string]map[coltsfootlink.TeamName]crowd{
+		"a flood begins beside another":  {"large": large, "next": {flood(6, 0.2e6, 2.5e6), 1, 1}},
+		"one begins as another ends":     {"large": large, "next": {flood(6, 0.2e6, 4e6), 1, 1}, "third": {flood(6, 4e6, 0.2e6), 1, 1}},
+		"they begin one after the other": {"large": large, "next": {flood(6, 0.2e6, 2.5e6), 1, 1}, "third": {flood(9, 0.1e6, 2.5e6), 1, 1}},
+		"a flood nearly falls silent":    {"large": {flood(6, 10e6, 0.15e6), 1, 1}},
+		"two fall silent":                {"large": {flood(6, 10e6, 0.15e6), 0.5, 1}, "next": {flood(8, 3e6, 0.2e6), 1, 1}},
+	}
+	for name, crowds := range cases {
+		for number := range 12 {
+			crowds[coltsfootlink.TeamName(fmt.Sprint("steady-", number))] = crowd{steadily(200_000), 1, 1}
+		}
+		Convey("all get at least half of what they ask for or others get: "+name, t, func() {
+			asked, got := play(crowds, 24)
+			So(unfair(asked, got), ShouldBeEmpty)
+		})
+	}
+}
