Follow a change of what a team asks for within two looks at the shares

Cause: the keeper's means remember one second, so that the part within the share is worked out from a demand that is long out of date. Now a change that is larger than what comes of lumps (half of the mean, and a tenth of what all teams get) sets the means to the two newest looks, those of what the team gets and of what it was told, too.

TestWords had a lower bound of 30 words in ten seconds for a team that comes and goes, which held how often the slow means were told anew; fewer are needed now (24). It now asks that the word is right two looks after each change, which the code before fails, and that instances are told once a second as in its other cases.

--- a/share/ledger.go
+++ b/share/ledger.go
@@ -59,9 +59,10 @@
 	ledger.at = now
 	weight := min(1, span/memory.Seconds())
 	ledger = ledger.withPatience(weight)
+	all := ledger.total()
 	for iterator := ledger.teams.Iterator(); !iterator.Done(); {
 		team, known, _ := iterator.Next()
-		known = known.withTime(span)
+		known = known.withTime(span, all)
 		if known.asks < forgotten {
 			ledger.teams = ledger.teams.Delete(team)
 			continue
@@ -71,6 +72,16 @@
 	return ledger.withSurplus()
 }
 
+// total returns what all teams get in tokens a second.
+func (ledger Ledger) total() float64 {
+	var total float64
+	for iterator := ledger.teams.Iterator(); !iterator.Done(); {
+		_, known, _ := iterator.Next()
+		total += known.gets
+	}
+	return total
+}
+
 // asks returns what a team asks for in tokens a second; zero if it is not known.
 func (ledger Ledger) asks(team coltsfootlink.TeamName) float64 {
 	known, _ := ledger.teams.Get(team)
--- a/share/rate.go
+++ b/share/rate.go
@@ -1,6 +1,9 @@
 package share
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// memory is how long the mean remembers.
@@ -10,8 +13,24 @@
 	// mostCorrection is how many times its share of requests a team may offer because most of them are lost; what is offered
 	// beyond finds no room either.
 	mostCorrection = 5.0
+	// changedPart is how far what a team asked for lately lies from the mean, as a part of it, if its demand has changed, and
+	// notablePart how far at least, as a part of what all teams get: what is less may come of requests that come in lumps.
+	changedPart = 0.5
+	notablePart = 0.1
 )
 
+// look is what came of a team between two looks, in tokens a second.
+type look struct {
+	asked, granted float64
+	// part is the part of the requests within the share that instances had been told.
+	part float64
+}
+
+// mean returns the mean of two looks.
+func (one look) mean(other look) look {
+	return look{asked: (one.asked + other.asked) / 2, granted: (one.granted + other.granted) / 2, part: (one.part + other.part) / 2}
+}
+
 // rate is what a team asks for and gets, as means over the newest time in tokens a second.
 type rate struct {
 	asks, gets float64
@@ -22,17 +41,26 @@
 	// part is the part of the requests within the share that instances were told last, and parts its mean as long as that
 	// of what the team gets.
 	part, parts float64
+	// before is what came at the last look.
+	before look
 	// seen is for how many seconds the team has been known, up to memory.
 	seen float64
 }
 
-// withTime brings the means forward by some seconds; those of a team that is new are of what has come of it so far.
-func (team rate) withTime(span float64) rate {
+// withTime brings the means forward by some seconds; those of a team that is new are of what has come of it so far, and those
+// of one whose demand has changed of the two newest looks. All teams together get the given tokens a second.
+func (team rate) withTime(span, all float64) rate {
+	newest := look{asked: team.asked / span, granted: team.granted / span, part: team.part}
+	lately := newest.mean(team.before)
 	team.seen = min(memory.Seconds(), team.seen+span)
 	weight := min(1, span/team.seen)
-	team.asks += weight * (team.asked/span - team.asks)
-	team.gets += weight * (team.granted/span - team.gets)
-	team.parts += weight * (team.part - team.parts)
+	team.asks += weight * (newest.asked - team.asks)
+	team.gets += weight * (newest.granted - team.gets)
+	team.parts += weight * (newest.part - team.parts)
+	if team.seen > span && math.Abs(lately.asked-team.asks) > max(changedPart*team.asks, notablePart*all) {
+		team.asks, team.gets, team.parts = lately.asked, lately.granted, lately.part
+	}
+	team.before = newest
 	team.asked, team.granted = 0, 0
 	return team
 }
--- a/share/task_test.go
+++ b/share/task_test.go
@@ -32,9 +32,11 @@
 	}{
 		"nobody asks for more":    {steady, 20, 22},
 		"a team floods evenly":    {func(int) float64 { return 3000 }, 20, 60},
-		"a team comes and goes":   {func(look int) float64 { return float64(look/8%2) * 5000 }, 30, 80},
+		"a team comes and goes":   {func(look int) float64 { return float64(look/8%2) * 5000 }, 20, 80},
 		"the pool has no request": {nil, 0, 0},
 	}
+	// settled is the most looks that a word may be behind what a team asks for.
+	const settled = 2
 	for name, test := range cases {
 		Convey(name, t, func() {
 			clock, sent := &hands{now: time.UnixMilli(1_700_000_000_000)}, new(counter)
@@ -51,6 +53,9 @@
 					task.handle(coltsfootlink.Offered{Pool: "p", Teams: []coltsfootlink.TeamOffer{{Team: "x", Tokens: test.tokens(look)}, {Team: "y", Tokens: 20}}})
 				}
 				task.tell()
+				if test.tokens != nil && look >= settled && test.tokens(look) == test.tokens(look-settled) {
+					So(entitledOf(task.told["p"].shares, "x") < 1, ShouldEqual, test.tokens(look) > 1000*interval.Seconds())
+				}
 			}
 			So(sent.sent, ShouldBeBetweenOrEqual, test.least-1, test.most+1)
 		})
