Let callers refused for their share come again while their answers can be in time

Cause: Retry-After was half a second whatever the objective, though each attempt is drawn anew and nothing changes by waiting. Now it is an eighth of the objective, at most half a second. TestCallersRefusedForTheirSharesMayStillBeInTime: two of four cases failed before.

--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -9,8 +9,12 @@
 	"coltsfootlink/dispatch"
 )
 
-// sharePause is how long a caller should stay away whose team asks for far more than its share.
-const sharePause = 500 * time.Millisecond
+const (
+	// sharePause is how long at most a caller should stay away whose team asks for far more than its share, and sharePart which
+	// part of its objective at most, so that its answer can still be in time: each attempt is drawn anew.
+	sharePause = 500 * time.Millisecond
+	sharePart  = 0.125
+)
 
 // admit finds the rule and the team of the request and reads its body; false if it was refused.
 func (current *exchange) admit(catalog coltsfootlink.Catalog) bool {
@@ -64,10 +68,19 @@
 	if offered {
 		return true
 	}
-	current.refuseUnread(coltsfootlink.Refuse(coltsfootlink.OverShare, "others of the pool get far less").WithRetryAt(current.arrived.Add(sharePause)))
+	current.refuseUnread(coltsfootlink.Refuse(coltsfootlink.OverShare, "others of the pool get far less").WithRetryAt(current.arrived.Add(shareSpan(current.rule.Objective))))
 	return false
 }
 
+// shareSpan returns how long a caller should stay away that was refused for its team's share, by its objective; zero if it has
+// none.
+func shareSpan(objective time.Duration) time.Duration {
+	if objective <= 0 {
+		return sharePause
+	}
+	return min(sharePause, time.Duration(sharePart*float64(objective)))
+}
+
 // isTaken says whether the instance takes the request now.
 func (current *exchange) isTaken() bool {
 	refusal := current.overload()
