Count as granted what begins to run

The keeper of the shares counted each permit as service, also those of which nothing came: the caller had left, the target was full, gone or broke before its first event. Those who lose most behind their permits looked served, and the correction of what is let through steers by that figure; second attempts were not counted at all. Now a permit of no use is taken back, and one of a second attempt counted. 'a request whose permit was of no use' failed before (150 for 0).

--- a/dispatch/offer.go
+++ b/dispatch/offer.go
@@ -87,9 +87,7 @@
 			return
 		}
 		task.offers.try(waiting.want, nil)
-		if !waiting.want.Retry {
-			task.offers.count(waiting.want.Pool, waiting.want.Team, 0, tokensOf(waiting.want.Work))
-		}
+		task.offers.count(waiting.want.Pool, waiting.want.Team, 0, tokensOf(waiting.want.Work))
 		task.running[verdict.Serial] = running{want: waiting.want, target: target.Name, version: target.Version, owner: from}
 		waiting.want.Reply <- Choice{Serial: verdict.Serial, Owner: from, Target: target, ExpectedMillis: verdict.ExpectedMillis}
 		return
--- a/dispatch/offered.go
+++ b/dispatch/offered.go
@@ -31,9 +31,9 @@
 	}
 }
 
-// count adds work that a team has asked for, and work that it got.
+// count adds work that a team has asked for, and work that it got; less than none if permits were of no use.
 func (offers *offers) count(pool coltsfootlink.PoolName, team coltsfootlink.TeamName, asked, granted float64) {
-	if team == "" || asked+granted <= 0 {
+	if team == "" || asked == 0 && granted == 0 {
 		return
 	}
 	teams, known := offers.teams[pool]
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -251,6 +251,9 @@
 	if report.Stage == coltsfootlink.Ended {
 		delete(task.running, report.Serial)
 		task.noteUsage(held, report)
+		if !held.read && report.Result != coltsfootlink.Succeeded {
+			task.offers.count(held.want.Pool, held.want.Team, 0, -tokensOf(held.want.Work))
+		}
 		if report.Result == coltsfootlink.Crashed {
 			task.strike(held)
 		}
--- a/dispatch/task_test.go
+++ b/dispatch/task_test.go
@@ -437,6 +437,19 @@
 			task.handle(coltsfootlink.Delivery{Message: question})
 			task.handle(coltsfootlink.Delivery{From: "i-b", Message: coltsfootlink.Verdict{Serial: ask().Serial}})
 		}, coltsfootlink.TeamOffer{Team: "x", Tokens: 150, Granted: 150}, 150},
+		"a request whose permit was of no use": {func(task *Task, question Want, ask func() coltsfootlink.Ask) {
+			task.handle(coltsfootlink.Delivery{Message: question})
+			serial := ask().Serial
+			task.handle(coltsfootlink.Delivery{From: "i-b", Message: coltsfootlink.Verdict{Serial: serial}})
+			task.handle(coltsfootlink.Delivery{Message: Report{Serial: serial, Stage: coltsfootlink.Ended, Result: coltsfootlink.Unused}})
+		}, coltsfootlink.TeamOffer{Team: "x", Tokens: 150}, 150},
+		"a request that broke after its first event": {func(task *Task, question Want, ask func() coltsfootlink.Ask) {
+			task.handle(coltsfootlink.Delivery{Message: question})
+			serial := ask().Serial
+			task.handle(coltsfootlink.Delivery{From: "i-b", Message: coltsfootlink.Verdict{Serial: serial}})
+			task.handle(coltsfootlink.Delivery{Message: Report{Serial: serial, Stage: coltsfootlink.FirstEvent}})
+			task.handle(coltsfootlink.Delivery{Message: Report{Serial: serial, Stage: coltsfootlink.Ended, Result: coltsfootlink.Crashed}})
+		}, coltsfootlink.TeamOffer{Team: "x", Tokens: 150, Granted: 150}, 150},
 	}
 	for name, test := range tells {
 		Convey("the keeper of the shares is told once of "+name, t, func() {
--- a/share/rate.go
+++ b/share/rate.go
@@ -50,7 +50,7 @@
 // withTime brings the means forward by some seconds; those of a team that is new are of what has come of it so far, and those
 // of one whose demand has changed of the two newest looks. All teams together get the given tokens a second.
 func (team rate) withTime(span, all float64) rate {
-	newest := look{asked: team.asked / span, granted: team.granted / span, part: team.part}
+	newest := look{asked: team.asked / span, granted: max(0, team.granted) / span, part: team.part}
 	lately := newest.mean(team.before)
 	team.seen = min(memory.Seconds(), team.seen+span)
 	weight := min(1, span/team.seen)
