--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -13,7 +13,7 @@
 	// sharePause is how long at most a caller should stay away whose team asks for far more than its share, and sharePart which
 	// part of its objective at most, so that its answer can still be in time: each attempt is drawn anew.
 	sharePause = 500 * time.Millisecond
-	sharePart  = 0.125
+	sharePart  = 0.05
 )
 
 // admit finds the rule and the team of the request and reads its body; false if it was refused.
