Close connections unread that an instance behind can neither serve nor pass on

Cause: to read and refuse a request costs 122 us, to pass its connection on 182 and more (docs/CAPACITY.md); what is refused leaves nothing for what is served. Now as large a part of the connections that are not passed on is closed before anything is read as would be refused within shares. Callers learn at once that their request was not read, and teams are let through by what is read of them. TestWhatCannotBeReadIsClosedAtOnce and the cases of TestPlan fail before.

--- a/relay/plan.go
+++ b/relay/plan.go
@@ -13,10 +13,11 @@
 // refusedPause is how long an instance that has refused a connection is not asked again.
 const refusedPause = 250 * time.Millisecond
 
-// Plan is how much an instance passes on, and to where; it is immutable. Its zero value passes nothing on.
+// Plan is how much an instance passes on, and to where, and how much it closes; it is immutable. Its zero value does
+// neither.
 type Plan struct {
-	// part is the part of the new connections that is passed on, from 0 to 1.
-	part float64
+	// part is the part of the new connections that is passed on, and closed that of the others that is closed, from 0 to 1.
+	part, closed float64
 	// wait is how long what is ready to run waits for the processor here.
 	wait time.Duration
 	// addresses are where the others take connections, and resting until when some of them are not asked.
@@ -27,6 +28,8 @@
 // WithPressure returns the plan by how much the instance itself takes.
 func (plan Plan) WithPressure(state pressure.State) Plan {
 	plan.part, plan.wait = 1-state.Taken()/pressure.All, state.Wait()
+	// What would be refused within shares, too, is not worth reading.
+	plan.closed = max(0, 1-2*state.Taken()/pressure.All)
 	return plan
 }
 
@@ -51,6 +54,9 @@
 	return draw < plan.part && plan.Room(now)
 }
 
+// Closes says whether a connection that is not passed on is to be closed unread; the draw is a number from 0 to 1.
+func (plan Plan) Closes(draw float64) bool { return draw >= 1-plan.closed }
+
 // Room says whether others may have room: one that was asked lately and refused has none.
 func (plan Plan) Room(now time.Time) bool {
 	_, found := plan.next(now, 0, nil)
--- a/relay/plan_test.go
+++ b/relay/plan_test.go
@@ -44,6 +44,23 @@
 			So(test.plan.Passes(now, test.draw), ShouldEqual, test.passes)
 		})
 	}
+	closes := map[string]struct {
+		looks  int
+		draw   float64
+		closes bool
+	}{
+		"calm": {0, 0.99, false},
+		"only what lies beyond shares is refused": {1, 0.99, false},
+		"a part within shares is refused":         {2, 0.9, true},
+		"and another part is not":                 {2, 0.8, false},
+		"hardly anything is taken":                {30, 0.03, true},
+		"what little is taken":                    {30, 0.01, false},
+	}
+	for name, test := range closes {
+		Convey("what would be refused within shares, too, is closed unread: "+name, t, func() {
+			So(Plan{}.WithPressure(behind(test.looks)).Closes(test.draw), ShouldEqual, test.closes)
+		})
+	}
 	Convey("addresses that refused or were tried are not asked", t, func() {
 		plan := Plan{}.WithAddresses([]string{"a", "b", "c"}).WithRefusal(now, "b")
 		for range 100 {
--- a/relay/task_test.go
+++ b/relay/task_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -146,6 +147,42 @@
 	}
 }
 
+func TestWhatCannotBeReadIsClosedAtOnce(t *testing.T) {
+	cases := map[string]struct {
+		state  pressure.State
+		draw   float64
+		closed bool
+	}{
+		"the processor is calm":               {pressure.State{}, 0.99, false},
+		"it is behind, and no other has room": {behind(30), 0.99, true},
+		"it is behind, and this one is drawn": {behind(30), 0.01, false},
+	}
+	for name, test := range cases {
+		Convey("a caller has an answer, or sees at once that its request was not read: "+name, t, func() {
+			plan := Plan{}.WithPressure(test.state)
+			task := &Task{Most: 100, MostOpening: 10, Draw: func() float64 { return test.draw }, Clock: coltsfootlink.SystemClock{}, Inbox: mailbox.NewDeliveries()}
+			task.plan.Store(&plan)
+			life := t.Context()
+			task.life.Store(&life)
+			callers := freeAddress(t)
+			read := make(chan struct{}, 1)
+			server := &web.Server{Address: callers, Doorman: task, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { read <- struct{}{} })}
+			serve(t, server)
+			conn, err := net.Dial("tcp4", callers)
+			So(err, ShouldBeNil)
+			defer func() { _ = conn.Close() }()
+			_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+			// An error means that the connection has gone already.
+			_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+			got, err := io.ReadAll(conn)
+			var timeout net.Error
+			So(errors.As(err, &timeout) && timeout.Timeout(), ShouldBeFalse)
+			So(len(got) == 0, ShouldEqual, test.closed)
+			So(len(read) == 0, ShouldEqual, test.closed)
+		})
+	}
+}
+
 func TestCallersAreToldWhenTheOtherInstanceDies(t *testing.T) {
 	const request = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nplan"
 	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nroof"
