--- a/ingress/caller_test.go
+++ b/ingress/caller_test.go
@@ -11,7 +11,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -19,6 +18,7 @@
 
 	"coltsfootlink"
 	"coltsfootlink/pressure"
+	"coltsfootlink/rig"
 	"coltsfootlink/share"
 )
 
@@ -85,13 +85,6 @@
 	callers.Wait()
 }
 
-// spent is the processor time that this process has used.
-func spent() time.Duration {
-	var usage syscall.Rusage
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
-
 // BenchmarkCallers is what callers of another process cost an instance, in microseconds of the processor, by how it treats them.
 func BenchmarkCallers(b *testing.B) {
 	behind := pressure.State{}
@@ -120,11 +113,11 @@
 			caller := exec.Command(os.Args[0])
 			caller.Env = append(os.Environ(), callerVariable+"="+test.way+" "+address+" "+strconv.Itoa(b.N))
 			b.ResetTimer()
-			before := spent()
+			before := rig.Spent()
 			if err := caller.Run(); err != nil {
 				b.Fatal(err)
 			}
-			b.ReportMetric(float64((spent()-before).Microseconds())/float64(b.N), "processor-µs/op")
+			b.ReportMetric(float64((rig.Spent()-before).Microseconds())/float64(b.N), "processor-µs/op")
 		})
 	}
 }
--- a/relay/cost_test.go
+++ b/relay/cost_test.go
@@ -23,6 +23,7 @@
 	"coltsfootlink"
 	"coltsfootlink/loopback"
 	"coltsfootlink/mailbox"
+	"coltsfootlink/rig"
 	"coltsfootlink/web"
 )
 
@@ -65,13 +66,6 @@
 	return command
 }
 
-// spent is the processor time that this process has used.
-func spent() time.Duration {
-	var usage syscall.Rusage
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
-
 // callMany makes that many calls, some at a time, each on a new connection.
 func callMany(address string, count int) {
 	var left atomic.Int64
@@ -128,11 +122,11 @@
 			time.Sleep(500 * time.Millisecond)
 			caller := part("caller", here, b.N)
 			b.ResetTimer()
-			before := spent()
+			before := rig.Spent()
 			if err := caller.Run(); err != nil {
 				b.Fatal(err)
 			}
-			b.ReportMetric(float64((spent()-before).Microseconds())/float64(b.N), "processor-µs/op")
+			b.ReportMetric(float64((rig.Spent()-before).Microseconds())/float64(b.N), "processor-µs/op")
 		})
 	}
 }
--- a/relay/doc.go
+++ b/relay/doc.go
@@ -1,3 +1,3 @@
-// Package relay passes callers' connections, unread, from an instance whose processor is behind to others of its
-// availability zone that have room: to copy bytes costs a fraction of what it takes to read and refuse a request.
+// Package relay decides, before anything is read, what becomes of callers' connections while the processor is behind: they
+// are passed on to others of the availability zone that have room, closed, or served here all the same.
 package relay
--- a/rig/proc.go
+++ b/rig/proc.go
@@ -5,8 +5,10 @@
 	"os"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -37,6 +39,14 @@
 	return (user + system) / ticksPerSecond, errors.Wrap(err, "rig")
 }
 
+// Spent returns the processor time that this process has used, the kernel's for it counted in.
+func Spent() time.Duration {
+	var usage unix.Rusage
+	// It can only fail for bad arguments.
+	_ = unix.Getrusage(unix.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
 // residentBytes returns the resident memory of a process.
 func residentBytes(pid int) (int64, error) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
