Tell the newest of what changed together, and ask for all only when nothing comes

Cause: front-lowcountry-16 is one of its zone's two readers. From 17.7 s on the operator sends 59 versions of the configuration in five seconds. A reader told each of 73 others each version, two or three at a time, whole; and those who saw two readers differ for a moment asked for all that is known, three times a second each. It stood still for two seconds at 18.0 s and was over its memory at 23.5 s. Now a reader tells the newest record of each key, and nobody asks for all while news keep coming, for a second at most.

--- a/catalog/task.go
+++ b/catalog/task.go
@@ -26,8 +26,10 @@
 	rankPause = 300 * time.Millisecond
 	// newsInterval is the time between two signs of life of a reader.
 	newsInterval = 500 * time.Millisecond
-	// compareInterval is the least time between two questions to readers that know something else.
+	// compareInterval is the least time between two questions to readers that know something else, and how long nothing may
+	// have changed before one; differLimit is how long they may know something else while things change.
 	compareInterval = 300 * time.Millisecond
+	differLimit     = time.Second
 	// askInterval is the time between two questions to peers by an instance that knows nothing.
 	askInterval = 500 * time.Millisecond
 )
@@ -60,6 +62,8 @@
 	// signature is that of the catalog, and compareAt when another one is next taken for a sign of lost news.
 	signature uint64
 	compareAt time.Time
+	// changedAt is when the catalog last changed, and differsAt since when readers know something else; zero if they do not.
+	changedAt, differsAt time.Time
 }
 
 // Run keeps the catalog until the context ends.
@@ -108,7 +112,7 @@
 		records = append(slices.Clone(records), task.state.Missing(message.stream, records, message.end)...)
 		task.loaded[message.stream] = true
 	}
-	different := task.apply(records)
+	different := newest(task.apply(records))
 	now := task.Clock.Now()
 	if len(different) == 0 && now.Before(task.newsAt) {
 		return
@@ -121,13 +125,40 @@
 	}
 }
 
-// compare asks a reader for all it knows if it knows something else: messages between instances may be lost.
+// newest returns the newest record of each key, in the order in which the keys come first.
+func newest(records []coltsfootlink.CatalogRecord) []coltsfootlink.CatalogRecord {
+	kept := make([]coltsfootlink.CatalogRecord, 0, len(records))
+	places := make(map[place]int, len(records))
+	for _, record := range records {
+		at := place{stream: record.Stream, key: record.Key}
+		if index, found := places[at]; found {
+			kept[index] = record
+			continue
+		}
+		places[at] = len(kept)
+		kept = append(kept, record)
+	}
+	return kept
+}
+
+// compare asks a reader for all it knows if it knows something else: messages between instances may be lost. While things
+// change, what differs is mostly under way, and all would ask the readers at once.
 func (task *Task) compare(from coltsfootlink.InstanceName, news coltsfootlink.News) {
 	now := task.Clock.Now()
-	if news.Signature == 0 || news.Signature == task.signature || now.Before(task.compareAt) {
+	switch {
+	case news.Signature == 0:
+		return
+	case news.Signature == task.signature:
+		task.differsAt = time.Time{}
+		return
+	case task.differsAt.IsZero():
+		task.differsAt = now
+	}
+	underWay := now.Before(task.changedAt.Add(compareInterval)) && now.Before(task.differsAt.Add(differLimit))
+	if underWay || now.Before(task.compareAt) {
 		return
 	}
-	task.compareAt = now.Add(compareInterval)
+	task.compareAt, task.differsAt = now.Add(compareInterval), now
 	task.Sender.Send(from, coltsfootlink.NewsRequest{})
 }
 
@@ -168,6 +199,7 @@
 }
 
 func (task *Task) publish() {
+	task.changedAt = task.Clock.Now()
 	task.signature = task.state.Catalog().Signature()
 	for _, subscriber := range task.Subscribers {
 		subscriber.Put(coltsfootlink.Delivery{From: task.Self.Name, Message: coltsfootlink.CatalogChanged{Catalog: task.state.Catalog()}})
