Refuse with an answer what was closed unread

A connection that is closed without a word has not run, but its caller is not told so, nor when to come again. Now what has come is taken in, in one read, and a 503 that was made before goes out. TestWhatCanNeitherBeServedNorPassedOnIsRefusedUnread takes the place of the test of closing: it asks for an answer with Retry-After where that asked for an end.

--- a/relay/plan.go
+++ b/relay/plan.go
@@ -13,11 +13,12 @@
 // refusedPause is how long an instance that has refused a connection is not asked again.
 const refusedPause = 250 * time.Millisecond
 
-// Plan is how much an instance passes on, and to where, and how much it closes; it is immutable. Its zero value does
-// neither.
+// Plan is how much an instance passes on, and to where, and how much it refuses unread; it is immutable. Its zero
+// value does neither.
 type Plan struct {
-	// part is the part of the new connections that is passed on, and closed that of the others that is closed, from 0 to 1.
-	part, closed float64
+	// part is the part of the new connections that is passed on, and refused that of the others that is refused unread, from
+	// 0 to 1.
+	part, refused float64
 	// wait is how long what is ready to run waits for the processor here.
 	wait time.Duration
 	// addresses are where the others take connections, and resting until when some of them are not asked.
@@ -29,7 +30,7 @@
 func (plan Plan) WithPressure(state pressure.State) Plan {
 	plan.part, plan.wait = 1-state.Taken()/pressure.All, state.Wait()
 	// What would be refused within shares, too, is not worth reading.
-	plan.closed = max(0, 1-2*state.Taken()/pressure.All)
+	plan.refused = max(0, 1-2*state.Taken()/pressure.All)
 	return plan
 }
 
@@ -54,8 +55,8 @@
 	return draw < plan.part && plan.Room(now)
 }
 
-// Closes says whether a connection that is not passed on is to be closed unread; the draw is a number from 0 to 1.
-func (plan Plan) Closes(draw float64) bool { return draw >= 1-plan.closed }
+// Refuses says whether a connection that is not passed on is to be refused unread; the draw is a number from 0 to 1.
+func (plan Plan) Refuses(draw float64) bool { return draw >= 1-plan.refused }
 
 // Room says whether others may have room: one that was asked lately and refused has none.
 func (plan Plan) Room(now time.Time) bool {
--- a/relay/plan_test.go
+++ b/relay/plan_test.go
@@ -44,10 +44,10 @@
 			So(test.plan.Passes(now, test.draw), ShouldEqual, test.passes)
 		})
 	}
-	closes := map[string]struct {
-		looks  int
-		draw   float64
-		closes bool
+	refuses := map[string]struct {
+		looks   int
+		draw    float64
+		refuses bool
 	}{
 		"calm": {0, 0.99, false},
 		"only what lies beyond shares is refused": {1, 0.99, false},
@@ -56,9 +56,9 @@
 		"hardly anything is taken":                {30, 0.03, true},
 		"what little is taken":                    {30, 0.01, false},
 	}
-	for name, test := range closes {
-		Convey("what would be refused within shares, too, is closed unread: "+name, t, func() {
-			So(Plan{}.WithPressure(behind(test.looks)).Closes(test.draw), ShouldEqual, test.closes)
+	for name, test := range refuses {
+		Convey("what would be refused within shares, too, is refused unread: "+name, t, func() {
+			So(Plan{}.WithPressure(behind(test.looks)).Refuses(test.draw), ShouldEqual, test.refuses)
 		})
 	}
 	Convey("addresses that refused or were tried are not asked", t, func() {
--- a/relay/task.go
+++ b/relay/task.go
@@ -7,7 +7,6 @@
 
 	"coltsfootlink"
 	"coltsfootlink/mailbox"
-	"coltsfootlink/metrics"
 	"coltsfootlink/pressure"
 )
 
@@ -100,11 +99,11 @@
 // Open is the number of connections that are being passed on.
 func (task *Task) Open() int64 { return task.open.Load() }
 
-// Admit passes a connection on, closes it unread, or has it served here.
+// Admit passes a connection on, refuses it unread, or has it served here.
 func (task *Task) Admit(caller net.Conn, back func(net.Conn)) net.Conn {
 	life := task.life.Load()
 	if life == nil || !task.Passes() {
-		return task.serveOrClose(caller)
+		return task.serveOrRefuse(caller)
 	}
 	task.open.Add(1)
 	task.opening.Add(1)
@@ -117,15 +116,12 @@
 	return nil
 }
 
-// serveOrClose returns a connection that is not passed on, or closes it: its caller learns at once that its request was not
-// read, for a fraction of what an answer costs.
-func (task *Task) serveOrClose(caller net.Conn) net.Conn {
-	if !task.Plan().Closes(task.Draw()) {
-		return caller
+// serveOrRefuse returns a connection that is not passed on, or refuses its request for a part of what it takes to read it.
+func (task *Task) serveOrRefuse(caller net.Conn) net.Conn {
+	if task.Plan().Refuses(task.Draw()) && refuse(caller) {
+		return nil
 	}
-	metrics.Count("connections-closed-unread")
-	_ = caller.Close()
-	return nil
+	return caller
 }
 
 // tell notes that an address has taken no connection.
--- a/relay/task_test.go
+++ b/relay/task_test.go
@@ -11,7 +11,6 @@
 	"testing"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -147,38 +146,49 @@
 	}
 }
 
-func TestWhatCannotBeReadIsClosedAtOnce(t *testing.T) {
+func TestWhatCanNeitherBeServedNorPassedOnIsRefusedUnread(t *testing.T) {
+	const head = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 30000\r\n\r\n"
+	whole := head + strings.Repeat("x", 30000)
 	cases := map[string]struct {
-		state  pressure.State
-		draw   float64
-		closed bool
+		state   pressure.State
+		draw    float64
+		sent    string
+		refused bool
 	}{
-		"the processor is calm":               {pressure.State{}, 0.99, false},
-		"it is behind, and no other has room": {behind(30), 0.99, true},
-		"it is behind, and this one is drawn": {behind(30), 0.01, false},
+		"the processor is calm":                        {pressure.State{}, 0.99, whole, false},
+		"it is behind, and no other has room":          {behind(30), 0.99, whole, true},
+		"it is behind, and a part has come":            {behind(30), 0.99, head, true},
+		"it is behind, and nothing has come":           {behind(30), 0.99, "", false},
+		"it is behind, and this one is to be served":   {behind(30), 0.01, whole, false},
+		"it is a little behind, within shares all are": {behind(1), 0.99, whole, false},
 	}
 	for name, test := range cases {
-		Convey("a caller has an answer, or sees at once that its request was not read: "+name, t, func() {
+		Convey("a caller is served, or told at once that its request has not run and when to come again: "+name, t, func() {
 			plan := Plan{}.WithPressure(test.state)
 			task := &Task{Most: 100, MostOpening: 10, Draw: func() float64 { return test.draw }, Clock: coltsfootlink.SystemClock{}, Inbox: mailbox.NewDeliveries()}
 			task.plan.Store(&plan)
 			life := t.Context()
 			task.life.Store(&life)
-			callers := freeAddress(t)
-			read := make(chan struct{}, 1)
-			server := &web.Server{Address: callers, Doorman: task, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { read <- struct{}{} })}
-			serve(t, server)
-			conn, err := net.Dial("tcp4", callers)
+			caller, here := pair(t)
+			_, err := io.WriteString(caller, test.sent)
 			So(err, ShouldBeNil)
-			defer func() { _ = conn.Close() }()
-			_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
-			// An error means that the connection has gone already.
-			_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
-			got, err := io.ReadAll(conn)
-			var timeout net.Error
-			So(errors.As(err, &timeout) && timeout.Timeout(), ShouldBeFalse)
-			So(len(got) == 0, ShouldEqual, test.closed)
-			So(len(read) == 0, ShouldEqual, test.closed)
+			time.Sleep(20 * time.Millisecond)
+			served := task.Admit(here, nil)
+			So(served == nil, ShouldEqual, test.refused)
+			if !test.refused {
+				_ = caller.(*net.TCPConn).CloseWrite()
+				got, err := io.ReadAll(here)
+				So(err, ShouldBeNil)
+				So(string(got), ShouldEqual, test.sent)
+				return
+			}
+			_ = caller.SetReadDeadline(time.Now().Add(5 * time.Second))
+			response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+			So(err, ShouldBeNil)
+			defer func() { _ = response.Body.Close() }()
+			So(response.StatusCode, ShouldEqual, http.StatusServiceUnavailable)
+			So(response.Header.Get("Retry-After"), ShouldEqual, "0.050")
+			So(response.Close, ShouldBeTrue)
 		})
 	}
 }
--- a/web/socket.go
+++ b/web/socket.go
@@ -49,6 +49,25 @@
 	return raw != nil && left(raw)
 }
 
+// ReadArrived reads what has come on a connection and returns the number of bytes; zero if none has, or if the kernel cannot
+// be asked.
+func ReadArrived(conn net.Conn, buffer []byte) int {
+	raw := socketOf(conn)
+	if raw == nil {
+		return 0
+	}
+	arrived := 0
+	// A socket that is closed here has nothing to read.
+	_ = raw.Read(func(descriptor uintptr) bool {
+		count, err := unix.Read(int(descriptor), buffer)
+		if err == nil {
+			arrived = count
+		}
+		return true
+	})
+	return arrived
+}
+
 // left says that the other end of a socket has closed its direction, or that the connection broke.
 func left(raw syscall.RawConn) bool {
 	gone := false
