--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -72,8 +72,7 @@
 	return false
 }
 
-// shareSpan returns how long a caller should stay away that was refused for its team's share, by its objective; zero if it has
-// none.
+// shareSpan returns how long a caller should stay away that was refused for its team's share; an objective of zero is none.
 func shareSpan(objective time.Duration) time.Duration {
 	if objective <= 0 {
 		return sharePause
--- a/relay/cost_test.go
+++ b/relay/cost_test.go
@@ -89,8 +89,50 @@
 	callers.Wait()
 }
 
-// BenchmarkPassedOn is what connections that are passed on cost an instance, in microseconds of the processor, by how many
-// events come back.
+// lagging is a doorman that lets connections wait, so that their requests have come when they are accepted.
+type lagging struct {
+	*Task
+	seen int
+}
+
+// Admit waits before each sixteenth connection.
+func (lagging *lagging) Admit(caller net.Conn, back func(net.Conn)) net.Conn {
+	if lagging.seen++; lagging.seen%16 == 0 {
+		time.Sleep(2 * time.Millisecond)
+	}
+	return lagging.Task.Admit(caller, back)
+}
+
+// measure serves callers with a doorman and reports what each costs this process, in microseconds of the processor.
+func measure(b *testing.B, task *Task, plan Plan) {
+	task.plan.Store(&plan)
+	life := b.Context()
+	task.life.Store(&life)
+	here, err := loopback.FreeAddress()
+	if err != nil {
+		b.Fatal(err)
+	}
+	server := &web.Server{Part: "here", Address: here, Handler: answers("here"), Doorman: &lagging{Task: task}, Log: zerolog.Nop()}
+	go func() { _ = server.Run(life) }()
+	time.Sleep(500 * time.Millisecond)
+	caller := part("caller", here, b.N)
+	b.ResetTimer()
+	before := rig.Spent()
+	if err := caller.Run(); err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64((rig.Spent()-before).Microseconds())/float64(b.N), "processor-µs/op")
+}
+
+// newRelay returns the task of an instance whose others take connections at a port.
+func newRelay(port string, draw float64) *Task {
+	return &Task{
+		Self: coltsfootlink.Instance{Name: "here"}, Port: port, Most: 1000, MostOpening: 1000,
+		Draw: func() float64 { return draw }, Clock: coltsfootlink.SystemClock{}, Inbox: mailbox.NewDeliveries(),
+	}
+}
+
+// BenchmarkPassedOn is what connections that are passed on cost an instance, by how many events come back.
 func BenchmarkPassedOn(b *testing.B) {
 	cases := map[string]int{"1 event": 1, "2 events": 2, "30 events": 30}
 	for name, events := range cases {
@@ -108,25 +150,12 @@
 				_ = answering.Wait()
 			}()
 			host, port, _ := net.SplitHostPort(other)
-			task := &Task{Self: coltsfootlink.Instance{Name: "here"}, Port: port, Most: 1000, MostOpening: 1000, Draw: func() float64 { return 0 }, Clock: coltsfootlink.SystemClock{}, Inbox: mailbox.NewDeliveries()}
-			plan := Plan{}.WithPressure(behind(30)).WithAddresses([]string{net.JoinHostPort(host, port)})
-			task.plan.Store(&plan)
-			life := b.Context()
-			task.life.Store(&life)
-			here, err := loopback.FreeAddress()
-			if err != nil {
-				b.Fatal(err)
-			}
-			server := &web.Server{Part: "here", Address: here, Handler: answers("here"), Doorman: task, Log: zerolog.Nop()}
-			go func() { _ = server.Run(life) }()
-			time.Sleep(500 * time.Millisecond)
-			caller := part("caller", here, b.N)
-			b.ResetTimer()
-			before := rig.Spent()
-			if err := caller.Run(); err != nil {
-				b.Fatal(err)
-			}
-			b.ReportMetric(float64((rig.Spent()-before).Microseconds())/float64(b.N), "processor-µs/op")
+			measure(b, newRelay(port, 0), Plan{}.WithPressure(behind(30)).WithAddresses([]string{net.JoinHostPort(host, port)}))
 		})
 	}
 }
+
+// BenchmarkRefusedUnread is what connections that are refused unread cost an instance.
+func BenchmarkRefusedUnread(b *testing.B) {
+	measure(b, newRelay("1", 0.99), Plan{}.WithPressure(behind(30)))
+}
