Know the probe's connections at any address of the loopback

What callers saw: gateways that listen at 127.x.y.z refused seven in ten requests ('the processor is behind') with idle processors; TestGateways failed in six of its cases, TestGatewayMoves and TestShortSoak as well (load 10 to 30; the same on; pass beside the same load). Cause: the kernel calls 127.x.y.z from 127.0.0.1, and a connection counted as the probe's only if both addresses are equal. It was served as a caller's, and its wait grew without end. 'another of the loopback' failed before (101 ms for less than 75).

--- a/web/probe.go
+++ b/web/probe.go
@@ -176,7 +176,7 @@
 func (probe *Probe) asks(conn net.Conn) bool {
 	from, fromTCP := conn.RemoteAddr().(*net.TCPAddr)
 	here, hereTCP := conn.LocalAddr().(*net.TCPAddr)
-	if !fromTCP || !hereTCP || !from.IP.Equal(here.IP) {
+	if !fromTCP || !hereTCP || !sameHost(from.IP, here.IP) {
 		return false
 	}
 	reply := make(chan bool, 1)
@@ -188,3 +188,9 @@
 		return false
 	}
 }
+
+// sameHost says whether two addresses are of one host, as all of the loopback are: the kernel calls from another one than it is
+// called at.
+func sameHost(one, other net.IP) bool {
+	return one.Equal(other) || one.IsLoopback() && other.IsLoopback()
+}
--- a/web/probe_test.go
+++ b/web/probe_test.go
@@ -68,6 +68,24 @@
 			So(probe.Wait(), ShouldEqual, time.Duration(0))
 		})
 	}
+	for name, address := range map[string]string{"the usual one": "127.0.0.1:0", "another of the loopback": "127.7.8.9:0", "any": ":0"} {
+		Convey("a probe is known at whatever address the server listens: "+name, t, func() {
+			listener, err := net.Listen("tcp4", address)
+			So(err, ShouldBeNil)
+			defer func() { _ = listener.Close() }()
+			probe := &Probe{Address: listener.Addr().String(), Clock: coltsfootlink.SystemClock{}, Inbox: mailbox.NewDeliveries()}
+			server := &attended{Listener: listener, probe: probe}
+			go func() { _, _ = server.Accept() }()
+			ctx, stop := context.WithCancel(t.Context())
+			var stopped sync.WaitGroup
+			stopped.Go(func() { _ = probe.Run(ctx) })
+			time.Sleep(2 * late)
+			So(probe.Wait(), ShouldBeLessThan, late/2)
+			So(probe.published.Load(), ShouldNotBeNil)
+			stop()
+			stopped.Wait()
+		})
+	}
 	Convey("a server serves its clients beside a probe, and no connection of the probe", t, func() {
 		address := freeAddress(t)
 		open, served := new(atomic.Int64), new(atomic.Int64)
