One look for the least that refused teams get

Three loops of share/steering.go were the same but for whom they count; what is decided does not change. Its tests, vet and staticcheck pass.

--- a/share/steering.go
+++ b/share/steering.go
@@ -38,12 +38,7 @@
 // withSurplus lets teams have less beyond their shares that get much more than a team that is refused, and the
 // others more.
 func (ledger Ledger) withSurplus() Ledger {
-	least := math.Inf(1)
-	for iterator := ledger.teams.Iterator(); !iterator.Done(); {
-		if _, known, _ := iterator.Next(); known.refused() {
-			least = min(least, known.gets)
-		}
-	}
+	least := ledger.leastRefused(func(rate) bool { return true })
 	for iterator := ledger.teams.Iterator(); !iterator.Done(); {
 		team, known, _ := iterator.Next()
 		if known.gets > mostOverRefused*least {
@@ -59,24 +54,23 @@
 // ceiling returns the most that a team may be let have beyond its promised share: hardly more than fairness allows over the
 // least that a team gets which is refused much; infinite if none is.
 func (ledger Ledger) ceiling() float64 {
-	least := math.Inf(1)
-	for iterator := ledger.teams.Iterator(); !iterator.Done(); {
-		_, known, _ := iterator.Next()
-		if known.refused() && known.asks-known.gets > forgiven {
-			least = min(least, known.gets)
-		}
-	}
-	return mostOverRefused * least
+	return mostOverRefused * ledger.leastRefused(func(known rate) bool { return known.asks-known.gets > forgiven })
 }
 
 // yieldedLevel returns the level at which teams get hardly more than fairness allows while one gets less, though it asks for
 // more; at least a part of the given level, for a team that nothing helps is not to cost the others all of theirs.
 func (ledger Ledger) yieldedLevel(level float64) float64 {
-	least := level
+	least := min(level, ledger.leastRefused(func(known rate) bool { return known.asks > level }))
+	return min(level, max(leastYielded*level, mostOverRefused*least))
+}
+
+// leastRefused returns the least that a team gets which is refused much and counts; infinite if there is none.
+func (ledger Ledger) leastRefused(counts func(rate) bool) float64 {
+	least := math.Inf(1)
 	for iterator := ledger.teams.Iterator(); !iterator.Done(); {
-		if _, known, _ := iterator.Next(); known.asks > level && known.refused() {
+		if _, known, _ := iterator.Next(); known.refused() && counts(known) {
 			least = min(least, known.gets)
 		}
 	}
-	return min(level, max(leastYielded*level, mostOverRefused*least))
+	return least
 }
