Tell early of teams that ask for much more than before

Cause: instances tell the keeper of a pool every 250 ms what is asked for, and it looks every 250 ms. Until its first word that counts (0.39 s), 1,152 requests of xahu40 began; 11 or so begin in each later eighth of a second. Ruled out: a bound at each instance without a word from the keeper. xahu40's callers reach all 74 instances, ziwu641's 20, voje462's 13 (two thirds of them one), dacu673's 2: an equal bound at each would be 37 times as wide for the first as for the last.

Now an instance tells when more has come than in its last turn and what operators promise for one instance, and again each time that has doubled; the keeper looks by the same rule. What has come is taken for half of the least that will have come at the look, so that lumps of reports raise nobody's demand (a team counts from three times what it asks for as a rule). Nothing beyond its promised share is offered for a team until a look has shown who goes short by it.

--- a/dispatch/offered.go
+++ b/dispatch/offered.go
@@ -14,38 +14,40 @@
 	outputWeight = 2
 )
 
-// offers is what the keepers of the shares are to be told of the teams' requests.
+// offers is what the keepers of the shares are to be told of the teams' requests, by pool.
 type offers struct {
-	teams map[coltsfootlink.PoolName]map[coltsfootlink.TeamName]coltsfootlink.TeamOffer
-	// tried is the work within shares that was offered to targets, full the part of it that full ones refused.
-	tried, full map[coltsfootlink.PoolName]float64
+	pools map[coltsfootlink.PoolName]offered
 	// tellAt is when the keepers are next told.
 	tellAt time.Time
 }
 
-func newOffers() offers {
-	return offers{
-		teams: make(map[coltsfootlink.PoolName]map[coltsfootlink.TeamName]coltsfootlink.TeamOffer),
-		tried: make(map[coltsfootlink.PoolName]float64),
-		full:  make(map[coltsfootlink.PoolName]float64),
-	}
+// offered is what the keeper of one pool is to be told.
+type offered struct {
+	teams map[coltsfootlink.TeamName]coltsfootlink.TeamOffer
+	// tried is the work within shares that was offered to targets, full the part of it that full ones refused.
+	tried, full float64
+	// surge is of what was asked for since keepers were last told in their turn.
+	surge share.Surge
 }
 
+func newOffers() offers { return offers{pools: make(map[coltsfootlink.PoolName]offered)} }
+
 // count adds work that a team has asked for, and work that it got; less than none if permits were of no use.
 func (offers *offers) count(pool coltsfootlink.PoolName, team coltsfootlink.TeamName, asked, granted float64) {
 	if team == "" || asked == 0 && granted == 0 {
 		return
 	}
-	teams, known := offers.teams[pool]
-	if !known {
-		teams = make(map[coltsfootlink.TeamName]coltsfootlink.TeamOffer)
-		offers.teams[pool] = teams
+	known := offers.pools[pool]
+	if known.teams == nil {
+		known.teams = make(map[coltsfootlink.TeamName]coltsfootlink.TeamOffer)
 	}
-	offer := teams[team]
+	offer := known.teams[team]
 	offer.Team = team
 	offer.Tokens += asked
 	offer.Granted += granted
-	teams[team] = offer
+	known.teams[team] = offer
+	known.surge = known.surge.WithCome(asked)
+	offers.pools[pool] = known
 }
 
 // try counts work within a team's share that was offered to targets.
@@ -53,10 +55,12 @@
 	if want.Standing != coltsfootlink.Entitled || want.Team == "" {
 		return
 	}
-	offers.tried[want.Pool] += tokensOf(want.Work)
+	known := offers.pools[want.Pool]
+	known.tried += tokensOf(want.Work)
 	if refusal != nil && refusal.Reason == coltsfootlink.TargetFull {
-		offers.full[want.Pool] += tokensOf(want.Work)
+		known.full += tokensOf(want.Work)
 	}
+	offers.pools[want.Pool] = known
 }
 
 // tokensOf is the work of a request that counts for its team's share.
@@ -67,22 +71,49 @@
 // tell tells the keepers of the shares what callers have asked for, and the coordinators of moves how it went.
 func (task *Task) tell(now time.Time) {
 	if now.Before(task.offers.tellAt) {
+		task.tellSurges()
 		return
 	}
 	task.offers.tellAt = now.Add(offerInterval)
 	task.tellCoordinators(now)
-	for pool, teams := range task.offers.teams {
-		keeper, found := share.Keeper(pool, task.view)
-		if !found {
+	for pool, known := range task.offers.pools {
+		if !task.tellKeeper(pool, known) {
 			continue
 		}
-		offered := coltsfootlink.Offered{Pool: pool, Tried: task.offers.tried[pool], Full: task.offers.full[pool]}
-		for _, offer := range teams {
-			offered.Teams = append(offered.Teams, offer)
+		if next := known.surge.WithInterval(); next == (share.Surge{}) {
+			delete(task.offers.pools, pool)
+		} else {
+			task.offers.pools[pool] = offered{surge: next}
 		}
-		task.Sender.Send(keeper, offered)
-		delete(task.offers.teams, pool)
-		delete(task.offers.tried, pool)
-		delete(task.offers.full, pool)
 	}
 }
+
+// tellSurges tells the keepers of the pools of which so much is asked that their turn would come late.
+func (task *Task) tellSurges() {
+	allowed := task.catalog.Table.TokensPerSecond * offerInterval.Seconds() / float64(max(1, len(task.view.Members)))
+	if allowed <= 0 {
+		return
+	}
+	for pool, known := range task.offers.pools {
+		if known.surge.Due(allowed) && task.tellKeeper(pool, known) {
+			task.offers.pools[pool] = offered{surge: known.surge.WithTold()}
+		}
+	}
+}
+
+// tellKeeper tells the keeper of a pool what callers have asked for; false if there is none.
+func (task *Task) tellKeeper(pool coltsfootlink.PoolName, known offered) bool {
+	keeper, found := share.Keeper(pool, task.view)
+	if !found {
+		return false
+	}
+	if len(known.teams) == 0 {
+		return true
+	}
+	message := coltsfootlink.Offered{Pool: pool, Tried: known.tried, Full: known.full}
+	for _, offer := range known.teams {
+		message.Teams = append(message.Teams, offer)
+	}
+	task.Sender.Send(keeper, message)
+	return true
+}
--- a/share/ledger.go
+++ b/share/ledger.go
@@ -15,6 +15,8 @@
 type Ledger struct {
 	teams *immutable.Map[coltsfootlink.TeamName, rate]
 	at    time.Time
+	// surge is of what all teams have asked for since then.
+	surge Surge
 	// tried and full are what came since the means were last brought forward, see coltsfootlink.Offered; pressure is the
 	// mean of their quotient.
 	tried, full, pressure float64
@@ -42,6 +44,7 @@
 			known = rate{surplus: 1, part: 1, parts: 1}
 		}
 		known.asked += offer.Tokens
+		ledger.surge = ledger.surge.WithCome(offer.Tokens)
 		known.granted += offer.Granted
 		ledger.teams = ledger.teams.Set(offer.Team, known)
 	}
@@ -57,6 +60,7 @@
 		return ledger
 	}
 	ledger.at = now
+	ledger.surge = ledger.surge.WithInterval()
 	weight := min(1, span/memory.Seconds())
 	ledger = ledger.withPatience(weight)
 	all := ledger.total()
@@ -82,10 +86,10 @@
 	return total
 }
 
-// asks returns what a team asks for in tokens a second; zero if it is not known.
-func (ledger Ledger) asks(team coltsfootlink.TeamName) float64 {
+// demand returns what a team asks for at least in tokens a second; zero if it is not known.
+func (ledger Ledger) demand(team coltsfootlink.TeamName) float64 {
 	known, _ := ledger.teams.Get(team)
-	return known.asks
+	return known.demand()
 }
 
 // gets returns what a team gets in tokens a second; zero if it is not known.
--- a/share/rate.go
+++ b/share/rate.go
@@ -36,6 +36,8 @@
 	asks, gets float64
 	// asked and granted are what came since the means were last brought forward.
 	asked, granted float64
+	// surge is what the team asks for at least by what has come since the last look; zero if that is hardly more than asks.
+	surge float64
 	// surplus is the part of the requests beyond what is bearable that may be offered to targets.
 	surplus float64
 	// part is the part of the requests within the share that instances were told last, and parts its mean as long as that
@@ -48,10 +50,15 @@
 }
 
 // withTime brings the means forward by some seconds; those of a team that is new are of what has come of it so far, and those
-// of one whose demand has changed of the two newest looks. All teams together get the given tokens a second.
+// of one whose demand has changed of the two newest looks, or of the newest if that showed before it ended. All teams together
+// get the given tokens a second.
 func (team rate) withTime(span, all float64) rate {
 	newest := look{asked: team.asked / span, granted: max(0, team.granted) / span, part: team.part}
 	lately := newest.mean(team.before)
+	if team.surge > 0 {
+		lately = newest
+	}
+	known := team.asks
 	team.seen = min(memory.Seconds(), team.seen+span)
 	weight := min(1, span/team.seen)
 	team.asks += weight * (newest.asked - team.asks)
@@ -60,8 +67,12 @@
 	if team.seen > span && math.Abs(lately.asked-team.asks) > max(changedPart*team.asks, notablePart*all) {
 		team.asks, team.gets, team.parts = lately.asked, lately.granted, lately.part
 	}
+	if team.asks > teamSurgeFactor*known {
+		// Who goes short by what a team has only begun to ask for shows later.
+		team.surplus *= known / team.asks
+	}
 	team.before = newest
-	team.asked, team.granted = 0, 0
+	team.asked, team.granted, team.surge = 0, 0, 0
 	return team
 }
 
@@ -69,7 +80,19 @@
 // it asks for, and more where the processor and full targets take a part of what is let through.
 func (team rate) entitled(level float64) float64 {
 	lost := team.parts * team.asks / max(1, team.gets)
-	return min(1, level/team.asks*min(mostCorrection, max(1, lost)))
+	return min(1, level/team.demand()*min(mostCorrection, max(1, lost)))
+}
+
+// demand is what the team asks for at least, in tokens a second.
+func (team rate) demand() float64 { return max(team.asks, team.surge) }
+
+// beyond is the part of the requests beyond what is bearable that may be offered; none while it is not known who goes short by
+// what the team has only begun to ask for.
+func (team rate) beyond() float64 {
+	if team.surge > 0 {
+		return 0
+	}
+	return team.surplus
 }
 
 // refused says that the team gets far less than it asks for.
--- /dev/null
+++ b/share/surging.go
@@ -0,0 +1,27 @@
+package share
+
+import "time"
+
+// surgePart is how much may come besides the usual, as a part of what operators promise for the time between two looks.
+const surgePart = 0.5
+
+// Surges says that so much more has come since the last look that the next one would come late; promised is in tokens a
+// second.
+func (ledger Ledger) Surges(promised float64) bool {
+	return ledger.surge.Due(surgePart * promised * interval.Seconds())
+}
+
+// WithSurges notes which teams ask for much more than they did at the last look. What has come so far is the least that
+// comes in the whole time between two looks.
+func (ledger Ledger) WithSurges(now time.Time) Ledger {
+	ledger.surge = ledger.surge.WithTold()
+	seconds := max(interval, now.Sub(ledger.at)).Seconds()
+	for iterator := ledger.teams.Iterator(); !iterator.Done(); {
+		team, known, _ := iterator.Next()
+		if least := known.asked / seconds; least > teamSurgeFactor*known.asks {
+			known.surge = surgeFactor * least
+			ledger.teams = ledger.teams.Set(team, known)
+		}
+	}
+	return ledger
+}
--- a/share/task.go
+++ b/share/task.go
@@ -74,6 +74,7 @@
 		for _, delivery := range task.Inbox.Drain() {
 			task.handle(delivery.Message)
 		}
+		task.tellSurges()
 	}
 }
 
@@ -97,47 +98,66 @@
 	}
 }
 
-// tell tells all instances of the shares of the pools that this one keeps.
+// tell looks at what has come, and tells all instances of the shares of the pools that this one keeps.
 func (task *Task) tell() {
 	now := task.Clock.Now()
 	for pool, ledger := range task.ledgers {
-		keeper, found := Keeper(pool, task.view)
-		if !found || keeper != task.Self {
+		if !task.keeps(pool) {
 			delete(task.ledgers, pool)
 			delete(task.told, pool)
 			continue
 		}
-		ledger = ledger.WithTime(now)
-		task.ledgers[pool] = ledger
-		promised := task.catalog.Table.TokensPerSecond
-		if promised <= 0 {
-			continue
-		}
-		shares := ledger.Shares(pool, promised, promised*task.BearableFactor)
-		last := task.told[pool]
-		if now.Before(last.renewAt) && alike(shares, last.shares) {
-			continue
-		}
-		task.ledgers[pool] = ledger.WithTold(shares)
-		logAt := task.log(now, last.logAt, ledger, shares)
-		task.told[pool] = told{shares: shares, renewAt: now.Add(renewInterval), logAt: logAt}
-		for _, member := range task.view.Live() {
-			task.Sender.Send(member.Name, shares)
+		task.tellPool(now, pool, ledger.WithTime(now))
+	}
+}
+
+// tellSurges tells of the pools of which so much is asked since the last look that the next one would come late.
+func (task *Task) tellSurges() {
+	now, promised := task.Clock.Now(), task.catalog.Table.TokensPerSecond
+	for pool, ledger := range task.ledgers {
+		if promised > 0 && ledger.Surges(promised) && task.keeps(pool) {
+			task.tellPool(now, pool, ledger.WithSurges(now))
 		}
 	}
 }
 
+// keeps says whether this instance keeps the shares of a pool.
+func (task *Task) keeps(pool coltsfootlink.PoolName) bool {
+	keeper, found := Keeper(pool, task.view)
+	return found && keeper == task.Self
+}
+
+// tellPool keeps the ledger of a pool, and tells all instances of its shares if they have changed or are due.
+func (task *Task) tellPool(now time.Time, pool coltsfootlink.PoolName, ledger Ledger) {
+	task.ledgers[pool] = ledger
+	promised := task.catalog.Table.TokensPerSecond
+	if promised <= 0 {
+		return
+	}
+	shares := ledger.Shares(pool, promised, promised*task.BearableFactor)
+	last := task.told[pool]
+	if now.Before(last.renewAt) && alike(shares, last.shares) {
+		return
+	}
+	task.ledgers[pool] = ledger.WithTold(shares)
+	logAt := task.log(now, last.logAt, ledger, shares)
+	task.told[pool] = told{shares: shares, renewAt: now.Add(renewInterval), logAt: logAt}
+	for _, member := range task.view.Live() {
+		task.Sender.Send(member.Name, shares)
+	}
+}
+
 // log writes what the teams that ask for most ask for and get, if the next lines are due, and returns when they are then.
 func (task *Task) log(now, due time.Time, ledger Ledger, shares coltsfootlink.Shares) time.Time {
 	if now.Before(due) {
 		return due
 	}
 	largest := slices.SortedFunc(slices.Values(shares.Teams), func(one, other coltsfootlink.TeamShare) int {
-		return cmp.Compare(ledger.asks(other.Team), ledger.asks(one.Team))
+		return cmp.Compare(ledger.demand(other.Team), ledger.demand(one.Team))
 	})
 	for _, team := range largest[:min(maxLogged, len(largest))] {
 		task.Log.Info().Str("pool", string(shares.Pool)).Str("team", string(team.Team)).
-			Float64("asks", ledger.asks(team.Team)).Float64("gets", ledger.gets(team.Team)).
+			Float64("asks", ledger.demand(team.Team)).Float64("gets", ledger.gets(team.Team)).
 			Float64("entitled", team.Entitled).Float64("bearable", team.Bearable).Float64("surplus", team.Surplus).
 			Float64("patience", shares.Patience).Int("teams-over", len(shares.Teams)).Msg("share: team asks for more than its share")
 	}
--- a/share/word.go
+++ b/share/word.go
@@ -34,7 +34,7 @@
 	var demands []float64
 	for iterator := ledger.teams.Iterator(); !iterator.Done(); {
 		_, known, _ := iterator.Next()
-		demands = append(demands, known.asks)
+		demands = append(demands, known.demand())
 	}
 	entitledLevel := Level(demands, promised)
 	bearableLevel := Level(demands, max(promised, bearable))
@@ -49,16 +49,19 @@
 		if known.gets > yielded {
 			within = yielded
 		}
-		if known.asks <= within {
+		if known.demand() <= within {
 			continue
 		}
-		level := max(within, min(bearableLevel, ceiling))
+		level := within
+		if known.surge == 0 {
+			level = max(within, min(bearableLevel, ceiling))
+		}
 		entitled := known.entitled(within)
 		shares.Teams = append(shares.Teams, coltsfootlink.TeamShare{
 			Team:     team,
 			Entitled: entitled,
-			Bearable: max(entitled, min(1, level/known.asks)),
-			Surplus:  known.surplus * offered,
+			Bearable: max(entitled, min(1, level/known.demand())),
+			Surplus:  known.beyond() * offered,
 		})
 	}
 	slices.SortFunc(shares.Teams, func(left, right coltsfootlink.TeamShare) int { return cmp.Compare(left.Team, right.Team) })
