Targets whose heads are too long have failed, and not crashed, on our own interface, too

A head over 64 KiB ends the call in the HTTP library with an error that says no more than a broken connection, so that the target counted as crashed: its slots were cut, and a request that met two of them was refused as one that crashes targets. The connection now counts what came since its request got it; without an answer, all of it is a head.

TestTargetsWhoseHeadsAreTooLongHaveNotCrashed failed in six cases (three heads, each where the request may be repeated and where not).

--- a/target/client.go
+++ b/target/client.go
@@ -50,7 +50,7 @@
 	response, err := client.send(ctx, target, request, carrier)
 	if err != nil {
 		// The cause is looked at before the context is ended here.
-		failure := coltsfootlink.NewCallError(ctx, carrier.sent(), err)
+		failure := callError(ctx, carrier, err)
 		cancel()
 		return coltsfootlink.Answer{}, failure
 	}
@@ -68,6 +68,15 @@
 	return answer, nil
 }
 
+// callError tells how a call failed that brought no answer; a target whose head is too long has not crashed.
+func callError(ctx context.Context, carrier *carrier, err error) *coltsfootlink.CallError {
+	failure := coltsfootlink.NewCallError(ctx, carrier.sent(), err)
+	if carrier.tooLong() {
+		failure.Result, failure.Reason = coltsfootlink.Failed, coltsfootlink.AnswerTooLong
+	}
+	return failure
+}
+
 // Load asks a target for its report; a target without reports gives an empty one.
 func (client *Client) Load(ctx context.Context, target coltsfootlink.Target) (coltsfootlink.Load, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+target.Address+LoadPath, nil)
--- a/target/conn.go
+++ b/target/conn.go
@@ -12,6 +12,15 @@
 	net.Conn
 	// echoes says that the target has named a request in an answer on it; it then names each.
 	echoes atomic.Bool
+	// received is the number of bytes that came since it was given to its newest request.
+	received atomic.Int64
+}
+
+// Read reads what the target has sent.
+func (conn *conn) Read(buffer []byte) (int, error) {
+	count, err := conn.Conn.Read(buffer)
+	conn.received.Add(int64(count))
+	return count, err
 }
 
 // dial opens a connection to a target.
@@ -30,6 +39,7 @@
 func (carrier *carrier) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if opened, is := info.Conn.(*conn); is {
+			opened.received.Store(0)
 			carrier.newest.Store(opened)
 		}
 	}}
@@ -37,3 +47,9 @@
 
 // sent says that the request may have been sent.
 func (carrier *carrier) sent() bool { return carrier.newest.Load() != nil }
+
+// tooLong says that as much has come as the head of an answer may have.
+func (carrier *carrier) tooLong() bool {
+	opened := carrier.newest.Load()
+	return opened != nil && opened.received.Load() >= maxHeadBytes
+}
--- a/target/ends_test.go
+++ b/target/ends_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -186,3 +188,52 @@
 		})
 	}
 }
+
+func TestTargetsWhoseHeadsAreTooLongHaveNotCrashed(t *testing.T) {
+	long := strings.Repeat("x", 2*maxHeadBytes)
+	cases := map[string]struct {
+		text   string
+		result coltsfootlink.Result
+		reason coltsfootlink.Reason
+	}{
+		"one field":               {"HTTP/1.1 200 OK\r\nX: " + long + "\r\n\r\n", coltsfootlink.Failed, coltsfootlink.AnswerTooLong},
+		"many fields":             {"HTTP/1.1 200 OK\r\n" + strings.Repeat("X: y\r\n", maxHeadBytes/2) + "\r\n", coltsfootlink.Failed, coltsfootlink.AnswerTooLong},
+		"no end of the status":    {"HTTP/1.1 200 " + long, coltsfootlink.Failed, coltsfootlink.AnswerTooLong},
+		"a head that breaks off":  {"HTTP/1.1 200 OK\r\nX: y", coltsfootlink.Crashed, coltsfootlink.TargetFailed},
+		"an answer that is empty": {"", coltsfootlink.Crashed, coltsfootlink.TargetFailed},
+	}
+	for name, test := range cases {
+		for _, repeatable := range []bool{false, true} {
+			Convey(fmt.Sprintf("its request may have run, and is not taken for one that crashes targets: %s, repeatable %v", name, repeatable), t, func() {
+				_, err := NewClient(coltsfootlink.SystemClock{}).Call(t.Context(), startRaw(t, test.text), unmarked, requestOf(repeatable))
+				var failure *coltsfootlink.CallError
+				So(errors.As(err, &failure), ShouldBeTrue)
+				So(failure.Sent, ShouldBeTrue)
+				So(failure.Result, ShouldEqual, test.result)
+				So(failure.Reason, ShouldEqual, test.reason)
+			})
+		}
+	}
+	Convey("long answers before do not count", t, func() {
+		address, err := loopback.Serve(t.Context(), func(conn net.Conn) {
+			requests := bufio.NewReader(conn)
+			if request, err := http.ReadRequest(requests); err == nil {
+				_, _ = io.Copy(io.Discard, request.Body)
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long), long)
+				_, _ = http.ReadRequest(requests)
+			}
+		})
+		So(err, ShouldBeNil)
+		client := NewClient(coltsfootlink.SystemClock{})
+		target := coltsfootlink.Target{Name: "t", Address: address}
+		answer, err := client.Call(t.Context(), target, unmarked, requestOf(true))
+		So(err, ShouldBeNil)
+		_, err = io.ReadAll(answer.Body)
+		So(err, ShouldBeNil)
+		So(answer.Body.Close(), ShouldBeNil)
+		_, err = client.Call(t.Context(), target, unmarked, requestOf(true))
+		var failure *coltsfootlink.CallError
+		So(errors.As(err, &failure), ShouldBeTrue)
+		So(failure.Result, ShouldEqual, coltsfootlink.Crashed)
+	})
+}
