--- a/share/ledger.go
+++ b/share/ledger.go
@@ -86,7 +86,7 @@
 	return total
 }
 
-// demand returns what a team asks for at least in tokens a second; zero if it is not known.
+// demand returns what a team asks for in tokens a second; zero if it is not known.
 func (ledger Ledger) demand(team coltsfootlink.TeamName) float64 {
 	known, _ := ledger.teams.Get(team)
 	return known.demand()
--- a/share/rate.go
+++ b/share/rate.go
@@ -36,7 +36,7 @@
 	asks, gets float64
 	// asked and granted are what came since the means were last brought forward.
 	asked, granted float64
-	// surge is what the team asks for at least by what has come since the last look; zero if that is hardly more than asks.
+	// surge is what the team asks for by what has come since the last look; zero if that is not many times as much as asks.
 	surge float64
 	// surplus is the part of the requests beyond what is bearable that may be offered to targets.
 	surplus float64
@@ -78,7 +78,7 @@
 	return min(1, level/team.demand()*min(mostCorrection, max(1, lost)))
 }
 
-// demand is what the team asks for at least, in tokens a second.
+// demand is what the team asks for, in tokens a second.
 func (team rate) demand() float64 { return max(team.asks, team.surge) }
 
 // beyond is the part of the requests beyond what is bearable that may be offered; none while it is not known who goes short by
--- a/share/surge.go
+++ b/share/surge.go
@@ -3,7 +3,8 @@
 const (
 	// surgeFactor is how many times what was told has come when it is told again.
 	surgeFactor = 2.0
-	// teamSurgeFactor is the same for one team, whose requests come in larger lumps.
+	// teamSurgeFactor is how many times what a team asks for between two looks has come of it before its demand counts as
+	// another; less may come of requests and reports that come in lumps.
 	teamSurgeFactor = 3.0
 )
 
--- a/share/surging.go
+++ b/share/surging.go
@@ -11,8 +11,8 @@
 	return ledger.surge.Due(surgePart * promised * interval.Seconds())
 }
 
-// WithSurges notes which teams ask for much more than they did at the last look. What has come so far is the least that
-// comes in the whole time between two looks.
+// WithSurges notes which teams ask for much more than they did at the last look. What has come so far counts as half of what
+// comes until the next one, for as much again may come before it is told again.
 func (ledger Ledger) WithSurges(now time.Time) Ledger {
 	ledger.surge = ledger.surge.WithTold()
 	seconds := max(interval, now.Sub(ledger.at)).Seconds()
