One place for what is not offered of a team that has only begun to flood

Whether a team surges was asked in two places, for what is bearable and for what lies beyond; now in one. A rate was called the least where it is what came.

--- a/share/rate.go
+++ b/share/rate.go
@@ -81,15 +81,6 @@
 // demand is what the team asks for, in tokens a second.
 func (team rate) demand() float64 { return max(team.asks, team.surge) }
 
-// beyond is the part of the requests beyond what is bearable that may be offered; none while it is not known who goes short by
-// what the team has only begun to ask for.
-func (team rate) beyond() float64 {
-	if team.surge > 0 {
-		return 0
-	}
-	return team.surplus
-}
-
 // refused says that the team gets far less than it asks for, as far as that is known.
 func (team rate) refused() bool {
 	return team.seen >= memory.Seconds() && team.gets < satisfied*team.asks
--- a/share/surging.go
+++ b/share/surging.go
@@ -18,8 +18,8 @@
 	seconds := max(interval, now.Sub(ledger.at)).Seconds()
 	for iterator := ledger.teams.Iterator(); !iterator.Done(); {
 		team, known, _ := iterator.Next()
-		if least := known.asked / seconds; least > teamSurgeFactor*known.asks {
-			known.surge = surgeFactor * least
+		if came := known.asked / seconds; came > teamSurgeFactor*known.asks {
+			known.surge = surgeFactor * came
 			ledger.teams = ledger.teams.Set(team, known)
 		}
 	}
--- a/share/word.go
+++ b/share/word.go
@@ -52,16 +52,18 @@
 		if known.demand() <= within {
 			continue
 		}
-		level := within
+		level, beyond := within, 0.0
 		if known.surge == 0 {
+			// Who goes short by what a team has only begun to ask for is not known.
 			level = max(within, min(bearableLevel, ceiling))
+			beyond = known.surplus * min(offered, surplusLevel/known.asks)
 		}
 		entitled := known.entitled(within)
 		shares.Teams = append(shares.Teams, coltsfootlink.TeamShare{
 			Team:     team,
 			Entitled: entitled,
 			Bearable: max(entitled, min(1, level/known.demand())),
-			Surplus:  known.beyond() * min(offered, surplusLevel/known.demand()),
+			Surplus:  beyond,
 		})
 	}
 	slices.SortFunc(shares.Teams, func(left, right coltsfootlink.TeamShare) int { return cmp.Compare(left.Team, right.Team) })
