Offer a flood nothing beyond its team's share until its demand is steady

Cause: a team that begins to request many times what it did was held to its share until the next evaluation (250 ms) only. After that, no other team counts as underserved until it has been known for a second, so that idle targets gave the flood 2.7 to 3.9 million tokens in its first second, where others had 0.5 to 0.6.

Ruled out: the deferral at the instances (it bounds the first interval only) and the ceiling by underserved teams (it holds from the second second on).

Change: a team counts as flooding until its demand has not risen threefold for a second (teamStats.flooding); Shares gives it its own level and no surplus until then.

Result: go test ./share: TestTeamsGetNoMoreThanTheirSharesWhileTargets- HaveRoomForAFlood failed before in two of three cases (3,107,710 of 8,971,376 tokens; 3,499,082 of 7,119,390); all pass.

--- a/share/shares.go
+++ b/share/shares.go
@@ -54,9 +54,7 @@
 			continue
 		}
 		ownBearableLevel, surplus := ownLevel, 0.0
-		if stats.burst == 0 {
-			// The demand of a team in a burst is an estimate, which doesn't show yet whom it would leave underserved.
-			// Until the next evaluation the team gets nothing beyond its own level.
+		if !stats.flooding() {
 			ownBearableLevel = max(ownLevel, min(sustainableLevel, ceiling))
 			surplus = stats.surplus * min(surplusFraction, surplusLevel/stats.meanRequested)
 		}
--- a/share/teamstats.go
+++ b/share/teamstats.go
@@ -48,8 +48,9 @@
 	announced, meanAnnounced float64
 	// previous is the sample of the last evaluation.
 	previous sample
-	// knownSeconds is how long the team has been known, at most averagingWindow.
-	knownSeconds float64
+	// knownSeconds is how long the team has been known, at most averagingWindow, and steadySeconds how long its demand
+	// has not risen to teamBurstFactor times its mean.
+	knownSeconds, steadySeconds float64
 }
 
 // withTime adds the sample of the last seconds to the running means. The means of a new team cover the time since it
@@ -62,6 +63,11 @@
 	if stats.burst > 0 {
 		recent = newest
 	}
+	if newest.requested > teamBurstFactor*stats.meanRequested {
+		stats.steadySeconds = 0
+	} else {
+		stats.steadySeconds = min(averagingWindow.Seconds(), stats.steadySeconds+seconds)
+	}
 	stats.knownSeconds = min(averagingWindow.Seconds(), stats.knownSeconds+seconds)
 	weight := min(1, seconds/stats.knownSeconds)
 	stats.meanRequested += weight * (newest.requested - stats.meanRequested)
@@ -83,6 +89,12 @@
 	return min(1, level/stats.demand()*min(maxCorrection, max(1, correction)))
 }
 
+// flooding reports whether the team's demand has risen to many times its mean so recently that it does not show yet
+// which other teams it leaves underserved. A team that has just become known counts as flooding.
+func (stats teamStats) flooding() bool {
+	return stats.burst > 0 || stats.steadySeconds < averagingWindow.Seconds()
+}
+
 // demand returns the team's current demand in tokens per second.
 func (stats teamStats) demand() float64 { return max(stats.meanRequested, stats.burst) }
 
