Let only the owner of gateway processes kill them

Change: Start kills only what it has started if it fails; afterwards the gateways belong to the caller. The soak kills them once its tasks have ended, the integration tests at the end of the test, surge at the end of its run.

Result: TestGatewaysBelongToWhoeverStartedThem failed with the old line (Running was false after the cancel), passes now; go test -race -run TestShortSoak ./cmd/soak passes (once).

--- a/cmd/soak/site.go
+++ b/cmd/soak/site.go
@@ -256,9 +256,5 @@
 	if site.stopped != nil {
 		<-site.stopped
 	}
-	for _, gateway := range site.gateways {
-		if gateway.Running() {
-			_ = gateway.Kill()
-		}
-	}
+	rig.KillGateways(site.gateways)
 }
--- a/cmd/surge/overload.go
+++ b/cmd/surge/overload.go
@@ -135,6 +135,7 @@
 	if err != nil {
 		return nil, err
 	}
+	context.AfterFunc(ctx, func() { rig.KillGateways(gateways) })
 	var balancer roundRobinGateways
 	for _, gateway := range gateways {
 		balancer = append(balancer, gateway.Callers)
--- a/integration/gateways_test.go
+++ b/integration/gateways_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -19,6 +18,7 @@
 	// With this import go test sees the gateway as a dependency, so that it does not reuse a cached result after the
 	// gateway has changed.
 	_ "coltsfootlink/gateway"
+	"coltsfootlink/loopback"
 	"coltsfootlink/platform"
 	"coltsfootlink/rig"
 	"coltsfootlink/standin"
@@ -112,28 +112,35 @@
 	return func(target *recordingTarget) bool { return target.version == version }
 }
 
-// startTestbed starts a store, four targets in two zones and four gateways, and waits until the gateways serve.
-func startTestbed(t *testing.T) *testbed {
+// newTestbed starts a stand-in platform that holds a configuration, without targets and gateways.
+func newTestbed(t *testing.T) *testbed {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := listener.Addr().String()
-	_ = listener.Close()
 	store := standin.NewStore(0)
 	ctx := t.Context()
 	go func() { _ = store.Run(ctx) }()
 	go func() { _ = (&standin.Platform{Address: address, Store: store}).Run(ctx) }()
 	bed := &testbed{store: platform.NewStore("http://" + address), storeAddress: address, targets: make(map[string]*recordingTarget)}
+	bed.configure(t, "key")
+	return bed
+}
+
+// startTestbed starts a store, four targets in two zones and four gateways, and waits until the gateways serve.
+func startTestbed(t *testing.T) *testbed {
+	t.Helper()
+	bed := newTestbed(t)
 	for index := range 4 {
 		bed.add(t, &recordingTarget{name: fmt.Sprint("t-", index), zone: zones[index%2], version: "v1"})
 	}
-	bed.configure(t, "key")
-	bed.gateways, err = rig.GatewayFleet{Daemon: programs.Daemon, Folder: t.TempDir(), Store: address, Zones: zones[:2], Count: 4}.Start(ctx)
+	var err error
+	bed.gateways, err = rig.GatewayFleet{Daemon: programs.Daemon, Folder: t.TempDir(), Store: bed.storeAddress, Zones: zones[:2], Count: 4}.Start(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { rig.KillGateways(bed.gateways) })
 	eventually(t, "all gateways serve", func() bool {
 		for index := range bed.gateways {
 			if status, _, _ := bed.call(index, "/safe/a", fmt.Sprint("probe-", index), "key"); status != http.StatusOK {
@@ -284,6 +291,23 @@
 	}
 }
 
+// TestGatewaysBelongToWhoeverStartedThem checks that the end of the context of their start does not end gateways: their
+// owner may be restarting one of them at that moment.
+func TestGatewaysBelongToWhoeverStartedThem(t *testing.T) {
+	Convey("the end of the context leaves the processes alone", t, func() {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		gateways, err := rig.GatewayFleet{Daemon: programs.Daemon, Folder: t.TempDir(), Store: newTestbed(t).storeAddress, Zones: zones[:1], Count: 1}.Start(ctx)
+		So(err, ShouldBeNil)
+		defer rig.KillGateways(gateways)
+		cancel()
+		time.Sleep(200 * time.Millisecond)
+		So(gateways[0].Running(), ShouldBeTrue)
+		rig.KillGateways(gateways)
+		So(gateways[0].Running(), ShouldBeFalse)
+	})
+}
+
 // TestGatewaysUnderFaults checks that no request is executed twice, that a request answered with 503 was not executed,
 // that more than half of the calls succeed under load with a fault, and that all calls succeed again afterwards.
 func TestGatewaysUnderFaults(t *testing.T) {
--- a/rig/gateways.go
+++ b/rig/gateways.go
@@ -82,9 +82,15 @@
 	DrainDelay time.Duration
 }
 
-// Start starts the gateways and waits until all are ready. They are killed when the context ends.
-func (fleet GatewayFleet) Start(ctx context.Context) ([]*Gateway, error) {
-	var gateways []*Gateway
+// Start starts the gateways and waits until all are ready; if that fails or the context ends before, it kills those
+// that it has started. Afterwards they belong to the caller, who has to kill them.
+func (fleet GatewayFleet) Start(ctx context.Context) (gateways []*Gateway, err error) {
+	var started []*Gateway
+	defer func() {
+		if err != nil {
+			KillGateways(started)
+		}
+	}()
 	for index := range fleet.Count {
 		gateway := &Gateway{Process: &Process{Name: fmt.Sprint("gateway-", index)}, Zone: fleet.Zones[index%len(fleet.Zones)]}
 		if err := assignAddresses(&gateway.Callers, &gateway.Ready, &gateway.Peers, &gateway.Metrics); err != nil {
@@ -99,7 +105,7 @@
 		if err := gateway.start(fleet, gateways[0].Peers); err != nil {
 			return nil, err
 		}
-		context.AfterFunc(ctx, func() { _ = gateway.Kill() })
+		started = append(started, gateway)
 	}
 	for _, gateway := range gateways {
 		if err := gateway.WaitReady(ctx); err != nil {
@@ -109,6 +115,16 @@
 	return gateways, nil
 }
 
+// KillGateways kills the gateways that are still running and waits for them to end.
+func KillGateways(gateways []*Gateway) {
+	for _, gateway := range gateways {
+		if gateway.Running() {
+			// A gateway that has ended in the meantime cannot be killed, which is what was asked for.
+			_ = gateway.Kill()
+		}
+	}
+}
+
 // startProxies starts the gateway's proxies if the fleet has any.
 func (gateway *Gateway) startProxies(ctx context.Context, fleet GatewayFleet) error {
 	if !fleet.Proxied {
