Judge a new version's engines by what their owners expected

One that read prompts four times slower took 120 to 250 ms to the first event, which was less than twice the mean of the old version, whose requests wait.

Ruled out: too few samples (30 in the first phase are enough for the test), and warm-up (slow after it, too).

Change: usages carry the owner's expectation, and an engine's answer is slow if it takes 1.5 times that and 15 ms. Plain services are judged as before.

--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -84,10 +84,11 @@
 		millis = report.Millis
 	}
 	task.moves.usages[request.want.Pool] = append(task.moves.usages[request.want.Pool], coltsfootlink.MoveUsage{
-		OnNewVersion: request.version == order.To,
-		Route:        request.want.Rule,
-		Failed:       report.Result != coltsfootlink.Succeeded,
-		Millis:       float64(millis),
+		OnNewVersion:   request.version == order.To,
+		Route:          request.want.Rule,
+		Failed:         report.Result != coltsfootlink.Succeeded,
+		Millis:         float64(millis),
+		ExpectedMillis: float64(request.expectedMillis),
 	})
 }
 
--- a/dispatch/move_test.go
+++ b/dispatch/move_test.go
@@ -79,7 +79,7 @@
 			request.ID, request.Rule = id, "rule"
 			task.handle(coltsfootlink.Delivery{Message: request})
 			serial := sender.takeAsks()[0].Serial
-			task.handle(coltsfootlink.Delivery{From: "i-b", Message: coltsfootlink.Verdict{Serial: serial}})
+			task.handle(coltsfootlink.Delivery{From: "i-b", Message: coltsfootlink.Verdict{Serial: serial, ExpectedMillis: 30}})
 			return serial
 		}
 		ended := grant("r-1")
@@ -93,7 +93,7 @@
 		So(sender.sent, ShouldHaveLength, 1)
 		So(sender.sent[0].Message, ShouldResemble, coltsfootlink.MoveUsages{
 			Pool: "p", Started: 9, RunningOld: 1, RunningNew: 1,
-			Usages: []coltsfootlink.MoveUsage{{Route: "rule", Failed: true, Millis: 40}},
+			Usages: []coltsfootlink.MoveUsage{{Route: "rule", Failed: true, Millis: 40, ExpectedMillis: 30}},
 		})
 	})
 }
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -69,6 +69,8 @@
 	version            coltsfootlink.Version
 	owner              coltsfootlink.InstanceName
 	firstEventReceived bool
+	// expectedMillis is the expected time to the first event, in milliseconds; zero if the target is not an engine.
+	expectedMillis int
 	// firstEventMillis is the time from sending the request to its first event, in milliseconds; zero before the
 	// first event.
 	firstEventMillis int
--- a/message_gateway.go
+++ b/message_gateway.go
@@ -99,6 +99,8 @@
 	Failed       bool
 	// Millis is the time to the first event of a stream, or to the complete answer, in milliseconds.
 	Millis float64
+	// ExpectedMillis is what the target's owner expected of Millis; zero if it expects nothing, as with plain services.
+	ExpectedMillis float64
 }
 
 // MoveWord is sent by the coordinator of a move to all gateways and announces the state of the move.
--- a/move/rollout.go
+++ b/move/rollout.go
@@ -22,9 +22,13 @@
 	// maxFaultRate limits the rate that failureFactor and slowFactor lead to.
 	maxFaultRate = 0.6
 	// An answer is slow if its first byte takes longer than slowMultiple times the old version's mean plus
-	// slowSlackMillis.
-	slowMultiple    = 2
-	slowSlackMillis = 50
+	// slowSlackMillis. Where it is known how long an answer was expected to take, the means of both versions cannot be
+	// compared, since requests wait on the old version's targets only: the answer is slow if it takes longer than
+	// expectedMultiple times the expected time plus expectedSlackMillis.
+	slowMultiple        = 2
+	slowSlackMillis     = 50
+	expectedMultiple    = 1.5
+	expectedSlackMillis = 15
 	// minOldWeight is the least weight of a new sample in the moving averages of the old version. The first 1/minOldWeight
 	// samples all have the same weight.
 	minOldWeight = 0.01
@@ -131,9 +135,9 @@
 	}
 	switch version {
 	case rollout.move.From:
-		stats = stats.withOldSample(failed, usage.FirstByteMillis)
+		stats = stats.withOldSample(failed, usage)
 	case rollout.move.To:
-		stats = stats.withNewSample(failed, usage.FirstByteMillis, rollout.ended < warmUpSamples)
+		stats = stats.withNewSample(failed, usage, rollout.ended < warmUpSamples)
 		rollout = rollout.withEnded(failed).withDetectedFault(usage.Route, stats)
 	}
 	rollout.routes = rollout.routes.Set(usage.Route, stats)
@@ -207,14 +211,15 @@
 }
 
 // withOldSample updates the baseline with a request on the old version.
-func (stats routeStats) withOldSample(failed bool, millis float64) routeStats {
+func (stats routeStats) withOldSample(failed bool, usage coltsfootlink.Usage) routeStats {
+	millis := usage.FirstByteMillis
 	stats.oldEnded++
 	weight := max(minOldWeight, 1/float64(stats.oldEnded))
 	stats.oldFailureRate += weight * (indicator(failed) - stats.oldFailureRate)
 	if failed || millis <= 0 {
 		return stats
 	}
-	stats.oldSlowRate += weight * (indicator(stats.isSlow(millis)) - stats.oldSlowRate)
+	stats.oldSlowRate += weight * (indicator(stats.isSlow(usage)) - stats.oldSlowRate)
 	if stats.oldMeanMillis == 0 {
 		stats.oldMeanMillis = millis
 		return stats
@@ -225,7 +230,7 @@
 
 // withNewSample tests a request on the new version against the baseline. While the version is warming up, requests are
 // tested for failure only.
-func (stats routeStats) withNewSample(failed bool, millis float64, warming bool) routeStats {
+func (stats routeStats) withNewSample(failed bool, usage coltsfootlink.Usage, warming bool) routeStats {
 	stats.newEnded++
 	if stats.oldEnded < baselineSamples && stats.newEnded < baselineSamples {
 		return stats
@@ -236,7 +241,7 @@
 		return stats
 	}
 	baselineSlow := stats.baseline(minSlowRate, stats.oldSlowRate)
-	stats.slowDetector = stats.slowDetector.withRates(baselineSlow, faultRate(baselineSlow, slowFactor)).withSample(stats.isSlow(millis))
+	stats.slowDetector = stats.slowDetector.withRates(baselineSlow, faultRate(baselineSlow, slowFactor)).withSample(stats.isSlow(usage))
 	return stats
 }
 
@@ -247,8 +252,13 @@
 	return max(minimum, (observed*samples+1)/(samples+2))
 }
 
-func (stats routeStats) isSlow(millis float64) bool {
-	return stats.oldMeanMillis > 0 && millis > slowMultiple*stats.oldMeanMillis+slowSlackMillis
+// isSlow reports whether an answer took much longer than expected, or, if nothing was expected, than those of the old
+// version.
+func (stats routeStats) isSlow(usage coltsfootlink.Usage) bool {
+	if usage.ExpectedMillis > 0 {
+		return usage.FirstByteMillis > expectedMultiple*usage.ExpectedMillis+expectedSlackMillis
+	}
+	return stats.oldMeanMillis > 0 && usage.FirstByteMillis > slowMultiple*stats.oldMeanMillis+slowSlackMillis
 }
 
 // faultRate returns the rate that counts as a fault, given the baseline rate and a factor. It is always at least a quarter
--- a/move/tracker.go
+++ b/move/tracker.go
@@ -105,7 +105,9 @@
 		if usage.Failed {
 			result = coltsfootlink.Failed
 		}
-		tracker.rollout = tracker.rollout.WithUsage(version, coltsfootlink.Usage{Result: result, FirstByteMillis: usage.Millis, Route: usage.Route})
+		tracker.rollout = tracker.rollout.WithUsage(version, coltsfootlink.Usage{
+			Result: result, FirstByteMillis: usage.Millis, ExpectedMillis: usage.ExpectedMillis, Route: usage.Route,
+		})
 	}
 	tracker.reports = tracker.reports.Set(from, report{runningNew: usages.RunningNew, runningOld: usages.RunningOld, validUntil: now.Add(reportTTL)})
 	return tracker
--- a/move/tracker_test.go
+++ b/move/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -17,8 +18,9 @@
 type request struct {
 	isNew, failed bool
 	route         string
-	millis        float64
-	endsAt        time.Time
+	// millis is the time to the first byte, and expectedMillis what was expected of it; zero for plain services.
+	millis, expectedMillis float64
+	endsAt                 time.Time
 }
 
 // simulation is a set of instances that follow the announcements of a move's coordinator with a delay of half an announce
@@ -35,6 +37,28 @@
 	// badEndedAt are the times of bad answers of the new version, and lastNewAt is when it last got a request.
 	badEndedAt []time.Time
 	lastNewAt  time.Time
+	// engines describes the targets if they are engines; nil for plain services.
+	engines *simulatedEngines
+}
+
+// simulatedEngines are the targets of a pool of engines. Those of the old version have queues, those of the new version
+// get so few requests that they have none.
+type simulatedEngines struct {
+	// slowdown is the ratio of the time that the new version takes to read a prompt to the expected one.
+	slowdown float64
+}
+
+// fixedMillis is the part of the time to an engine's first event that does not depend on the prompt.
+const fixedMillis = 35
+
+// firstEvent returns the time to the first event, and the expected one.
+func (engines simulatedEngines) firstEvent(random *rand.Rand, isNew bool) (millis, expected float64) {
+	reading, waiting := 60*random.ExpFloat64(), 120*random.ExpFloat64()
+	noise := 0.85 + 0.3*random.Float64()
+	if isNew {
+		return fixedMillis + engines.slowdown*noise*reading, fixedMillis + reading
+	}
+	return fixedMillis + noise*(reading+waiting), fixedMillis + reading + waiting
 }
 
 // behaviour returns the result of a request on the new version, given the elapsed fraction of the move's time and the
@@ -47,6 +71,9 @@
 	from := instanceNames[simulation.random.IntN(len(instanceNames))]
 	started := request{isNew: simulation.random.Float64() < simulation.share, route: fmt.Sprint("r", simulation.random.IntN(3))}
 	started.millis = 100 * (0.5 + simulation.random.ExpFloat64()/2)
+	if simulation.engines != nil {
+		started.millis, started.expectedMillis = simulation.engines.firstEvent(simulation.random, started.isNew)
+	}
 	started.failed = simulation.random.Float64() < failureRate
 	simulation.sent++
 	if started.isNew {
@@ -70,7 +97,7 @@
 				left = append(left, current)
 				continue
 			}
-			simulation.usages[from] = append(simulation.usages[from], coltsfootlink.MoveUsage{OnNewVersion: current.isNew, Route: current.route, Failed: current.failed, Millis: current.millis})
+			simulation.usages[from] = append(simulation.usages[from], coltsfootlink.MoveUsage{OnNewVersion: current.isNew, Route: current.route, Failed: current.failed, Millis: current.millis, ExpectedMillis: current.expectedMillis})
 			if current.isNew && (current.failed && failureRate == 0 || current.millis > 1000) {
 				simulation.badEndedAt = append(simulation.badEndedAt, simulation.now)
 			}
@@ -98,9 +125,15 @@
 
 // simulate runs a move until 3 s after its deadline. Reports and announcements each take place once in 50 steps of 5 ms.
 func simulate(seed uint64, perSecond float64, duration time.Duration, onNew behaviour, failureRate float64) *simulation {
+	return simulateOn(nil, seed, perSecond, duration, onNew, failureRate)
+}
+
+// simulateOn does what simulate does, on engines unless they are nil.
+func simulateOn(engines *simulatedEngines, seed uint64, perSecond float64, duration time.Duration, onNew behaviour, failureRate float64) *simulation {
 	order := coltsfootlink.Move{Pool: "p", To: "v2", Started: 1, OrderedAt: orderedAt, FinishBy: orderedAt.Add(duration), State: coltsfootlink.MoveRunning}
 	simulation := &simulation{
-		random: rand.New(rand.NewPCG(seed, 1)), tracker: NewTracker(order), now: orderedAt,
+		engines: engines,
+		random:  rand.New(rand.NewPCG(seed, 1)), tracker: NewTracker(order), now: orderedAt,
 		running: make(map[coltsfootlink.InstanceName][]request), usages: make(map[coltsfootlink.InstanceName][]coltsfootlink.MoveUsage),
 	}
 	const step = 5 * time.Millisecond
@@ -122,11 +155,45 @@
 	return simulation
 }
 
+// good is the behaviour of a healthy version.
+func good(*rand.Rand, float64, float64, string) (bool, float64) { return false, 0 }
+
+// TestSlowEnginesAreFoundThoughTheyHaveNoQueue checks that a version whose engines read prompts slowly is rolled back
+// early, although its requests take no longer than those that wait on the old version.
+func TestSlowEnginesAreFoundThoughTheyHaveNoQueue(t *testing.T) {
+	const seeds = 30
+	cases := map[string]struct {
+		slowdown float64
+		state    coltsfootlink.MoveState
+		// latest is the fraction of the move's time by which the version gets no more requests.
+		latest float64
+	}{
+		"as fast as expected":                           {1, coltsfootlink.MoveDone, math.Inf(1)},
+		"a third slower, as engines of one pool may be": {1.3, coltsfootlink.MoveDone, math.Inf(1)},
+		"four times slower":                             {4, coltsfootlink.MoveRolledBack, 0.6},
+		"eight times slower":                            {8, coltsfootlink.MoveRolledBack, 0.6},
+	}
+	for name, test := range cases {
+		for _, perSecond := range []float64{60, 300} {
+			Convey(fmt.Sprint("a version that reads prompts ", name, ", at ", perSecond, " requests a second"), t, func() {
+				wrong := 0
+				for seed := range uint64(seeds) {
+					simulation := simulateOn(&simulatedEngines{slowdown: test.slowdown}, seed, perSecond, 14*time.Second, good, 0)
+					last := float64(simulation.lastNewAt.Sub(orderedAt)) / float64(14*time.Second)
+					if simulation.tracker.Move().State != test.state || last > test.latest {
+						wrong++
+					}
+				}
+				So(wrong, ShouldEqual, 0)
+			})
+		}
+	}
+}
+
 // TestTrackerOutcome checks, at several request rates and seeds, that a healthy version gets all traffic, and that a bad
 // one is rolled back after a limited number of requests.
 func TestTrackerOutcome(t *testing.T) {
 	const exposureShare, exposureSlack, seeds = 0.1, 50, 8
-	good := func(*rand.Rand, float64, float64, string) (bool, float64) { return false, 0 }
 	onlyWhen := func(applies func(elapsed, share float64, route string) bool, bad behaviour) behaviour {
 		return func(random *rand.Rand, elapsed, share float64, route string) (bool, float64) {
 			if applies(elapsed, share, route) {
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -36,7 +36,7 @@
 	"takeover": coltsfootlink.Takeover{Shard: shard, Epoch: 8, Owner: "a"},
 	"holdings": coltsfootlink.Holdings{Shard: shard, Epoch: 8, LastSerial: 2, Permits: []coltsfootlink.Permit{permit(1)}},
 	"move usages": coltsfootlink.MoveUsages{Pool: "p", Started: 7, RunningOld: 3, RunningNew: 2, Usages: []coltsfootlink.MoveUsage{
-		{OnNewVersion: true, Route: "r", Failed: true, Millis: 12.5}, {Route: "q"},
+		{OnNewVersion: true, Route: "r", Failed: true, Millis: 12.5, ExpectedMillis: 8.5}, {Route: "q"},
 	}},
 	"move word": coltsfootlink.MoveWord{Share: 0.25, Move: coltsfootlink.Move{
 		Pool: "p", To: "v2", Started: 7, OrderedAt: at, FinishBy: at, State: coltsfootlink.MoveRolledBack, Reason: "requests fail",
--- a/peer/moves.go
+++ b/peer/moves.go
@@ -12,7 +12,7 @@
 		RunningOld: uint32(usages.RunningOld),
 		RunningNew: uint32(usages.RunningNew),
 		Usages: convertAll(usages.Usages, func(usage coltsfootlink.MoveUsage) *peerpb.MoveUsage {
-			return &peerpb.MoveUsage{New: usage.OnNewVersion, RouteRef: encoder.ref(usage.Route), Failed: usage.Failed, Millis: float32(usage.Millis)}
+			return &peerpb.MoveUsage{New: usage.OnNewVersion, RouteRef: encoder.ref(usage.Route), Failed: usage.Failed, Millis: float32(usage.Millis), ExpectedMillis: float32(usage.ExpectedMillis)}
 		}),
 	}
 }
@@ -24,7 +24,7 @@
 		RunningOld: int(usages.GetRunningOld()),
 		RunningNew: int(usages.GetRunningNew()),
 		Usages: convertAll(usages.GetUsages(), func(usage *peerpb.MoveUsage) coltsfootlink.MoveUsage {
-			return coltsfootlink.MoveUsage{OnNewVersion: usage.GetNew(), Route: decoder.name(usage.GetRouteRef()), Failed: usage.GetFailed(), Millis: float64(usage.GetMillis())}
+			return coltsfootlink.MoveUsage{OnNewVersion: usage.GetNew(), Route: decoder.name(usage.GetRouteRef()), Failed: usage.GetFailed(), Millis: float64(usage.GetMillis()), ExpectedMillis: float64(usage.GetExpectedMillis())}
 		}),
 	}
 }
--- a/permit.go
+++ b/permit.go
@@ -97,6 +97,9 @@
 	Cost float64
 	// FirstByteMillis is the time to the target's first byte in milliseconds; zero if none was received.
 	FirstByteMillis float64
+	// ExpectedMillis is the time to the first byte that was expected when the permit was granted, in milliseconds; zero
+	// if nothing was expected.
+	ExpectedMillis float64
 	// Incarnation is the target's incarnation; zero if the target did not report it.
 	Incarnation uint64
 	// Route is the path of the request's route.
