Follow what targets announce in their answers: leaving, and Retry-After

Cause: nothing read Server-Leaving, and a target's own Retry-After had no effect: an instance went on sending to a target until its record said that it was draining, and to one that had asked for no requests at once.

What a target announced is kept by name and incarnation (package notice), on the instance that received it, whatever the record says, and sent to the target's owner, which refuses requests of all instances (target-leaving, target-backoff); to a new owner it is sent again. Reports of engines count, too, and are not asked for during a backoff. After a backoff the target is approached at its cold pace, one without cold starts with as many requests as it has slots. If all targets of a pool want none, the refusal names the earliest time at which one does.

--- a/admission/ledger.go
+++ b/admission/ledger.go
@@ -133,6 +133,8 @@
 	coldUntil time.Time
 	// blockedUntil is when requests may be sent to the target again.
 	blockedUntil time.Time
+	// announced is what the target has announced in its answers.
+	announced announced
 	// breaker is the circuit breaker of the target.
 	breaker breaker
 	// lastProgressAt is when the target last sent a first event or completed a request.
@@ -176,6 +178,7 @@
 		ledger.cache = engine.NewCache()
 		ledger.requests = immutable.NewMap[requestID, request](requestHasher{})
 		ledger.blockedUntil = time.Time{}
+		ledger.announced = announced{}
 		ledger.breaker = breaker{}
 	}
 	ledger.target = target
@@ -191,7 +194,7 @@
 	if verdict.Reason != "" {
 		return ledger, verdict
 	}
-	verdict.Paced = ledger.traits.ColdPerSecond > 0 && ledger.cold(now)
+	verdict.Paced = ledger.paced(now)
 	if ledger.traits.Engine {
 		verdict.ExpectedMillis = int(ledger.waitMillis(now) + ledger.readMillis(ask.Work) + ledger.policy.Rates.FirstEventMillis)
 	}
--- a/admission/prober.go
+++ b/admission/prober.go
@@ -29,11 +29,18 @@
 type probeResult struct {
 	coltsfootlink.Local
 	target coltsfootlink.TargetName
-	report coltsfootlink.EngineReport
+	// incarnation is the target's incarnation that was known when the report was requested.
+	incarnation uint64
+	report      coltsfootlink.EngineReport
 	// askedAt is when the report was requested.
 	askedAt time.Time
 }
 
+// notice returns what the target announced with the report.
+func (result probeResult) notice() coltsfootlink.TargetNotice {
+	return coltsfootlink.TargetNotice{Target: result.target, Incarnation: result.incarnation, Leaving: result.report.Leaving, RetryAt: result.report.RetryAt}
+}
+
 // Run serves probe requests, each in its own goroutine, until the context ends.
 func (prober *Prober) Run(ctx context.Context) error {
 	for {
@@ -58,5 +65,5 @@
 			Msg("admission: target did not return a load report; the count of its orphaned requests stays as it was")
 		return
 	}
-	prober.Owner.Put(coltsfootlink.Delivery{Message: probeResult{target: target.Name, report: report, askedAt: askedAt}})
+	prober.Owner.Put(coltsfootlink.Delivery{Message: probeResult{target: target.Name, incarnation: target.Incarnation, report: report, askedAt: askedAt}})
 }
--- a/admission/refusal.go
+++ b/admission/refusal.go
@@ -16,13 +16,15 @@
 		return coltsfootlink.PastDeadline, time.Time{}
 	case now.Before(ledger.ownedAt.Add(settleDelay)):
 		return coltsfootlink.OwnerNew, ledger.ownedAt.Add(settleDelay)
+	case ledger.announced.withheld(now):
+		return ledger.announced.refusal()
 	case now.Before(ledger.blockedUntil):
 		return coltsfootlink.TargetDown, ledger.blockedUntil
 	case ledger.unresponsive(now):
 		return coltsfootlink.TargetSilent, now.Add(trialInterval)
 	case ledger.breaker.open() && now.Before(ledger.breaker.nextTrialAt):
 		return coltsfootlink.TargetFailing, ledger.breaker.nextTrialAt
-	case ledger.overColdRate(now):
+	case ledger.overPace(now):
 		return coltsfootlink.TargetCold, now.Add(coldRateWindow)
 	case !ledger.traits.Engine:
 		return ledger.plainRefusal(now, ask)
@@ -47,13 +49,18 @@
 	return false
 }
 
-// overColdRate reports whether a cold target has reached its rate limit. A new owner grants nothing to a cold target
-// until the permits that the previous owner may have granted are out of the window.
-func (ledger Ledger) overColdRate(now time.Time) bool {
-	if ledger.traits.ColdPerSecond <= 0 || !ledger.cold(now) {
+// paced reports whether the rate of requests to the target is limited, because it is cold or its backoff has ended.
+func (ledger Ledger) paced(now time.Time) bool {
+	return ledger.traits.ColdPerSecond > 0 && ledger.cold(now) || ledger.announced.ramping(now)
+}
+
+// overPace reports whether a paced target has reached its rate limit. A new owner grants nothing to a cold target until
+// the permits that the previous owner may have granted are out of the window.
+func (ledger Ledger) overPace(now time.Time) bool {
+	if !ledger.paced(now) {
 		return false
 	}
-	return len(ledger.grantTimes) >= ledger.coldLimit() || now.Before(ledger.ownedAt.Add(coldRateWindow+viewLag))
+	return len(ledger.grantTimes) >= ledger.paceLimit() || ledger.cold(now) && now.Before(ledger.ownedAt.Add(coldRateWindow+viewLag))
 }
 
 // cold reports whether the target may still be in its cold start.
@@ -61,9 +68,13 @@
 	return now.Before(ledger.target.ColdUntil) || now.Before(ledger.coldUntil)
 }
 
-// coldLimit is the maximum number of requests to a cold target within coldRateWindow. It is half of what the policy
-// allows, because two instances may both believe for a moment that they own the target.
-func (ledger Ledger) coldLimit() int {
+// paceLimit is the maximum number of requests to a paced target within coldRateWindow. It is half of what the policy
+// allows for a cold one, because two instances may both believe for a moment that they own the target; a pool without cold
+// starts gets as many requests as the target has slots.
+func (ledger Ledger) paceLimit() int {
+	if ledger.traits.ColdPerSecond <= 0 {
+		return max(1, ledger.target.Slots)
+	}
 	limit := ledger.traits.ColdPerSecond*ledger.policy.ColdOverage + ledger.policy.ColdSlack
 	return max(1, int(limit/2))
 }
--- a/admission/takeover.go
+++ b/admission/takeover.go
@@ -30,7 +30,7 @@
 // WithProbe reports whether a report is to be requested from the target now. A new owner needs it to learn of requests
 // left on the target by instances that have failed.
 func (ledger Ledger) WithProbe(now time.Time) (Ledger, bool) {
-	if !ledger.traits.Engine || now.Before(ledger.probeAt) || now.After(ledger.probeUntil) && ledger.orphaned == 0 {
+	if !ledger.traits.Engine || now.Before(ledger.announced.backoffUntil) || now.Before(ledger.probeAt) || now.After(ledger.probeUntil) && ledger.orphaned == 0 {
 		return ledger, false
 	}
 	ledger.probeAt = now.Add(reportInterval)
--- a/admission/task.go
+++ b/admission/task.go
@@ -87,6 +87,10 @@
 		if ledger, owned := task.ledgers[message.Target]; owned {
 			task.ledgers[message.Target] = ledger.WithHeld(now, delivery.From, message)
 		}
+	case coltsfootlink.TargetNotice:
+		if ledger, owned := task.ledgers[message.Target]; owned {
+			task.ledgers[message.Target] = ledger.WithNotice(message)
+		}
 	case coltsfootlink.CatalogChanged:
 		task.catalog = message.Catalog
 		task.updateOwnership()
@@ -99,12 +103,18 @@
 	}
 }
 
-// handleReport applies a target's report, unless it is too old.
+// handleReport applies a target's report, unless it is too old, and passes on what the target announced with it.
 func (task *Task) handleReport(now time.Time, message probeResult) {
 	ledger, owned := task.ledgers[message.target]
 	if !owned {
 		return
 	}
+	if notice := message.notice(); notice.Leaving || !notice.RetryAt.IsZero() {
+		task.Sender.Send(task.Self, notice)
+	}
+	if message.report.Refused {
+		return
+	}
 	stale := now.After(message.askedAt.Add(reportMaxAge))
 	if !stale {
 		ledger = ledger.WithReport(now, message.report)
--- a/dispatch/ask.go
+++ b/dispatch/ask.go
@@ -80,6 +80,12 @@
 		verdict = coltsfootlink.Verdict{Serial: verdict.Serial, Reason: coltsfootlink.TargetCold, WaitMillis: verdict.WaitMillis}
 	}
 	task.waits.record(task.Clock.Now(), target.Name, verdict)
+	task.recordWithheld(target.Name, verdict)
+	if reason, retryAt := task.withheld(task.Clock.Now(), target); reason != "" && verdict.Reason == "" {
+		// The target announced this after its owner had been asked.
+		task.releasePermit(from, verdict.Serial, target.Name)
+		verdict = coltsfootlink.Verdict{Serial: verdict.Serial, Reason: reason, RetryAt: retryAt}
+	}
 	if verdict.Reason == "" {
 		if refusal := waiting.want.abandoned(task.Clock.Now()); refusal != nil {
 			task.releasePermit(from, verdict.Serial, target.Name)
--- a/dispatch/owners.go
+++ b/dispatch/owners.go
@@ -37,9 +37,16 @@
 	return owner, found
 }
 
-// reportHeldRequests clears the owner cache. To each new owner of a target, it reports the requests in progress there.
-func (task *Task) reportHeldRequests() {
+// updateOwners clears the owner cache, and reports to each new owner of a target the requests in progress there and what
+// the target has announced.
+func (task *Task) updateOwners() {
 	clear(task.owners)
+	task.reportHeldRequests()
+	task.resendNotices()
+}
+
+// reportHeldRequests reports to each new owner of a target the requests in progress there.
+func (task *Task) reportHeldRequests() {
 	newOwners := make(map[coltsfootlink.TargetName]coltsfootlink.InstanceName)
 	held := make(map[coltsfootlink.TargetName][]coltsfootlink.HeldRequest)
 	for serial, request := range task.running {
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -11,6 +11,7 @@
 	"coltsfootlink"
 	"coltsfootlink/health"
 	"coltsfootlink/mailbox"
+	"coltsfootlink/notice"
 	"coltsfootlink/pressure"
 	"coltsfootlink/retry"
 )
@@ -93,7 +94,12 @@
 	loads   loads
 	moves   moves
 	waits   waitEstimates
-	budgets map[coltsfootlink.PoolName]retry.Budget
+	// notices are the announcements of targets, and noticeOwners the target owners that they were last sent to.
+	notices      notice.State
+	noticeOwners map[coltsfootlink.TargetName]coltsfootlink.InstanceName
+	// withheldUntil is until when the owner of a target refuses all requests for it.
+	withheldUntil map[coltsfootlink.TargetName]time.Time
+	budgets       map[coltsfootlink.PoolName]retry.Budget
 	// pressure is how short of CPU the instance is.
 	pressure pressure.State
 	catalog  coltsfootlink.Catalog
@@ -150,6 +156,9 @@
 	task.loads = newLoads()
 	task.moves = newMoves()
 	task.waits = make(waitEstimates)
+	task.notices = notice.State{}
+	task.withheldUntil = make(map[coltsfootlink.TargetName]time.Time)
+	task.noticeOwners = make(map[coltsfootlink.TargetName]coltsfootlink.InstanceName)
 	task.budgets = make(map[coltsfootlink.PoolName]retry.Budget)
 	task.backoffUntil = make(map[coltsfootlink.InstanceName]time.Time)
 	task.owners = make(map[ownerKey]coltsfootlink.InstanceName)
@@ -174,13 +183,16 @@
 	case Shed:
 		task.creditRetryBudget(message.Pool)
 		task.loads.countTeam(message.Pool, message.Team, tokensOf(message.Work), 0)
+	case coltsfootlink.TargetNotice:
+		task.handleNotice(delivery.From, message)
 	case coltsfootlink.MoveWord:
 		task.moves.announcements[message.Move.Pool] = moveAnnouncement{MoveWord: message, validUntil: task.Clock.Now().Add(moveAnnouncementTTL)}
 	case pressure.Changed:
 		task.pressure = message.State
 	case coltsfootlink.CatalogChanged:
 		task.catalog = message.Catalog
-		task.reportHeldRequests()
+		task.notices = task.notices.WithCatalog(task.Clock.Now(), message.Catalog)
+		task.updateOwners()
 	case coltsfootlink.ViewChanged:
 		task.view = message.View
 		for pool, budget := range task.budgets {
@@ -190,7 +202,7 @@
 		for _, member := range message.View.Live() {
 			task.liveZones[member.Zone] = true
 		}
-		task.reportHeldRequests()
+		task.updateOwners()
 	}
 }
 
@@ -211,16 +223,13 @@
 		want.Reply <- Choice{Refusal: refusal}
 		return
 	}
-	draw := rand.Uint64()
-	waiting := pending{
-		want:       want,
-		tried:      maps.Clone(want.Avoid),
-		candidates: Candidates(task.eligibleCatalog(want), task.liveZones, want.Pool, want.Work, task.Self.Zone, draw, want.Avoid),
-		refusal:    coltsfootlink.Refuse(coltsfootlink.NoTarget, "the pool has no target in service").WithRetryAt(task.Clock.Now().Add(defaultRetryDelay)),
-	}
+	now, catalog := task.Clock.Now(), task.eligibleCatalog(want)
+	waiting := pending{want: want, tried: maps.Clone(want.Avoid)}
 	if waiting.tried == nil {
 		waiting.tried = make(map[coltsfootlink.TargetName]bool)
 	}
+	waiting.refusal = task.avoidWithheld(now, catalog, waiting)
+	waiting.candidates = Candidates(catalog, task.liveZones, want.Pool, want.Work, task.Self.Zone, rand.Uint64(), waiting.tried)
 	task.askNext(waiting)
 }
 
--- a/engine.go
+++ b/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"time"
 )
 
 // Answer is a target's answer, available from its first byte on.
@@ -36,6 +37,12 @@
 type EngineReport struct {
 	// Waiting is the number of queued requests, Running the number of requests in progress.
 	Waiting, Running int
+	// Refused indicates that the engine did not report anything because it wants no requests; RetryAt is when it does,
+	// zero if it did not say.
+	Refused bool
+	RetryAt time.Time
+	// Leaving indicates that the engine is shutting down.
+	Leaving bool
 }
 
 // EngineReporter asks engines for their reports.
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -97,6 +97,7 @@
 		failure, result = current.callFailure(err)
 	default:
 		current.attempts++
+		current.reportNotice(choice.Target, answer.Head)
 		failure, result = current.forward(choice, answer, sentAt)
 		// Closing has no effect after a complete answer; before that, it tells the target that the request was
 		// abandoned.
@@ -106,6 +107,16 @@
 	return failure
 }
 
+// reportNotice passes on what a target announced about itself in the head of its answer.
+func (current *exchange) reportNotice(target coltsfootlink.Target, head platform.AnswerHead) {
+	if !head.Leaving && head.RetryAt.IsZero() {
+		return
+	}
+	current.service.Dispatch.Put(coltsfootlink.Delivery{Message: coltsfootlink.TargetNotice{
+		Target: target.Name, Incarnation: target.Incarnation, Leaving: head.Leaving, RetryAt: head.RetryAt,
+	}})
+}
+
 func (current *exchange) report(choice dispatch.Choice, stage coltsfootlink.ProgressStage, result coltsfootlink.Result, sentAt time.Time) {
 	current.service.Dispatch.Put(coltsfootlink.Delivery{Message: dispatch.Report{
 		Serial: choice.Serial,
--- a/integration/gateways_test.go
+++ b/integration/gateways_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,8 +40,17 @@
 	server              *httptest.Server
 	// fails indicates that all requests are answered with status 500.
 	fails bool
+	// born identifies the target's incarnation.
+	born uint64
+	// leaving indicates that the target says in all answers that it is shutting down; its record does not show it.
+	leaving atomic.Bool
+	// retryAfterSeconds is for how long the target asks for no requests in the refusals that it answers all requests with;
+	// zero if it serves them.
+	retryAfterSeconds atomic.Int64
 
 	mutex sync.Mutex
+	// arrivals are the times at which requests meant for the target arrived.
+	arrivals []time.Time
 	// executions are the times at which each request was executed, by the value of its header Attempt-Id.
 	executions map[string][]time.Time
 }
@@ -53,11 +63,23 @@
 	}
 	id := request.Header.Get("Attempt-Id")
 	writer.Header().Set("Attempt-Id", id)
+	if target.leaving.Load() {
+		writer.Header().Set("Server-Leaving", "1")
+	}
 	if request.Header.Get("Expect-Instance") != target.name {
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	target.mutex.Lock()
+	target.arrivals = append(target.arrivals, time.Now())
+	target.mutex.Unlock()
+	if seconds := target.retryAfterSeconds.Load(); seconds > 0 {
+		writer.Header().Set("Not-Run", "1")
+		writer.Header().Set("Retry-After", fmt.Sprint(seconds))
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	target.mutex.Lock()
 	target.executions[id] = append(target.executions[id], time.Now())
 	target.mutex.Unlock()
 	writer.Header().Set("Answer-Stamp", "stamp-"+id)
@@ -166,7 +188,7 @@
 func (bed *testbed) register(t *testing.T, target *recordingTarget, state string) {
 	t.Helper()
 	bed.put(t, platform.TargetTopic, target.name, platform.TargetDocument{
-		Service: "p", Address: strings.TrimPrefix(target.server.URL, "http://"), Zone: target.zone, Version: target.version, Slots: 8, State: state,
+		Service: "p", Address: strings.TrimPrefix(target.server.URL, "http://"), Zone: target.zone, Version: target.version, Slots: 8, State: state, Born: target.born,
 	})
 }
 
--- a/message_gateway.go
+++ b/message_gateway.go
@@ -166,6 +166,18 @@
 	Requests []HeldRequest
 }
 
+// TargetNotice is an announcement that a target makes about itself in its answers. The instance that received it sends it
+// to the target's owner.
+type TargetNotice struct {
+	Target TargetName
+	// Incarnation is the target's incarnation according to its record.
+	Incarnation uint64
+	// Leaving indicates that the target is shutting down and wants no new requests.
+	Leaving bool
+	// RetryAt is when the target wants requests again; zero if it did not say that it wants none.
+	RetryAt time.Time
+}
+
 // News is sent between the catalog tasks of instances and forwards records that the sender has read from the platform.
 type News struct {
 	Records []CatalogRecord
@@ -178,13 +190,14 @@
 // NewsRequest asks a peer for all its catalog records; the reply is News.
 type NewsRequest struct{}
 
-func (Ask) isMessage()         {}
-func (MoveUsages) isMessage()  {}
-func (MoveWord) isMessage()    {}
-func (Offered) isMessage()     {}
-func (Shares) isMessage()      {}
-func (Verdict) isMessage()     {}
-func (Progress) isMessage()    {}
-func (Held) isMessage()        {}
-func (News) isMessage()        {}
-func (NewsRequest) isMessage() {}
+func (Ask) isMessage()          {}
+func (MoveUsages) isMessage()   {}
+func (MoveWord) isMessage()     {}
+func (Offered) isMessage()      {}
+func (Shares) isMessage()       {}
+func (Verdict) isMessage()      {}
+func (Progress) isMessage()     {}
+func (Held) isMessage()         {}
+func (TargetNotice) isMessage() {}
+func (News) isMessage()         {}
+func (NewsRequest) isMessage()  {}
--- a/outcome.go
+++ b/outcome.go
@@ -52,6 +52,7 @@
 	TargetCold       Reason = "target-cold"
 	TargetFull       Reason = "target-full"
 	TargetLeaving    Reason = "target-leaving"
+	TargetBackoff    Reason = "target-backoff"
 	InstanceBusy     Reason = "instance-busy"
 	OverShare        Reason = "over-share"
 	RetriesUsedUp    Reason = "retries-used-up"
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -58,6 +58,8 @@
 		return &peerpb.Message{Kind: &peerpb.Message_Progress{Progress: encoder.encodeProgress(message)}}, nil
 	case coltsfootlink.Held:
 		return &peerpb.Message{Kind: &peerpb.Message_Held{Held: encoder.encodeHeld(message)}}, nil
+	case coltsfootlink.TargetNotice:
+		return &peerpb.Message{Kind: &peerpb.Message_TargetNotice{TargetNotice: encoder.encodeTargetNotice(message)}}, nil
 	case coltsfootlink.News:
 		return &peerpb.Message{Kind: &peerpb.Message_News{News: encoder.encodeNews(message)}}, nil
 	case coltsfootlink.Offered:
@@ -136,6 +138,8 @@
 		return decoder.decodeProgress(kind.Progress), nil
 	case *peerpb.Message_Held:
 		return decoder.decodeHeld(kind.Held), nil
+	case *peerpb.Message_TargetNotice:
+		return decoder.decodeTargetNotice(kind.TargetNotice), nil
 	case *peerpb.Message_News:
 		return decoder.decodeNews(kind.News), nil
 	case *peerpb.Message_Offered:
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -66,6 +66,7 @@
 	"held": coltsfootlink.Held{Target: "t", Requests: []coltsfootlink.HeldRequest{
 		{Serial: 9, Team: "x", Work: coltsfootlink.Work{PromptTokens: 5}, FirstEventReceived: true}, {Serial: 10},
 	}},
+	"target notice":    coltsfootlink.TargetNotice{Target: "t", Incarnation: 7, Leaving: true},
 	"news request":     coltsfootlink.NewsRequest{},
 	"offered":          coltsfootlink.Offered{Pool: "p", Attempted: 128, RefusedFull: 64, Teams: []coltsfootlink.TeamLoad{{Team: "x", Tokens: 1000, Granted: 250}}},
 	"shares":           coltsfootlink.Shares{Pool: "p", MaxWaitFraction: 0.25, Teams: []coltsfootlink.TeamShare{{Team: "x", Entitled: 0.25, Bearable: 0.5, Surplus: 1}}},
@@ -107,6 +108,9 @@
 		"a retry time": {coltsfootlink.Verdict{RetryAt: now.Add(time.Second)}, func(message coltsfootlink.Message) time.Time {
 			return message.(coltsfootlink.Verdict).RetryAt
 		}},
+		"a target's retry time": {coltsfootlink.TargetNotice{RetryAt: now.Add(time.Second)}, func(message coltsfootlink.Message) time.Time {
+			return message.(coltsfootlink.TargetNotice).RetryAt
+		}},
 		"the time at which a catalog update was read": {coltsfootlink.News{Records: []coltsfootlink.CatalogRecord{record}, ReadAt: now.Add(-time.Second), Signature: 7}, func(message coltsfootlink.Message) time.Time {
 			So(message.(coltsfootlink.News).Records, ShouldResemble, []coltsfootlink.CatalogRecord{record})
 			return message.(coltsfootlink.News).ReadAt
--- a/peer/gateway.go
+++ b/peer/gateway.go
@@ -7,7 +7,7 @@
 	"coltsfootlink/peerpb"
 )
 
-// This file has the codec of Ask, Verdict, Progress, Held, News, Offered and Shares. Clocks of instances differ, so
+// This file has the codec of Ask, Verdict, Progress, Held, TargetNotice, News, Offered and Shares. Clocks of instances differ, so
 // times in these messages are sent relative to now: deadlines as the milliseconds left, the time at which News was read
 // as its age in milliseconds.
 
@@ -147,6 +147,24 @@
 	}
 }
 
+func (encoder *encoder) encodeTargetNotice(notice coltsfootlink.TargetNotice) *peerpb.TargetNotice {
+	return &peerpb.TargetNotice{
+		TargetRef:      encoder.ref(string(notice.Target)),
+		IncarnationRef: encoder.number(notice.Incarnation),
+		Leaving:        notice.Leaving,
+		RetryMillis:    millisUntil(notice.RetryAt),
+	}
+}
+
+func (decoder *decoder) decodeTargetNotice(notice *peerpb.TargetNotice) coltsfootlink.TargetNotice {
+	return coltsfootlink.TargetNotice{
+		Target:      coltsfootlink.TargetName(decoder.name(notice.GetTargetRef())),
+		Incarnation: decoder.number(notice.GetIncarnationRef()),
+		Leaving:     notice.GetLeaving(),
+		RetryAt:     timeInMillis(notice.GetRetryMillis()),
+	}
+}
+
 func (encoder *encoder) encodeNews(news coltsfootlink.News) *peerpb.News {
 	return &peerpb.News{
 		Records: convertAll(news.Records, func(record coltsfootlink.CatalogRecord) *peerpb.NewsRecord {
--- a/peer/router.go
+++ b/peer/router.go
@@ -63,6 +63,9 @@
 		router.List.Put(delivery)
 	case coltsfootlink.Ask, coltsfootlink.Progress, coltsfootlink.Held:
 		router.Admission.Put(delivery)
+	case coltsfootlink.TargetNotice:
+		router.Admission.Put(delivery)
+		router.Dispatch.Put(delivery)
 	case coltsfootlink.Offered:
 		router.Shares.Put(delivery)
 	case coltsfootlink.Shares:
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -153,7 +153,7 @@
 		if err != nil {
 			return Answer{}, sendError(written, err)
 		}
-		head := platform.DecodeAnswer(response)
+		head := platform.DecodeAnswer(response, client.Clock.Now())
 		if head.ID == id || head.ID == "" && acceptsUnidentified(head, conn.reused) {
 			return Answer{Head: head, Response: response}, nil
 		}
