Outlive odd records and messages, and keep what is gone from coming back

Messages without a receiver are dropped and counted, panics of handlers end their stream only, and goroutines that tasks start for others' bytes log theirs (supervisor.Go).

An odd record of the configuration displaced the good one in what peers were told; it does not any longer. A record that cannot be decoded removes what its key had in force, but for the routing table, and is passed on without its value.

Complete reads now have an end below which unknown keys are outdated, peers send theirs with all their records, an instance without access to the platform asks three peers, and a complete read right after an outage of the store does not remove targets before they have had their time to register again.

--- a/admission/prober.go
+++ b/admission/prober.go
@@ -8,6 +8,7 @@
 
 	"coltsfootlink"
 	"coltsfootlink/mailbox"
+	"coltsfootlink/supervisor"
 )
 
 // Prober requests load reports from engines on behalf of their owner, which finds orphaned requests by them.
@@ -51,7 +52,7 @@
 		}
 		for _, delivery := range prober.Inbox.Drain() {
 			if message, matches := delivery.Message.(probeRequest); matches {
-				go prober.ask(ctx, message.target)
+				supervisor.Go(prober.Log, "load report of a target", func() { prober.ask(ctx, message.target) })
 			}
 		}
 	}
--- a/catalog/reader.go
+++ b/catalog/reader.go
@@ -38,6 +38,9 @@
 	down bool
 	// graceEndsAt is when targets whose records expired during the last outage count as removed.
 	graceEndsAt time.Time
+	// rereadAfterGrace indicates that all keys have to be read once more after graceEndsAt, since the last such read may
+	// have missed targets that had not registered again.
+	rereadAfterGrace bool
 	// postponed are removals that take effect at graceEndsAt.
 	postponed []coltsfootlink.CatalogRecord
 }
@@ -90,7 +93,9 @@
 			return 0, err
 		}
 		reader.next, reader.nextKnown = batch.End, true
-		reader.send(readResult{records: batch.Records, complete: true, end: batch.End})
+		reader.logUnreadable(batch)
+		reader.rereadAfterGrace = reader.stream == coltsfootlink.TargetStream && (reader.down || reader.inGrace())
+		reader.send(readResult{records: batch.Records, complete: !reader.rereadAfterGrace, end: batch.End})
 		return len(batch.Records), nil
 	}
 	batch, err := reader.source.Follow(ctx, reader.stream, reader.next, reader.wait())
@@ -98,11 +103,16 @@
 		return 0, err
 	}
 	reader.next = batch.End
+	reader.logUnreadable(batch)
+	reader.send(readResult{records: reader.postpone(batch.Records)})
+	return len(batch.Records), nil
+}
+
+// logUnreadable logs that records of a batch were skipped.
+func (reader *reader) logUnreadable(batch coltsfootlink.CatalogBatch) {
 	if batch.Unreadable > 0 {
 		reader.log.Warn().Int("records", batch.Unreadable).Str("stream", string(reader.stream)).Msg("catalog: skipped records whose key cannot be decoded")
 	}
-	reader.send(readResult{records: reader.postpone(batch.Records)})
-	return len(batch.Records), nil
 }
 
 // wait returns how long the next read waits for records.
@@ -111,7 +121,7 @@
 		// A read whose answer is lost in the outage fails only when its whole wait is over, so it must not wait.
 		return 0
 	}
-	if len(reader.postponed) > 0 {
+	if len(reader.postponed) > 0 || reader.rereadAfterGrace {
 		return followDelay
 	}
 	return maxFollowWait
@@ -119,7 +129,7 @@
 
 // postpone defers removals of targets during the grace period after an outage, and returns the other records.
 func (reader *reader) postpone(records []coltsfootlink.CatalogRecord) []coltsfootlink.CatalogRecord {
-	if reader.stream != coltsfootlink.TargetStream || !reader.clock.Now().Before(reader.graceEndsAt) {
+	if reader.stream != coltsfootlink.TargetStream || !reader.inGrace() {
 		return records
 	}
 	var kept []coltsfootlink.CatalogRecord
@@ -133,14 +143,23 @@
 	return kept
 }
 
-// releasePostponed sends the deferred removals once the grace period is over. The removal of a target that has registered
-// again has no effect, because its offset is lower than that of the new record.
+// inGrace reports whether targets whose records expired during the last outage may still register again.
+func (reader *reader) inGrace() bool { return reader.clock.Now().Before(reader.graceEndsAt) }
+
+// releasePostponed sends the deferred removals once the grace period is over, and has all keys read again if that was put
+// off. The removal of a target that has registered again has no effect, because its offset is lower than that of the new
+// record.
 func (reader *reader) releasePostponed() {
-	if len(reader.postponed) == 0 || reader.clock.Now().Before(reader.graceEndsAt) {
+	if reader.inGrace() {
 		return
 	}
-	reader.send(readResult{records: reader.postponed})
-	reader.postponed = nil
+	if len(reader.postponed) > 0 {
+		reader.send(readResult{records: reader.postponed})
+		reader.postponed = nil
+	}
+	if reader.rereadAfterGrace && !reader.down {
+		reader.rereadAfterGrace, reader.nextKnown = false, false
+	}
 }
 
 func (reader *reader) send(result readResult) {
--- a/catalog/state.go
+++ b/catalog/state.go
@@ -3,6 +3,7 @@
 package catalog
 
 import (
+	"maps"
 	"time"
 
 	"github.com/benbjohnson/immutable"
@@ -18,6 +19,7 @@
 
 // entry is the newest record of a key with its decoded fact.
 type entry struct {
+	// record is without its value, as if the key had been removed, if it cannot be decoded.
 	record coltsfootlink.CatalogRecord
 	// fact is nil if the record was removed or holds no usable fact.
 	fact coltsfootlink.Fact
@@ -39,6 +41,11 @@
 	decoder coltsfootlink.FactDecoder
 	entries *immutable.Map[recordKey, entry]
 	catalog coltsfootlink.Catalog
+	// table is the record of the routing table in force. Its key may have a newer record that cannot be decoded.
+	table coltsfootlink.CatalogRecord
+	// ends are the offsets up to which streams have been read completely: an older record of a key that is not known was
+	// removed before.
+	ends map[coltsfootlink.CatalogStream]uint64
 }
 
 // NewState returns a state without records.
@@ -63,22 +70,29 @@
 )
 
 // WithRecord returns the state with a record that was read now; it ignores a record that is not newer than the known one
-// of its key. If the record cannot be decoded, the previous fact of its key no longer applies, as after a removal, and the
-// error is returned along with the new state. A routing table stays in force until another one replaces it.
+// of its key, or than the complete read that did not list its key. If the record cannot be decoded, the previous fact of
+// its key no longer applies, as after a removal, and the error is returned along with the new state. A routing table stays
+// in force until another one replaces it.
 func (state State) WithRecord(now time.Time, record coltsfootlink.CatalogRecord) (State, Change, error) {
 	key := recordKey{stream: record.Stream, key: record.Key}
 	known, found := state.entries.Get(key)
-	if found && record.Offset <= known.record.Offset {
-		return state, Ignored, nil
+	if found && record.Offset <= known.record.Offset || !found && record.Offset < state.ends[record.Stream] {
+		return state.withLateTable(record)
 	}
 	var fact coltsfootlink.Fact
 	var err error
 	if !record.Removed {
 		fact, err = state.decoder.Decode(record)
 	}
-	if table, is := fact.(coltsfootlink.TableFact); is && state.catalog.TableLoaded && table.Table.Version < state.catalog.Table.Version {
-		// The version of the routing table never decreases.
-		return state, Ignored, nil
+	if table, is := fact.(coltsfootlink.TableFact); is {
+		if state.catalog.TableLoaded && table.Table.Version < state.catalog.Table.Version {
+			// The version of the routing table never decreases.
+			return state, Ignored, nil
+		}
+		state.table = record
+	}
+	if err != nil {
+		record.Removed, record.Value = true, nil
 	}
 	state.entries = state.entries.Set(key, entry{record: record, fact: fact})
 	var change Change
@@ -86,13 +100,52 @@
 	return state, change, err
 }
 
-// Records returns the newest record of each key.
+// withLateTable puts the routing table in an outdated record in force if none of its version or a later one is: the newer
+// record of its key may be one that cannot be decoded. Other outdated records are ignored.
+func (state State) withLateTable(record coltsfootlink.CatalogRecord) (State, Change, error) {
+	known := state.catalog.TableLoaded && (record.Key != state.table.Key || record.Offset == state.table.Offset)
+	if record.Stream != coltsfootlink.OperatorStream || record.Removed || known {
+		return state, Ignored, nil
+	}
+	fact, err := state.decoder.Decode(record)
+	table, is := fact.(coltsfootlink.TableFact)
+	if err != nil || !is || state.catalog.TableLoaded && table.Table.Version <= state.catalog.Table.Version {
+		// An error was reported when the record was new.
+		return state, Ignored, nil
+	}
+	state.table = record
+	state.catalog = state.catalog.WithTable(table.Table)
+	return state, Changed, nil
+}
+
+// WithEnd records that a stream has been read completely up to an offset, so that older records of keys that are not
+// known are outdated.
+func (state State) WithEnd(stream coltsfootlink.CatalogStream, end uint64) State {
+	if end <= state.ends[stream] {
+		return state
+	}
+	state.ends = maps.Clone(state.ends)
+	if state.ends == nil {
+		state.ends = make(map[coltsfootlink.CatalogStream]uint64)
+	}
+	state.ends[stream] = end
+	return state
+}
+
+// Ends returns the offsets up to which streams have been read completely.
+func (state State) Ends() map[coltsfootlink.CatalogStream]uint64 { return maps.Clone(state.ends) }
+
+// Records returns the newest record of each key, and the record of the routing table in force.
 func (state State) Records() []coltsfootlink.CatalogRecord {
-	records := make([]coltsfootlink.CatalogRecord, 0, state.entries.Len())
+	records := make([]coltsfootlink.CatalogRecord, 0, state.entries.Len()+1)
 	for iterator := state.entries.Iterator(); !iterator.Done(); {
 		_, stored, _ := iterator.Next()
 		records = append(records, stored.record)
 	}
+	stored, _ := state.entries.Get(recordKey{stream: state.table.Stream, key: state.table.Key})
+	if state.catalog.TableLoaded && stored.record.Offset != state.table.Offset {
+		records = append(records, state.table)
+	}
 	return records
 }
 
--- a/catalog/state_test.go
+++ b/catalog/state_test.go
@@ -66,17 +66,22 @@
 		targets int
 		zoneOut bool
 	}{
-		"table":                                {[]coltsfootlink.CatalogRecord{operatorRecord(1, "config", "version 3")}, []Change{Changed}, 3, 0, false},
-		"newer table":                          {[]coltsfootlink.CatalogRecord{operatorRecord(1, "config", "version 3"), operatorRecord(2, "config", "version 5")}, []Change{Changed, Changed}, 5, 0, false},
-		"older record arrives late":            {[]coltsfootlink.CatalogRecord{operatorRecord(2, "config", "version 5"), operatorRecord(1, "config", "version 3")}, []Change{Changed, Ignored}, 5, 0, false},
-		"newer record with an older version":   {[]coltsfootlink.CatalogRecord{operatorRecord(1, "config", "version 5"), operatorRecord(2, "config", "version 3")}, []Change{Changed, Ignored}, 5, 0, false},
-		"target":                               {[]coltsfootlink.CatalogRecord{targetRecord(1, "t", "target h:1")}, []Change{Changed}, 0, 1, false},
-		"unchanged target":                     {[]coltsfootlink.CatalogRecord{targetRecord(1, "t", "target h:1"), targetRecord(2, "t", "target h:1")}, []Change{Changed, Refreshed}, 0, 1, false},
-		"removed target":                       {[]coltsfootlink.CatalogRecord{targetRecord(1, "t", "target h:1"), targetRecord(2, "t", "")}, []Change{Changed, Changed}, 0, 0, false},
-		"target arrives after its removal":     {[]coltsfootlink.CatalogRecord{targetRecord(2, "t", ""), targetRecord(1, "t", "target h:1")}, []Change{Refreshed, Ignored}, 0, 0, false},
-		"target record that cannot be decoded": {[]coltsfootlink.CatalogRecord{targetRecord(1, "t", "target h:1"), targetRecord(2, "t", "?")}, []Change{Changed, Changed}, 0, 0, false},
-		"zone out of service":                  {[]coltsfootlink.CatalogRecord{operatorRecord(1, "evacuate/a", "out a")}, []Change{Changed}, 0, 0, true},
-		"zone returned to service":             {[]coltsfootlink.CatalogRecord{operatorRecord(1, "evacuate/a", "out a"), operatorRecord(2, "evacuate/a", "")}, []Change{Changed, Changed}, 0, 0, false},
+		"table":                                              {[]coltsfootlink.CatalogRecord{operatorRecord(1, "config", "version 3")}, []Change{Changed}, 3, 0, false},
+		"newer table":                                        {[]coltsfootlink.CatalogRecord{operatorRecord(1, "config", "version 3"), operatorRecord(2, "config", "version 5")}, []Change{Changed, Changed}, 5, 0, false},
+		"older record arrives late":                          {[]coltsfootlink.CatalogRecord{operatorRecord(2, "config", "version 5"), operatorRecord(1, "config", "version 3")}, []Change{Changed, Ignored}, 5, 0, false},
+		"newer record with an older version":                 {[]coltsfootlink.CatalogRecord{operatorRecord(1, "config", "version 5"), operatorRecord(2, "config", "version 3")}, []Change{Changed, Ignored}, 5, 0, false},
+		"target":                                             {[]coltsfootlink.CatalogRecord{targetRecord(1, "t", "target h:1")}, []Change{Changed}, 0, 1, false},
+		"unchanged target":                                   {[]coltsfootlink.CatalogRecord{targetRecord(1, "t", "target h:1"), targetRecord(2, "t", "target h:1")}, []Change{Changed, Refreshed}, 0, 1, false},
+		"removed target":                                     {[]coltsfootlink.CatalogRecord{targetRecord(1, "t", "target h:1"), targetRecord(2, "t", "")}, []Change{Changed, Changed}, 0, 0, false},
+		"target arrives after its removal":                   {[]coltsfootlink.CatalogRecord{targetRecord(2, "t", ""), targetRecord(1, "t", "target h:1")}, []Change{Refreshed, Ignored}, 0, 0, false},
+		"target record that cannot be decoded":               {[]coltsfootlink.CatalogRecord{targetRecord(1, "t", "target h:1"), targetRecord(2, "t", "?")}, []Change{Changed, Changed}, 0, 0, false},
+		"table that cannot be decoded after another":         {[]coltsfootlink.CatalogRecord{operatorRecord(1, "config", "version 3"), operatorRecord(2, "config", "?")}, []Change{Changed, Refreshed}, 3, 0, false},
+		"table that cannot be decoded before another":        {[]coltsfootlink.CatalogRecord{operatorRecord(2, "config", "?"), operatorRecord(1, "config", "version 3")}, []Change{Refreshed, Changed}, 3, 0, false},
+		"newer table, older than one that cannot be decoded": {[]coltsfootlink.CatalogRecord{operatorRecord(1, "config", "version 3"), operatorRecord(3, "config", "?"), operatorRecord(2, "config", "version 5")}, []Change{Changed, Refreshed, Changed}, 5, 0, false},
+		"older table, older than one that cannot be decoded": {[]coltsfootlink.CatalogRecord{operatorRecord(2, "config", "version 5"), operatorRecord(3, "config", "?"), operatorRecord(1, "config", "version 3")}, []Change{Changed, Refreshed, Ignored}, 5, 0, false},
+		"table after one that cannot be decoded":             {[]coltsfootlink.CatalogRecord{operatorRecord(1, "config", "?"), operatorRecord(2, "config", "version 3")}, []Change{Refreshed, Changed}, 3, 0, false},
+		"zone out of service":                                {[]coltsfootlink.CatalogRecord{operatorRecord(1, "evacuate/a", "out a")}, []Change{Changed}, 0, 0, true},
+		"zone returned to service":                           {[]coltsfootlink.CatalogRecord{operatorRecord(1, "evacuate/a", "out a"), operatorRecord(2, "evacuate/a", "")}, []Change{Changed, Changed}, 0, 0, false},
 	}
 	for name, test := range cases {
 		Convey(name, t, func() {
@@ -151,10 +156,12 @@
 		var records []coltsfootlink.CatalogRecord
 		version := 0
 		for offset := range rapid.IntRange(1, 20).Draw(t, "records") {
-			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			switch rapid.IntRange(0, 4).Draw(t, "kind") {
 			case 0:
 				version++
 				records = append(records, operatorRecord(uint64(offset+1), "config", "version "+strconv.Itoa(version)))
+			case 4:
+				records = append(records, operatorRecord(uint64(offset+1), "config", "?"))
 			case 1:
 				value := rapid.SampledFrom([]string{"", "out a"}).Draw(t, "zone")
 				records = append(records, operatorRecord(uint64(offset+1), "evacuate/a", value))
@@ -190,3 +197,74 @@
 		So(missing, ShouldResemble, []coltsfootlink.CatalogRecord{{Stream: coltsfootlink.TargetStream, Offset: 4, Key: "old", Removed: true}})
 	})
 }
+
+// TestOddRecordsAreNotPassedOn checks that an instance that knows nothing but the records of another has its catalog, and
+// that records which cannot be decoded are passed on without their values.
+func TestOddRecordsAreNotPassedOn(t *testing.T) {
+	cases := map[string][]coltsfootlink.CatalogRecord{
+		"an odd target":                  {operatorRecord(1, "config", "version 3"), targetRecord(1, "t", "target h:1"), targetRecord(2, "u", "?")},
+		"an odd record of a good target": {operatorRecord(1, "config", "version 3"), targetRecord(1, "t", "target h:1"), targetRecord(2, "t", "?")},
+		"an odd routing table":           {operatorRecord(1, "config", "version 3"), operatorRecord(2, "config", "?")},
+		"an odd key of operators":        {operatorRecord(1, "config", "version 3"), operatorRecord(2, "novel", "?")},
+	}
+	for name, records := range cases {
+		Convey(name, t, func() {
+			known, fresh := NewState(textDecoder{}), NewState(textDecoder{})
+			for _, record := range records {
+				known, _, _ = known.WithRecord(baseTime, record)
+			}
+			for _, record := range known.Records() {
+				So(string(record.Value), ShouldNotEqual, "?")
+				fresh, _, _ = fresh.WithRecord(baseTime, record)
+			}
+			So(fresh.Catalog().Table.Version, ShouldEqual, 3)
+			So(fresh.Catalog().Signature(), ShouldEqual, known.Catalog().Signature())
+		})
+	}
+}
+
+// TestOutdatedRecordsStayRemoved checks that what was removed before an instance has read the platform does not come back
+// with the records of a peer that has not learned of the removal.
+func TestOutdatedRecordsStayRemoved(t *testing.T) {
+	outdated := []coltsfootlink.CatalogRecord{
+		operatorRecord(1, "config", "version 3"), operatorRecord(2, "evacuate/a", "out a"), targetRecord(4, "left", "target h:1"), targetRecord(5, "kept", "target h:2"),
+	}
+	newest := map[coltsfootlink.CatalogStream][]coltsfootlink.CatalogRecord{
+		coltsfootlink.OperatorStream: {operatorRecord(6, "config", "version 5")},
+		coltsfootlink.TargetStream:   {targetRecord(5, "kept", "target h:2")},
+	}
+	read := func(task *Task) {
+		for stream, records := range newest {
+			task.handle(coltsfootlink.Delivery{Message: readResult{stream: stream, records: records, complete: true, end: 9}})
+		}
+	}
+	hear := func(task *Task) {
+		task.handle(coltsfootlink.Delivery{From: "i-2", Message: coltsfootlink.News{Records: outdated, Signature: 1}})
+	}
+	hearComplete := func(task *Task) {
+		informed, _, _ := newTask("i-3", viewOf("i-1", "i-2", "i-3"))
+		read(informed)
+		task.handle(coltsfootlink.Delivery{From: "i-3", Message: coltsfootlink.News{Records: informed.state.Records(), Ends: informed.state.Ends(), Signature: informed.signature}})
+	}
+	cases := map[string][]func(*Task){
+		"the platform is read first":                   {read, hear},
+		"the peer is heard first":                      {hear, read},
+		"another peer that has read is heard first":    {hearComplete, hear},
+		"another peer that has read is heard later":    {hear, hearComplete},
+		"the outdated peer is heard before and after":  {hear, read, hear},
+		"the outdated peer is heard between the peers": {hearComplete, hear, hearComplete},
+	}
+	for name, acts := range cases {
+		Convey("a target that has left, and a zone that has returned, stay so: "+name, t, func() {
+			task, _, _ := newTask("i-1", viewOf("i-1", "i-2", "i-3"))
+			for _, act := range acts {
+				act(task)
+			}
+			catalog := task.state.Catalog()
+			So(catalog.Table.Version, ShouldEqual, 5)
+			So(catalog.ZonesOut, ShouldBeEmpty)
+			So(catalog.Targets, ShouldHaveLength, 1)
+			So(catalog.Targets["kept"].Address, ShouldEqual, "h:2")
+		})
+	}
+}
--- a/catalog/task.go
+++ b/catalog/task.go
@@ -31,8 +31,10 @@
 	// signatures have differed for maxDivergence.
 	resyncInterval = 300 * time.Millisecond
 	maxDivergence  = time.Second
-	// bootstrapInterval is the time between two requests to peers by an instance that has no routing table yet.
+	// bootstrapInterval is the time between two requests to peers by an instance that has not read the platform yet, and
+	// bootstrapPeers how many of them it asks.
 	bootstrapInterval = 500 * time.Millisecond
+	bootstrapPeers    = 3
 )
 
 // Task keeps the catalog of an instance. Some instances of each zone read the platform and forward the records to all
@@ -59,8 +61,10 @@
 	lastUpdateAt time.Time
 	// keepaliveAt is when this reader next sends an update to its zone even if nothing has changed.
 	keepaliveAt time.Time
-	// bootstrapAt is when the instance may next ask a peer for its records if it has no routing table.
-	bootstrapAt time.Time
+	// bootstrapAt is when the instance may next ask a peer for all its records, and bootstrapped the peers that have sent
+	// theirs.
+	bootstrapAt  time.Time
+	bootstrapped map[coltsfootlink.InstanceName]bool
 	// signature is the signature of the catalog. Until resyncAt, a different one in an update does not count as a sign of
 	// a lost update.
 	signature uint64
@@ -74,6 +78,7 @@
 func (task *Task) Run(ctx context.Context) error {
 	task.state = NewState(task.Decoder)
 	task.loaded = make(map[coltsfootlink.CatalogStream]bool)
+	task.bootstrapped = make(map[coltsfootlink.InstanceName]bool)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	defer task.stopReaders()
@@ -97,18 +102,34 @@
 	case readResult:
 		task.handleRead(message)
 	case coltsfootlink.News:
-		if message.ReadAt.After(task.lastUpdateAt) {
-			task.lastUpdateAt = message.ReadAt
-		}
-		task.apply(message.Records)
-		task.checkSignature(delivery.From, message)
+		task.handleNews(delivery.From, message)
 	case coltsfootlink.NewsRequest:
-		task.Sender.Send(delivery.From, coltsfootlink.News{Records: task.state.Records(), Signature: task.signature})
+		task.Sender.Send(delivery.From, coltsfootlink.News{Records: task.state.Records(), Ends: task.state.Ends(), Signature: task.signature})
 	case coltsfootlink.ViewChanged:
 		task.view = message.View
 	}
 }
 
+// handleNews applies the records that a peer has sent. If these are all of the peer's, keys that the peer knows to be
+// removed are removed here, too.
+func (task *Task) handleNews(from coltsfootlink.InstanceName, news coltsfootlink.News) {
+	if news.ReadAt.After(task.lastUpdateAt) {
+		task.lastUpdateAt = news.ReadAt
+	}
+	records := news.Records
+	for stream, end := range news.Ends {
+		records = append(slices.Clone(records), task.state.Missing(stream, news.Records, end)...)
+	}
+	task.apply(records)
+	for stream, end := range news.Ends {
+		task.state = task.state.WithEnd(stream, end)
+	}
+	if len(news.Ends) > 0 {
+		task.bootstrapped[from] = true
+	}
+	task.checkSignature(from, news)
+}
+
 // handleRead applies the records of a read and sends the changes to the peers.
 func (task *Task) handleRead(result readResult) {
 	records := result.records
@@ -117,6 +138,9 @@
 		task.loaded[result.stream] = true
 	}
 	changed := newestPerKey(task.apply(records))
+	if result.complete {
+		task.state = task.state.WithEnd(result.stream, result.end)
+	}
 	now := task.Clock.Now()
 	if len(changed) == 0 && now.Before(task.keepaliveAt) {
 		return
@@ -247,17 +271,24 @@
 	return task.Clock.Now().Sub(task.lastUpdateAt) > timeout
 }
 
-// bootstrap asks a random live peer for all its records while the instance has no routing table.
+// bootstrap asks random live peers for all their records while the instance has not read the platform itself: until
+// bootstrapPeers have sent theirs, since one that is cut off from the platform may have outdated ones.
 func (task *Task) bootstrap() {
 	now := task.Clock.Now()
-	live := task.view.Live()
-	if task.state.Catalog().TableLoaded || now.Before(task.bootstrapAt) || len(live) < 2 {
+	if task.loaded[coltsfootlink.OperatorStream] && task.loaded[coltsfootlink.TargetStream] || now.Before(task.bootstrapAt) {
 		return
 	}
-	task.bootstrapAt = now.Add(bootstrapInterval)
-	if peer := live[rand.IntN(len(live))].Name; peer != task.Self.Name {
-		task.Sender.Send(peer, coltsfootlink.NewsRequest{})
+	var unasked []coltsfootlink.InstanceName
+	for _, member := range task.view.Live() {
+		if member.Name != task.Self.Name && !task.bootstrapped[member.Name] {
+			unasked = append(unasked, member.Name)
+		}
 	}
+	if len(unasked) == 0 || len(task.bootstrapped) >= bootstrapPeers {
+		return
+	}
+	task.bootstrapAt = now.Add(bootstrapInterval)
+	task.Sender.Send(unasked[rand.IntN(len(unasked))], coltsfootlink.NewsRequest{})
 }
 
 func (task *Task) stopReaders() {
--- a/catalog/task_test.go
+++ b/catalog/task_test.go
@@ -48,6 +48,7 @@
 	task.state = NewState(textDecoder{})
 	task.loaded = map[coltsfootlink.CatalogStream]bool{coltsfootlink.OperatorStream: true, coltsfootlink.TargetStream: true}
 	task.view = view
+	task.bootstrapped = make(map[coltsfootlink.InstanceName]bool)
 	task.lastUpdateAt = baseTime
 	return task, sender, clock
 }
@@ -168,3 +169,88 @@
 		})
 	}
 }
+
+// TestBootstrap checks which peers an instance asks for their records after its start, once a second for ten seconds.
+func TestBootstrap(t *testing.T) {
+	cases := map[string]struct {
+		loaded bool
+		view   coltsfootlink.View
+		// replies indicates that the peers reply.
+		replies bool
+		asked   int
+	}{
+		"it has read the platform": {true, viewOf("i-1", "i-2", "i-3"), true, 0},
+		"it is alone":              {false, viewOf("i-1"), true, 0},
+		"two peers reply":          {false, viewOf("i-1", "i-2", "i-3"), true, 2},
+		"many peers reply":         {false, viewOf("i-1", "i-2", "i-3", "i-4", "i-5", "i-6"), true, bootstrapPeers},
+		"no peer replies":          {false, viewOf("i-1", "i-2"), false, 10},
+	}
+	for name, test := range cases {
+		Convey("an instance that cannot read the platform takes the records of several peers: "+name, t, func() {
+			task, sender, clock := newTask("i-1", test.view)
+			if !test.loaded {
+				task.loaded = make(map[coltsfootlink.CatalogStream]bool)
+			}
+			asked := 0
+			for range 10 {
+				clock.now = clock.now.Add(time.Second)
+				sender.sent = nil
+				task.bootstrap()
+				asked += len(sender.sent)
+				if len(sender.sent) > 0 && test.replies {
+					task.handle(coltsfootlink.Delivery{From: sender.sent[0].From, Message: coltsfootlink.News{
+						Records: []coltsfootlink.CatalogRecord{operatorRecord(1, "config", "version 3")}, Ends: map[coltsfootlink.CatalogStream]uint64{coltsfootlink.OperatorStream: 2},
+					}})
+				}
+			}
+			So(asked, ShouldEqual, test.asked)
+		})
+	}
+}
+
+// newestSource returns the same newest records at each read.
+type newestSource struct {
+	failingSource
+	batch coltsfootlink.CatalogBatch
+	reads int
+}
+
+// Newest returns the records.
+func (source *newestSource) Newest(context.Context, coltsfootlink.CatalogStream) (coltsfootlink.CatalogBatch, error) {
+	source.reads++
+	return source.batch, nil
+}
+
+// TestTargetsMayRegisterAgainBeforeACompleteReadCounts checks that a read of all keys does not remove targets whose records
+// expired during an outage of the store that has just ended.
+func TestTargetsMayRegisterAgainBeforeACompleteReadCounts(t *testing.T) {
+	cases := map[string]struct {
+		stream coltsfootlink.CatalogStream
+		down   bool
+		// sinceRecovery is the time since the store became available again, if down is not set.
+		sinceRecovery time.Duration
+		complete      bool
+	}{
+		"targets, first answer after the outage":   {coltsfootlink.TargetStream, true, 0, false},
+		"targets, shortly after the outage":        {coltsfootlink.TargetStream, false, time.Second, false},
+		"targets, after the grace period":          {coltsfootlink.TargetStream, false, reregistrationGrace, true},
+		"operators, first answer after the outage": {coltsfootlink.OperatorStream, true, 0, true},
+	}
+	for name, test := range cases {
+		Convey(name, t, func() {
+			clock, inbox, source := &manualClock{now: baseTime}, mailbox.NewDeliveries(), new(newestSource)
+			reader := &reader{stream: test.stream, source: source, clock: clock, log: zerolog.Nop(), inbox: inbox, down: true}
+			if !test.down {
+				reader.markUp()
+			}
+			clock.now = clock.now.Add(test.sinceRecovery)
+			_, err := reader.read(t.Context())
+			So(err, ShouldBeNil)
+			So(inbox.Drain()[0].Message.(readResult).complete, ShouldEqual, test.complete)
+			reader.markUp()
+			clock.now = clock.now.Add(reregistrationGrace)
+			reader.releasePostponed()
+			So(reader.nextKnown, ShouldEqual, test.complete)
+		})
+	}
+}
--- a/integration/gateways_test.go
+++ b/integration/gateways_test.go
@@ -152,13 +152,26 @@
 
 // startTestbed starts a store, four targets in two zones and four gateways, and waits until the gateways serve.
 func startTestbed(t *testing.T) *testbed {
+	t.Helper()
+	return startTestbedWith(t, rig.GatewayFleet{Zones: zones[:2]})
+}
+
+// startProxiedTestbed does what startTestbed does, with all gateways in one zone and with proxies.
+func startProxiedTestbed(t *testing.T) *testbed {
+	t.Helper()
+	return startTestbedWith(t, rig.GatewayFleet{Zones: zones[:1], Proxied: true})
+}
+
+// startTestbedWith does what startTestbed does, with the zones and proxies of a fleet.
+func startTestbedWith(t *testing.T, fleet rig.GatewayFleet) *testbed {
 	t.Helper()
 	bed := newTestbed(t)
 	for index := range 4 {
 		bed.add(t, &recordingTarget{name: fmt.Sprint("t-", index), zone: zones[index%2], version: "v1"})
 	}
 	var err error
-	bed.gateways, err = rig.GatewayFleet{Daemon: programs.Daemon, Folder: t.TempDir(), Store: bed.storeAddress, Zones: zones[:2], Count: 4}.Start(t.Context())
+	fleet.Daemon, fleet.Folder, fleet.Store, fleet.Count = programs.Daemon, t.TempDir(), bed.storeAddress, 4
+	bed.gateways, err = fleet.Start(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -203,6 +216,12 @@
 		}
 		value = encoded
 	}
+	bed.append(t, topic, key, value)
+}
+
+// append writes the bytes of a record into the store under a key.
+func (bed *testbed) append(t *testing.T, topic, key string, value []byte) {
+	t.Helper()
 	eventually(t, "the store accepts a record", func() bool {
 		_, err := bed.store.Append(context.Background(), platform.Partition{Topic: topic}, [][]byte{platform.EncodeKeyed(key, value)}, platform.Condition{})
 		return err == nil
--- a/integration/notices_test.go
+++ b/integration/notices_test.go
@@ -1,12 +1,15 @@
 package integration
 
 import (
+	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"coltsfootlink/platform"
+	"coltsfootlink/rig"
 )
 
 // arrivalsBetween returns the number of requests that arrived at the target in a time span.
@@ -65,3 +68,40 @@
 		eventually(t, "the target gets requests again", func() bool { return target.arrivalsBetween(wantedAt, time.Now()) > 0 })
 	})
 }
+
+// TestRestartsDoNotBringBackWhatIsGone checks that a gateway that restarts uses neither a key that was revoked nor a target
+// that has left, although one of its peers, which is cut off from the platform, knows of neither.
+func TestRestartsDoNotBringBackWhatIsGone(t *testing.T) {
+	const outdated, restarted = 1, 0
+	cases := map[string]rig.Mode{"the platform can be read": rig.Pass, "the platform cannot be read": rig.Abort}
+	for name, mode := range cases {
+		Convey("neither a revoked key nor a target that has left is in use again: "+name, t, func() {
+			bed := startProxiedTestbed(t)
+			bed.gateways[outdated].StoreProxy.Set(rig.Abort)
+			time.Sleep(500 * time.Millisecond)
+			left := bed.targets["t-0"]
+			bed.put(t, platform.TargetTopic, left.name, nil)
+			bed.configure(t, "new-key")
+			eventually(t, "the other gateways know the new key", func() bool {
+				status, _, err := bed.call(2, "/safe/a", fmt.Sprint("before-", time.Now()), "new-key")
+				return err == nil && status == http.StatusOK
+			})
+			So(bed.gateways[restarted].Kill(), ShouldBeNil)
+			bed.gateways[restarted].StoreProxy.Set(mode)
+			So(bed.gateways[restarted].Start(), ShouldBeNil)
+			So(bed.gateways[restarted].WaitReady(t.Context()), ShouldBeNil)
+			// The gateway has heard of some peers only at first.
+			time.Sleep(2 * time.Second)
+			from := time.Now()
+			for number := range 40 {
+				status, _, err := bed.call(restarted, "/safe/a", fmt.Sprint("revoked-", number), "key")
+				So(err, ShouldBeNil)
+				So(status, ShouldEqual, http.StatusUnauthorized)
+				status, _, err = bed.call(restarted, "/safe/a", fmt.Sprint("new-", number), "new-key")
+				So(err, ShouldBeNil)
+				So(status, ShouldEqual, http.StatusOK)
+			}
+			So(left.arrivalsBetween(from, time.Now()), ShouldEqual, 0)
+		})
+	}
+}
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -94,6 +94,7 @@
 // clocks of instances differ, are restored to within 50 ms.
 func TestTimesAreSentRelativeToNow(t *testing.T) {
 	now := time.Now()
+	ends := map[coltsfootlink.CatalogStream]uint64{coltsfootlink.TargetStream: 4, coltsfootlink.OperatorStream: 9}
 	record := coltsfootlink.CatalogRecord{Stream: coltsfootlink.TargetStream, Offset: 3, Key: "k", Value: []byte("v"), Removed: true}
 	cases := map[string]struct {
 		message coltsfootlink.Message
@@ -111,8 +112,9 @@
 		"a target's retry time": {coltsfootlink.TargetNotice{RetryAt: now.Add(time.Second)}, func(message coltsfootlink.Message) time.Time {
 			return message.(coltsfootlink.TargetNotice).RetryAt
 		}},
-		"the time at which a catalog update was read": {coltsfootlink.News{Records: []coltsfootlink.CatalogRecord{record}, ReadAt: now.Add(-time.Second), Signature: 7}, func(message coltsfootlink.Message) time.Time {
+		"the time at which a catalog update was read": {coltsfootlink.News{Records: []coltsfootlink.CatalogRecord{record}, ReadAt: now.Add(-time.Second), Signature: 7, Ends: ends}, func(message coltsfootlink.Message) time.Time {
 			So(message.(coltsfootlink.News).Records, ShouldResemble, []coltsfootlink.CatalogRecord{record})
+			So(message.(coltsfootlink.News).Ends, ShouldResemble, ends)
 			return message.(coltsfootlink.News).ReadAt
 		}},
 	}
--- a/peer/gateway.go
+++ b/peer/gateway.go
@@ -178,9 +178,29 @@
 		}),
 		AgeMillis: uint32(max(0, time.Since(news.ReadAt).Milliseconds())),
 		Signature: news.Signature,
+		Ends:      encoder.encodeEnds(news.Ends),
 	}
 }
 
+func (encoder *encoder) encodeEnds(ends map[coltsfootlink.CatalogStream]uint64) []*peerpb.StreamEnd {
+	var encoded []*peerpb.StreamEnd
+	for stream, end := range ends {
+		encoded = append(encoded, &peerpb.StreamEnd{StreamRef: encoder.ref(string(stream)), End: end})
+	}
+	return encoded
+}
+
+func (decoder *decoder) decodeEnds(encoded []*peerpb.StreamEnd) map[coltsfootlink.CatalogStream]uint64 {
+	if len(encoded) == 0 {
+		return nil
+	}
+	ends := make(map[coltsfootlink.CatalogStream]uint64, len(encoded))
+	for _, end := range encoded {
+		ends[coltsfootlink.CatalogStream(decoder.name(end.GetStreamRef()))] = end.GetEnd()
+	}
+	return ends
+}
+
 func (decoder *decoder) decodeNews(news *peerpb.News) coltsfootlink.News {
 	return coltsfootlink.News{
 		Records: convertAll(news.GetRecords(), func(record *peerpb.NewsRecord) coltsfootlink.CatalogRecord {
@@ -194,6 +214,7 @@
 		}),
 		ReadAt:    time.Now().Add(-time.Duration(news.GetAgeMillis()) * time.Millisecond),
 		Signature: news.GetSignature(),
+		Ends:      decoder.decodeEnds(news.GetEnds()),
 	}
 }
 
--- a/peer/router.go
+++ b/peer/router.go
@@ -3,6 +3,7 @@
 import (
 	"coltsfootlink"
 	"coltsfootlink/mailbox"
+	"coltsfootlink/metrics"
 )
 
 // Router delivers messages to the mailboxes of this instance's tasks and forwards messages for other instances to their
@@ -39,49 +40,59 @@
 	router.Links.Put(Outgoing{To: to, Message: message})
 }
 
-// Deliver puts a message into the mailboxes of the tasks that handle its type.
+// Deliver puts a message into the mailboxes of the tasks that handle its type. Messages for tasks that this instance does not
+// run are dropped: a peer of another kind may send them.
 func (router *Router) Deliver(delivery coltsfootlink.Delivery) {
-	switch delivery.Message.(type) {
+	for _, box := range router.receivers(delivery.Message) {
+		if box == nil {
+			metrics.Count("messages-without-receiver")
+			continue
+		}
+		box.Put(delivery)
+	}
+}
+
+// receivers returns the mailboxes of the tasks that handle a type of message; those of tasks that do not run are nil.
+func (router *Router) receivers(message coltsfootlink.Message) []*mailbox.Deliveries {
+	switch message.(type) {
 	case coltsfootlink.Strikes:
 		// An instance has only one of the two tasks: a node the entry task, a gateway the dispatch task.
-		for _, box := range []*mailbox.Deliveries{router.Entry, router.Dispatch} {
-			if box != nil {
-				box.Put(delivery)
-			}
+		if router.Entry != nil {
+			return []*mailbox.Deliveries{router.Entry}
 		}
+		return []*mailbox.Deliveries{router.Dispatch}
 	case coltsfootlink.Grant, coltsfootlink.NotOwner:
-		router.Entry.Put(delivery)
+		return []*mailbox.Deliveries{router.Entry}
 	case coltsfootlink.Takeover:
-		router.Entry.Put(delivery)
-		router.Owner.Put(delivery)
+		return []*mailbox.Deliveries{router.Entry, router.Owner}
 	case coltsfootlink.Demand, coltsfootlink.Release, coltsfootlink.Holdings, coltsfootlink.Counters,
 		coltsfootlink.MoveFault, coltsfootlink.MoveProgress:
-		router.Owner.Put(delivery)
+		return []*mailbox.Deliveries{router.Owner}
 	case coltsfootlink.Heartbeat:
-		router.Membership.Put(delivery)
+		return []*mailbox.Deliveries{router.Membership}
 	case coltsfootlink.ListRequest, coltsfootlink.ListReply:
-		router.List.Put(delivery)
+		return []*mailbox.Deliveries{router.List}
 	case coltsfootlink.Ask, coltsfootlink.Progress, coltsfootlink.Held:
-		router.Admission.Put(delivery)
+		return []*mailbox.Deliveries{router.Admission}
 	case coltsfootlink.TargetNotice:
-		router.Admission.Put(delivery)
-		router.Dispatch.Put(delivery)
+		return []*mailbox.Deliveries{router.Admission, router.Dispatch}
 	case coltsfootlink.Offered:
-		router.Shares.Put(delivery)
+		return []*mailbox.Deliveries{router.Shares}
 	case coltsfootlink.Shares:
-		router.Gate.Put(delivery)
+		return []*mailbox.Deliveries{router.Gate}
 	case coltsfootlink.MoveUsages:
-		router.Moves.Put(delivery)
+		return []*mailbox.Deliveries{router.Moves}
 	case coltsfootlink.MoveWord:
-		router.Moves.Put(delivery)
-		router.Dispatch.Put(delivery)
+		return []*mailbox.Deliveries{router.Moves, router.Dispatch}
 	case coltsfootlink.Verdict:
-		router.Dispatch.Put(delivery)
+		return []*mailbox.Deliveries{router.Dispatch}
 	case coltsfootlink.News, coltsfootlink.NewsRequest:
-		router.Catalog.Put(delivery)
+		return []*mailbox.Deliveries{router.Catalog}
 	case coltsfootlink.ClaimRequest, coltsfootlink.ClaimReply, coltsfootlink.ClaimOutcome:
-		router.Claims.Put(delivery)
+		return []*mailbox.Deliveries{router.Claims}
 	case coltsfootlink.RevisionRequest, coltsfootlink.RevisionReply:
-		router.Revision.Put(delivery)
+		return []*mailbox.Deliveries{router.Revision}
+	default:
+		return nil
 	}
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"runtime/debug"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -49,6 +51,8 @@
 	transport := grpc.NewServer(
 		grpc.Creds(server.Secure),
 		grpc.StatsHandler(metrics.Traffic{}),
+		grpc.StreamInterceptor(server.recoverStream),
+		grpc.UnaryInterceptor(server.recoverCall),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingInterval / 2, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: ackTimeout}),
 		grpc.ReadBufferSize(bufferBytes),
@@ -110,6 +114,26 @@
 	return encoded, nil
 }
 
+// recoverStream ends a stream whose handler panics. gRPC would otherwise let the whole process end.
+func (server *Server) recoverStream(service any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, handle grpc.StreamHandler) (err error) {
+	defer server.recoverPanic(&err)
+	return handle(service, stream)
+}
+
+// recoverCall does for calls what recoverStream does for streams.
+func (server *Server) recoverCall(ctx context.Context, request any, _ *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (reply any, err error) {
+	defer server.recoverPanic(&err)
+	return handle(ctx, request)
+}
+
+// recoverPanic, if deferred, turns a panic into an error and logs it.
+func (server *Server) recoverPanic(err *error) {
+	if cause := recover(); cause != nil {
+		server.Log.Error().Str("panic", fmt.Sprint(cause)).Bytes("stack", debug.Stack()).Msg("peer: handling a peer's messages failed; its stream is closed")
+		*err = status.Error(codes.Internal, "peer: handling the messages failed")
+	}
+}
+
 // authenticate checks the caller's token and returns the name of the calling instance.
 func (server *Server) authenticate(ctx context.Context) (coltsfootlink.InstanceName, error) {
 	values, _ := metadata.FromIncomingContext(ctx)
