--- a/relay/plan_test.go
+++ b/relay/plan_test.go
@@ -35,7 +35,7 @@
 		"CPU no longer short":                            {twoAddresses.WithPressure(shortOfCPU(20)).WithPressure(pressure.State{}), 0, false},
 		"one address refused":                            {twoAddresses.WithPressure(shortOfCPU(20)).WithRefusal(now, "a"), 0, true},
 		"both addresses refused":                         {twoAddresses.WithPressure(shortOfCPU(20)).WithRefusal(now, "a").WithRefusal(now, "b"), 0, false},
-		"short of CPU, but the instance shuts down": {twoAddresses.WithPressure(shortOfCPU(20)).WithLeaving(), 0, false},
+		"short of CPU, but the instance shuts down":      {twoAddresses.WithPressure(shortOfCPU(20)).WithLeaving(), 0, false},
 		"both addresses refused, backoff over": {
 			twoAddresses.WithPressure(shortOfCPU(20)).WithRefusal(now.Add(-refusalBackoff), "a").WithRefusal(now.Add(-refusalBackoff), "b"), 0, true,
 		},
