--- a/cmd/soak/history.go
+++ b/cmd/soak/history.go
@@ -51,6 +51,10 @@
 	stamp string
 	// misdirected indicates that the target rejected the request because it was meant for another target.
 	misdirected bool
+	// leaving indicates that the target announced in its answer that it is shutting down, and backoff for how long it asked
+	// for no requests.
+	leaving bool
+	backoff time.Duration
 	// cold indicates that the target was in its cold start.
 	cold bool
 	// repeatable indicates that the request may be executed more than once.
--- a/cmd/soak/operator.go
+++ b/cmd/soak/operator.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -150,6 +151,26 @@
 	return time.Now()
 }
 
+// writeOdd writes records that name nothing that can be used, as if by another writer, or removes them.
+func (operator *operator) writeOdd(ctx context.Context, begin bool) {
+	for index, value := range []string{
+		strings.Repeat("[", 100_000), "\xff\xfe", "{}", `{"state":"ready"}`,
+		`{"service":"plain","address":"127.0.0.1:99999","zone":"zone-0","slots":4,"state":"ready"}`,
+		`{"service":"plain","address":"127.0.0.1:80","zone":"zone-0","slots":9e99,"state":"ready"}`,
+		`{"service":"plain","address":"127.0.0.1:80","zone":"zone-0","slots":4,"state":"ready","cold_remaining_ms":1e300}`,
+	} {
+		content := []byte(value)
+		if !begin {
+			content = nil
+		}
+		for _, key := range []string{fmt.Sprint("odd-", index), fmt.Sprint("odd-\xff", index)} {
+			// The append fails only if the store has stopped at the end of the run.
+			_, _ = operator.store.Append(ctx, platform.TargetTopic, platform.EncodeKeyed(key, content))
+			_, _ = operator.store.Append(ctx, platform.OperatorTopic, platform.EncodeKeyed("rollout/"+key, content))
+		}
+	}
+}
+
 // publish writes the next version of the table and returns the time of the acknowledgement.
 func (operator *operator) publish(ctx context.Context, next table) time.Time {
 	acked := operator.write(ctx, platform.OperatorTopic, "config", next.document())
--- a/cmd/soak/plan.go
+++ b/cmd/soak/plan.go
@@ -50,6 +50,12 @@
 	targetGarblesKind   faultKind = "target-garbles"
 	targetEndlessKind   faultKind = "target-endless"
 	targetCutsKind      faultKind = "target-cuts"
+	targetLeavesKind    faultKind = "target-leaves"
+	targetShedsKind     faultKind = "target-sheds"
+	targetRepeatsKind   faultKind = "target-repeats"
+	targetLosesKind     faultKind = "target-loses"
+	targetTricklesKind  faultKind = "target-trickles"
+	oddRecordsKind      faultKind = "odd-records"
 	storeDownKind       faultKind = "store-down"
 	storeSlowKind       faultKind = "store-slow"
 	storeLossyKind      faultKind = "store-lossy"
@@ -120,6 +126,12 @@
 		targetGarblesKind:   {onTarget, second / 2, 3 * second, false, rig.Pass},
 		targetEndlessKind:   {onTarget, second / 4, second, false, rig.Pass},
 		targetCutsKind:      {onTarget, second, 4 * second, false, rig.Pass},
+		targetLeavesKind:    {onTarget, 5 * second, 8 * second, true, rig.Pass},
+		targetShedsKind:     {onTarget, 2 * second, 5 * second, false, rig.Pass},
+		targetRepeatsKind:   {onTarget, second, 4 * second, false, rig.Pass},
+		targetLosesKind:     {onTarget, second, 4 * second, false, rig.Pass},
+		targetTricklesKind:  {onTarget, second, 4 * second, false, rig.Pass},
+		oddRecordsKind:      {onTable, second, 4 * second, true, rig.Pass},
 		storeDownKind:       {onStore, second, 5 * second, false, rig.Pass},
 		storeSlowKind:       {onStore, second, 5 * second, false, rig.Pass},
 		storeLossyKind:      {onStore, second, 5 * second, false, rig.Pass},
@@ -134,21 +146,34 @@
 }
 
 const (
-	// minFaultsPerSecond and maxFaultsPerSecond bound the rate at which faults begin, which is drawn for each seed.
-	minFaultsPerSecond = 0.3
-	maxFaultsPerSecond = 1.5
+	// minFaultsPerSecond and maxFaultsPerSecond bound the rate at which faults begin, which is drawn for each seed, and
+	// addedFaultsPerSecond is the rate of those of the added kinds.
+	minFaultsPerSecond   = 0.3
+	maxFaultsPerSecond   = 1.5
+	addedFaultsPerSecond = 0.3
 )
 
+// addedKinds are the kinds that are drawn after all others, so that seeds from before they were added keep their faults.
+var addedKinds = []faultKind{targetLeavesKind, targetShedsKind, targetRepeatsKind, targetLosesKind, targetTricklesKind, oddRecordsKind}
+
 // newPlan draws the faults of a seed, sorted by their starts. All end within the duration, and none conflicts with
 // another. The same seed, size and duration give the same plan.
 func newPlan(seed uint64, size size, duration time.Duration) []step {
 	random := rand.New(rand.NewPCG(seed, 0))
+	kinds := slices.Sorted(maps.Keys(faultSpecs()))
+	kinds = slices.DeleteFunc(kinds, func(kind faultKind) bool { return slices.Contains(addedKinds, kind) })
+	faultsPerSecond := minFaultsPerSecond + random.Float64()*(maxFaultsPerSecond-minFaultsPerSecond)
+	plan := drawFaults(random, nil, kinds, faultsPerSecond, size, duration)
+	plan = drawFaults(rand.New(rand.NewPCG(seed, 1)), plan, addedKinds, addedFaultsPerSecond, size, duration)
+	slices.SortStableFunc(plan, func(one, other step) int { return int(one.Starts - other.Starts) })
+	return plan
+}
+
+// drawFaults adds faults of the given kinds to a plan, at least one is drawn; those that conflict with others are left out.
+func drawFaults(random *rand.Rand, plan []step, kinds []faultKind, perSecond float64, size size, duration time.Duration) []step {
 	specs := faultSpecs()
-	kinds := slices.Sorted(maps.Keys(specs))
 	counts := map[subject]int{onInstance: size.Instances, onTarget: size.Targets, onZone: size.Zones, onStore: 1, onTable: 1}
-	faultsPerSecond := minFaultsPerSecond + random.Float64()*(maxFaultsPerSecond-minFaultsPerSecond)
-	var plan []step
-	for range int(max(1, duration.Seconds()*faultsPerSecond)) {
+	for range int(max(1, duration.Seconds()*perSecond)) {
 		kind := kinds[random.IntN(len(kinds))]
 		spec := specs[kind]
 		length := spec.shortest + time.Duration(random.Float64()*float64(spec.longest-spec.shortest))
@@ -161,7 +186,6 @@
 			plan = append(plan, drawn)
 		}
 	}
-	slices.SortStableFunc(plan, func(one, other step) int { return int(one.Starts - other.Starts) })
 	return plan
 }
 
@@ -184,9 +208,10 @@
 		return fmt.Sprint(storeLinkResource, step.Index)
 	case targetResetKind, targetSlowKind, targetSilentKind, targetOneWayKind:
 		return targetLinkResource(step.Index)
-	case targetFailsKind, targetLiesKind, targetGarblesKind, targetEndlessKind, targetCutsKind:
+	case targetFailsKind, targetLiesKind, targetGarblesKind, targetEndlessKind, targetCutsKind,
+		targetShedsKind, targetRepeatsKind, targetLosesKind, targetTricklesKind:
 		return fmt.Sprint("conduct-", step.Index)
-	case targetCrashKind, targetDrainKind, targetColdKind:
+	case targetCrashKind, targetDrainKind, targetColdKind, targetLeavesKind:
 		return fmt.Sprint("target-", step.Index)
 	case storeDownKind, storeSlowKind, storeLossyKind:
 		return "store"
--- a/cmd/soak/replica.go
+++ b/cmd/soak/replica.go
@@ -54,6 +54,8 @@
 	// drainedAt is when a draining target stops, and removeAt when the record of a stopped one is removed; zero if it
 	// does not drain or still runs.
 	drainedAt, removeAt time.Time
+	// unannounced indicates that the record of a target that drains does not show it.
+	unannounced bool
 }
 
 // Run applies faults and renews the records of the replica's targets until the context ends.
@@ -89,6 +91,10 @@
 			replica.drain(ctx, primary)
 			replica.start(ctx, version, false, false, "", coldStartDuration)
 		}
+	case targetLeavesKind:
+		if primary := replica.primary(); fault.begin && primary != nil {
+			replica.leave(ctx, primary, fault.step)
+		}
 	case targetColdKind:
 		if fault.begin {
 			replica.reportColdUntil = time.Now().Add(coldStartDuration)
@@ -149,7 +155,7 @@
 		Service: replica.pool, Address: incarnation.proxy.Address, Zone: replica.zone, Version: incarnation.version, Slots: slots, State: platform.ReadyState,
 		ColdMillis: float64(max(0, time.Until(incarnation.coldUntil), time.Until(replica.reportColdUntil)).Milliseconds()), Born: uint64(incarnation.born.UnixMilli()),
 	}
-	if !incarnation.drainedAt.IsZero() {
+	if !incarnation.drainedAt.IsZero() && !incarnation.unannounced {
 		document.State = platform.DrainingState
 	}
 	return replica.operator.write(ctx, platform.TargetTopic, incarnation.name, document)
@@ -163,6 +169,15 @@
 	replica.record(order{kind: drained, name: incarnation.name, acked: acked})
 }
 
+// leave has a target announce in its answers, but not in its record, that it is shutting down, and stop at the end of the
+// fault. The next incarnation starts at once.
+func (replica *replica) leave(ctx context.Context, incarnation *incarnation, step step) {
+	incarnation.unannounced = true
+	incarnation.drainedAt = time.Now().Add(time.Duration(step.Ends-step.Starts) * time.Millisecond)
+	incarnation.target.leaving.Store(true)
+	replica.start(ctx, incarnation.version, false, false, "", coldStartDuration)
+}
+
 // crash stops the target without notice when the fault begins, and starts the next incarnation at its address when the
 // fault ends.
 func (replica *replica) crash(ctx context.Context, begin bool) {
--- a/cmd/soak/rules.go
+++ b/cmd/soak/rules.go
@@ -18,6 +18,10 @@
 	tableTimeout = 3 * time.Second
 	// zoneTimeout is the time after which a zone taken out of service gets no more requests.
 	zoneTimeout = 5 * time.Second
+	// backoffSlack is how long after a target's wish for no requests some may still arrive, and backoffExceptions how many
+	// of an instance may after that.
+	backoffSlack      = 500 * time.Millisecond
+	backoffExceptions = 2
 	// recoveryTimeout is the time after the faults from which on every call has to be served.
 	recoveryTimeout = 15 * time.Second
 	lossSlack       = 200 * time.Millisecond
@@ -71,6 +75,8 @@
 		"denied":   unexpectedDenials,
 		"routes":   tableAdditions,
 		"drain":    drainedTargets,
+		"leaving":  leavingTargets,
+		"backoff":  targetsLeftAlone,
 		"zones":    zonesOutOfService,
 		"cold":     coldTargets,
 		"budget":   retryBudget,
@@ -255,6 +261,70 @@
 	return found
 }
 
+// heldBy identifies an instance and a target.
+type heldBy struct {
+	instance int
+	target   string
+}
+
+// leavingTargets checks that an instance that has passed on an answer in which a target announced that it is shutting down
+// sends it no requests of callers that are made later than drainTimeout after that, unless the instance was disrupted.
+func leavingTargets(seen history) []string {
+	attempts := seen.byID()
+	told := make(map[heldBy]time.Time)
+	for _, arrival := range seen.arrivals {
+		attempt, ended := attempts[arrival.id]
+		key := heldBy{attempt.instance, arrival.target}
+		if arrival.leaving && ended && attempt.stamp != "" && attempt.stamp == arrival.stamp && (told[key].IsZero() || attempt.ended.Before(told[key])) {
+			told[key] = attempt.ended
+		}
+	}
+	var found []string
+	for _, arrival := range seen.arrivals {
+		attempt, ended := attempts[arrival.id]
+		at, known := told[heldBy{attempt.instance, arrival.target}]
+		if ended && known && attempt.sent.Sub(at) > drainTimeout && !seen.instanceDisrupted(attempt.instance, at, arrival.at) {
+			found = append(found, fmt.Sprintf("%s reached %s, %v after instance %d had passed on that it is leaving", arrival.id, arrival.target, attempt.sent.Sub(at), attempt.instance))
+		}
+	}
+	return found
+}
+
+// targetsLeftAlone checks that a target that refused a request with a Retry-After gets no more than a few requests from that
+// instance until then, unless the instance was disrupted.
+func targetsLeftAlone(seen history) []string {
+	attempts := seen.byID()
+	arrivals := make(map[heldBy][]arrival)
+	for _, arrival := range seen.arrivals {
+		if attempt, ended := attempts[arrival.id]; ended {
+			key := heldBy{attempt.instance, arrival.target}
+			arrivals[key] = append(arrivals[key], arrival)
+		}
+	}
+	var found []string
+	for key, received := range arrivals {
+		for _, refused := range received {
+			until, late := refused.at.Add(refused.backoff), 0
+			for _, later := range received {
+				if later.at.After(refused.at.Add(backoffSlack)) && later.at.Before(until) {
+					late++
+				}
+			}
+			if late > backoffExceptions && !seen.instanceDisrupted(key.instance, refused.at, until) {
+				found = append(found, fmt.Sprintf("%d requests of instance %d reached %s, which had asked for none after %s", late, key.instance, key.target, refused.id))
+			}
+		}
+	}
+	return found
+}
+
+// instanceDisrupted reports whether a fault disrupted an instance or its connections, or the soak itself.
+func (seen history) instanceDisrupted(instance int, from, to time.Time) bool {
+	return seen.disrupted(from, to, func(step step) bool {
+		return step.Subject == onInstance && step.Index == instance || step.Kind == stallKind
+	})
+}
+
 // zonesOutOfService checks that a zone out of service gets no requests after zoneTimeout.
 func zonesOutOfService(seen history) []string {
 	var found []string
--- a/cmd/soak/rules_test.go
+++ b/cmd/soak/rules_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -37,8 +38,31 @@
 	return seen
 }
 
+// leaving returns a history in which a target announces at noon that it leaves, and gets a request of the same instance
+// that is sent some milliseconds later.
+func leaving(millis int) history {
+	told := makeArrival("told", "t", 0)
+	told.leaving = true
+	return history{}.WithAttempt(makeAttempt("told", okStatus, 0, 0)).WithArrival(told).
+		WithAttempt(makeAttempt("later", okStatus, millis, millis+9)).WithArrival(makeArrival("later", "t", millis+1))
+}
+
+// backedOff returns a history in which a target refuses a request at noon and asks for none for two seconds, and gets some
+// more of the same instance from some milliseconds on.
+func backedOff(count, millis int) history {
+	refused := arrival{id: "refused", target: "t", at: noon, backoff: 2 * time.Second}
+	seen := history{}.WithAttempt(makeAttempt("refused", http.StatusServiceUnavailable, 0, 1)).WithArrival(refused)
+	for index := range count {
+		id := fmt.Sprint("later-", index)
+		seen = seen.WithAttempt(makeAttempt(id, okStatus, millis+index, millis+index+9)).WithArrival(makeArrival(id, "t", millis+index))
+	}
+	return seen
+}
+
 func TestRules(t *testing.T) {
 	var empty history
+	leavingElsewhere := leaving(3100)
+	leavingElsewhere.attempts[1].instance = 1
 	revoked := order{kind: keyGone, name: "key", acked: noon}
 	frozen := disruption{step: step{Kind: frozenKind, Subject: onInstance}, from: after(1000), to: after(1100)}
 	stopped := disruption{step: step{Kind: stoppedKind, Subject: onInstance}, from: after(1000), to: after(9000)}
@@ -87,6 +111,15 @@
 		"a request to a draining target before the timeout":         {"drain", empty.WithOrder(order{kind: drained, name: "t", acked: noon}).WithAttempt(makeAttempt("r", okStatus, 0, 9)).WithArrival(makeArrival("r", "t", 2900)), false},
 		"a request to a draining target after the timeout":          {"drain", empty.WithOrder(order{kind: drained, name: "t", acked: noon}).WithAttempt(makeAttempt("r", okStatus, 0, 9)).WithArrival(makeArrival("r", "t", 3100)), true},
 		"a misdirected request to a draining target":                {"drain", empty.WithOrder(order{kind: drained, name: "t", acked: noon}).WithAttempt(makeAttempt("r", okStatus, 0, 9)).WithArrival(misdirected), false},
+		"a request soon after a target announced that it leaves":    {"leaving", leaving(2900), false},
+		"a request long after a target announced that it leaves":    {"leaving", leaving(3100), true},
+		"a request after the instance that was told was frozen":     {"leaving", leaving(3100).WithDisruption(frozen), false},
+		"a request of another instance":                             {"leaving", leavingElsewhere, false},
+		"two requests to a target that asked for none":              {"backoff", backedOff(2, 1000), false},
+		"three requests to a target that asked for none":            {"backoff", backedOff(3, 1000), true},
+		"three requests right after a target asked for none":        {"backoff", backedOff(3, 400), false},
+		"three requests once a target wants some again":             {"backoff", backedOff(3, 2100), false},
+		"three requests of an instance that was frozen":             {"backoff", backedOff(3, 1000).WithDisruption(frozen), false},
 		"a request to a zone out of service after the timeout":      {"zones", empty.WithOrder(order{kind: zoneOut, name: "z", acked: noon}).WithAttempt(makeAttempt("r", okStatus, 0, 9)).WithArrival(makeArrival("r", "t", 5100)), true},
 		"a request to a zone returned to service":                   {"zones", empty.WithOrder(order{kind: zoneOut, name: "z", acked: noon}).WithOrder(order{kind: zoneOut, name: "z", acked: after(5000), ends: after(5000)}).WithAttempt(makeAttempt("r", okStatus, 0, 9)).WithArrival(makeArrival("r", "t", 5100)), false},
 		"a cold target within its rate":                             {"cold", withColdArrivals(empty, 60, 60), false},
--- a/cmd/soak/site.go
+++ b/cmd/soak/site.go
@@ -217,6 +217,8 @@
 		if transition.begin {
 			work = operator.addKey
 		}
+	case oddRecordsKind:
+		work = func(ctx context.Context) { operator.writeOdd(ctx, transition.begin) }
 	case evacuateKind:
 		work = func(ctx context.Context) { operator.evacuate(ctx, zoneName(step.Index), transition.begin) }
 	case moveGoodKind, moveBadKind:
--- a/cmd/soak/target.go
+++ b/cmd/soak/target.go
@@ -33,6 +33,10 @@
 	ioTimeout = 5 * time.Second
 	// faultyShare is the share of answers that a fault affects.
 	faultyShare = 0.5
+	// backoffDuration is how long a target that sheds load asks for no requests, and trickleInterval the time between two
+	// comments of a stream that does not end.
+	backoffDuration = 2 * time.Second
+	trickleInterval = 200 * time.Millisecond
 	// maxGarbageBytes is the maximum number of garbage bytes in an endless answer.
 	maxGarbageBytes = 32 << 20
 )
@@ -42,8 +46,10 @@
 	// fails has the target answer a share of its requests with status 500. lies has targets with an even index report
 	// that they are unhealthy although they serve, and those with an odd index fail as with fails although they report
 	// that they are healthy. garbles spoils a share of the answers with invalid bytes. endless answers all requests
-	// with garbage that goes on. cuts truncates a share of the answers.
-	fails, lies, garbles, endless, cuts bool
+	// with garbage that goes on. cuts truncates a share of the answers. sheds refuses a share of the requests with a
+	// Retry-After. repeats sends a share of the answers once more when the connection is used again. loses closes the
+	// connection in place of a share of the answers. trickles keeps a share of the streams open without ending them.
+	fails, lies, garbles, endless, cuts, sheds, repeats, loses, trickles bool
 }
 
 // WithFault returns the behaviour with the fault of a kind switched on or off.
@@ -59,6 +65,14 @@
 		behaviour.endless = on
 	case targetCutsKind:
 		behaviour.cuts = on
+	case targetShedsKind:
+		behaviour.sheds = on
+	case targetRepeatsKind:
+		behaviour.repeats = on
+	case targetLosesKind:
+		behaviour.loses = on
+	case targetTricklesKind:
+		behaviour.trickles = on
 	}
 	return behaviour
 }
@@ -77,7 +91,9 @@
 	badVersion bool
 	record     func(any)
 
-	behaviour  atomic.Pointer[behaviour]
+	behaviour atomic.Pointer[behaviour]
+	// leaving indicates that it announces in its answers that it is shutting down.
+	leaving    atomic.Bool
 	running    chan struct{}
 	inFlight   atomic.Int64
 	executions atomic.Int64
@@ -132,11 +148,21 @@
 		at: time.Now(), cold: time.Now().Before(target.coldUntil), repeatable: header.Get(repeatableHeader) != "",
 	}
 	writer.Header().Set(standin.RequestIDHeader, arrival.id)
+	if target.leaving.Load() {
+		arrival.leaving = true
+		writer.Header().Set(standin.LeavingHeader, "1")
+	}
 	if expected := header.Get(standin.ExpectTargetHeader); expected != "" && expected != target.name {
 		arrival.misdirected = true
 		target.refuse(writer, arrival, http.StatusMisdirectedRequest)
 		return
 	}
+	if behaviour.sheds && rand.Float64() < faultyShare {
+		arrival.backoff = backoffDuration
+		writer.Header().Set(standin.RetryAfterHeader, fmt.Sprint(backoffDuration.Seconds()))
+		target.refuse(writer, arrival, http.StatusServiceUnavailable)
+		return
+	}
 	if target.inFlight.Add(1) > maxInFlight {
 		target.inFlight.Add(-1)
 		target.refuse(writer, arrival, http.StatusServiceUnavailable)
@@ -194,6 +220,13 @@
 		target.garble(writer, request, behaviour.endless, arrival.stamp, body, status)
 		return
 	}
+	if behaviour.loses && rand.Float64() < faultyShare {
+		panic(http.ErrAbortHandler)
+	}
+	if behaviour.repeats && rand.Float64() < faultyShare {
+		target.repeat(writer, arrival, body, status)
+		return
+	}
 	writer.Header().Set(standin.StampHeader, arrival.stamp)
 	cut := len(body)
 	if behaviour.cuts && rand.Float64() < faultyShare {
@@ -201,6 +234,9 @@
 	}
 	if status == http.StatusOK && request.Header.Get(streamHeader) != "" {
 		target.stream(writer, request, body, cut)
+		if behaviour.trickles && rand.Float64() < faultyShare {
+			trickle(writer, request)
+		}
 		return
 	}
 	writer.Header().Set("Content-Length", fmt.Sprint(len(body)))
@@ -229,6 +265,37 @@
 	}
 }
 
+// trickle keeps a stream open with comments, a few bytes now and then, until its peer disconnects.
+func trickle(writer http.ResponseWriter, request *http.Request) {
+	for coltsfootlink.Sleep(request.Context(), trickleInterval) {
+		_, _ = io.WriteString(writer, ":\n")
+		_ = http.NewResponseController(writer).Flush()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// repeat sends a complete answer and keeps the connection open. When the next request arrives on it, it sends the answer
+// once more and closes the connection.
+func (target *target) repeat(writer http.ResponseWriter, arrival arrival, body []byte, status int) {
+	connection, buffered, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = connection.Close() }()
+	_ = connection.SetDeadline(time.Now().Add(ioTimeout))
+	answer := answerText(status, arrival.id, arrival.stamp, body)
+	_, _ = io.WriteString(connection, answer)
+	if next, err := http.ReadRequest(buffered.Reader); err == nil {
+		_, _ = io.Copy(io.Discard, next.Body)
+		_, _ = io.WriteString(connection, answer)
+	}
+}
+
+// answerText returns an answer as it is sent.
+func answerText(status int, id, stamp string, body []byte) string {
+	return fmt.Sprintf("HTTP/1.1 %d Status\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", status, standin.RequestIDHeader, id, standin.StampHeader, stamp, len(body), body)
+}
+
 // garble sends nothing, part of a header, an answer to another request or a complete answer, followed by garbage. If
 // endless is set, the garbage goes on until maxGarbageBytes or ioTimeout is reached.
 func (target *target) garble(writer http.ResponseWriter, request *http.Request, endless bool, stamp string, body []byte, status int) {
@@ -238,11 +305,8 @@
 	}
 	defer func() { _ = connection.Close() }()
 	_ = connection.SetDeadline(time.Now().Add(ioTimeout))
-	answer := func(status int, id, stamp string, body []byte) string {
-		return fmt.Sprintf("HTTP/1.1 %d Status\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", status, standin.RequestIDHeader, id, standin.StampHeader, stamp, len(body), body)
-	}
-	other := answer(http.StatusOK, "other", "other", []byte("other"))
-	complete := answer(status, request.Header.Get(standin.RequestIDHeader), stamp, body)
+	other := answerText(http.StatusOK, "other", "other", []byte("other"))
+	complete := answerText(status, request.Header.Get(standin.RequestIDHeader), stamp, body)
 	prefixes := []string{"", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nX: ", other, complete, complete + other}
 	_, _ = io.WriteString(connection, prefixes[rand.IntN(len(prefixes))])
 	garbage := content(request.Header.Get(standin.RequestIDHeader), 1<<10)
--- a/standin/headers.go
+++ b/standin/headers.go
@@ -5,6 +5,8 @@
 	RequestIDHeader    = "Attempt-Id"
 	StampHeader        = "Answer-Stamp"
 	NotRunHeader       = "Not-Run"
+	LeavingHeader      = "Server-Leaving"
+	RetryAfterHeader   = "Retry-After"
 	ExpectTargetHeader = "Expect-Instance"
 	TeamHeader         = "Tenant"
 	LastEventHeader    = "Last-Event-Id"
