Probe few neighbours, tell of more changes at once, and publish views only when they change

Cause: an instance probed all others in turn, so that it kept a connection to each of them (195 x 194 in the users' large deployment), and after each heartbeat it built, sorted and compared a list of all members, though hardly any heartbeat changes it. Each heartbeat also copied leaves of the map of members twice, 200 bytes an entry.

Change: an instance probes the members at the distances 1, 2, 4, ... on a ring of all and on one of its zone (about 12 of 195); the map holds pointers; the view is built when something in it has changed; a heartbeat has up to 32 updates for 8, which matters only while many change.

TestChanges plays 195, too, now; TestFleet bounds the number of instances that one sends heartbeats to.

--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/bits"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -29,6 +30,8 @@
 	inFlight map[coltsfootlink.InstanceName][]envelope
 	sent     int
 	entries  int
+	// contacts are the pairs of instances between which heartbeats were sent.
+	contacts map[[2]coltsfootlink.InstanceName]bool
 	random   *rand.Rand
 }
 
@@ -92,6 +95,9 @@
 func (fleet *fleet) send(from coltsfootlink.InstanceName, outgoing []Outgoing) {
 	for _, heartbeat := range outgoing {
 		fleet.sent++
+		if fleet.contacts != nil {
+			fleet.contacts[[2]coltsfootlink.InstanceName{from, heartbeat.To}] = true
+		}
 		fleet.entries += len(heartbeat.Heartbeat.Entries)
 		if fleet.partition[from] == fleet.partition[heartbeat.To] && fleet.random.Float64() >= fleet.lossRate {
 			fleet.inFlight[heartbeat.To] = append(fleet.inFlight[heartbeat.To], envelope{from: from, heartbeat: heartbeat.Heartbeat})
@@ -173,8 +179,9 @@
 	}
 }
 
-// TestFleet checks fleets of which all instances are responsive: none is taken for unresponsive, and the number and size
-// of the heartbeats that an instance sends do not grow with the fleet.
+// TestFleet checks fleets of which all instances are responsive: none is taken for unresponsive, the number and size of the
+// heartbeats that an instance sends do not grow with the fleet, and the number of instances that it sends them to grows
+// with its doublings only.
 func TestFleet(t *testing.T) {
 	for name, size := range map[string]int{"two": 2, "eight": 8, "thirty": 30, "seventy-one": 71, "three hundred and twenty": 320} {
 		Convey(name+" responsive instances", t, func() {
@@ -182,8 +189,10 @@
 			fleet.run(4 * time.Second)
 			So(fleet.viewsCorrect(), ShouldBeTrue)
 			fleet.run(26 * time.Second)
-			fleet.sent, fleet.entries = 0, 0
+			fleet.sent, fleet.entries, fleet.contacts = 0, 0, make(map[[2]coltsfootlink.InstanceName]bool)
 			So(fleet.run(5*time.Second), ShouldEqual, 0)
+			// An instance probes its neighbours on two rings, and replies to those on both that probe it.
+			So(float64(len(fleet.contacts))/float64(size), ShouldBeLessThanOrEqualTo, float64(max(2*maxProbedByAll, 4*bits.Len(uint(size)))))
 			So(fleet.viewsCorrect(), ShouldBeTrue)
 			seconds := 5.0 * float64(size)
 			// In each interval an instance probes as many others as the fan-out and replies to as many probes.
@@ -233,7 +242,7 @@
 		}, 3 * time.Second},
 	}
 	for name, test := range cases {
-		for _, size := range []int{8, 71} {
+		for _, size := range []int{8, 71, 195} {
 			Convey(fmt.Sprint(name, ", in a fleet of ", size), t, func() {
 				fleet := newFleet(size)
 				fleet.run(4 * time.Second)
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -12,7 +12,7 @@
 const (
 	// maxUpdates is the maximum number of updates in one heartbeat. The sender's own entry and a correction of the
 	// receiver's entry come in addition; full heartbeats hold all entries.
-	maxUpdates = 8
+	maxUpdates = 32
 	// retransmitFactor is how often an entry is sent for each doubling of the fleet size.
 	retransmitFactor = 2
 	// minSyncInterval is the least time between two full heartbeats, except to instances that were not live before.
@@ -22,7 +22,7 @@
 // WithHeartbeat merges a received heartbeat into the state and returns the heartbeats to send in response.
 func (state State) WithHeartbeat(now time.Time, from coltsfootlink.InstanceName, heartbeat coltsfootlink.Heartbeat) (State, []Outgoing) {
 	before := state
-	known, found := state.members.Get(from)
+	known, found := state.member(from)
 	newcomer := !found || !known.live()
 	refuted := false
 	for _, entry := range heartbeat.Entries {
@@ -39,7 +39,7 @@
 	}
 	state = state.withReply(from).withDirectContact(now, from)
 	var outgoing []Outgoing
-	sender, found := state.members.Get(from)
+	sender, found := state.member(from)
 	switch {
 	case heartbeat.ReplyRequested:
 		outgoing = append(outgoing, Outgoing{To: from, Heartbeat: coltsfootlink.Heartbeat{OnBehalfOf: heartbeat.OnBehalfOf}})
@@ -68,7 +68,7 @@
 // withEntry replaces the known entry on another instance if the received one is newer and not certainly wrong. If a
 // received entry is discarded and contradicts the known one, the known one is spread again.
 func (state State) withEntry(now time.Time, entry coltsfootlink.HeartbeatEntry) State {
-	known, found := state.members.Get(entry.Instance.Name)
+	known, found := state.member(entry.Instance.Name)
 	switch {
 	case !found && entry.Unresponsive:
 		return state
@@ -110,7 +110,7 @@
 
 // withReply clears the outstanding probe of an instance that has replied.
 func (state State) withReply(name coltsfootlink.InstanceName) State {
-	known, found := state.members.Get(name)
+	known, found := state.member(name)
 	if !found || known.replyDeadline.IsZero() {
 		return state
 	}
@@ -122,7 +122,7 @@
 // unresponsive. Such wrong entries come up after a network partition, when instances still report all those on the other
 // side as unresponsive.
 func (state State) withDirectContact(now time.Time, name coltsfootlink.InstanceName) State {
-	known, found := state.members.Get(name)
+	known, found := state.member(name)
 	if !found {
 		return state
 	}
@@ -135,12 +135,12 @@
 func (state State) withUpdates(outgoing []Outgoing) (State, []Outgoing) {
 	for index, heartbeat := range outgoing {
 		entries := []coltsfootlink.HeartbeatEntry{state.own}
-		if receiver, found := state.members.Get(heartbeat.To); found && !receiver.live() && receiver.entry.Instance.Incarnation > 0 {
+		if receiver, found := state.member(heartbeat.To); found && !receiver.live() && receiver.entry.Instance.Incarnation > 0 {
 			entries = append(entries, receiver.entry)
 		}
 		for _, name := range state.leastSentUpdates() {
 			state = state.withUpdateSent(name)
-			if known, found := state.members.Get(name); found && name != heartbeat.To {
+			if known, found := state.member(name); found && name != heartbeat.To {
 				entries = append(entries, known.entry)
 			}
 		}
@@ -186,7 +186,7 @@
 func (state State) allEntries() []coltsfootlink.HeartbeatEntry {
 	entries := []coltsfootlink.HeartbeatEntry{state.own}
 	for _, name := range state.names(func(known member) bool { return known.entry.Instance.Incarnation > 0 }) {
-		known, _ := state.members.Get(name)
+		known, _ := state.member(name)
 		entries = append(entries, known.entry)
 	}
 	return entries
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -34,7 +34,7 @@
 	state, outgoing := state.withTimeouts(now)
 	state, receivers := state.nextReceivers()
 	for _, name := range receivers {
-		known, _ := state.members.Get(name)
+		known, _ := state.member(name)
 		if known.live() && known.replyDeadline.IsZero() {
 			known.replyDeadline = now.Add(state.policy.ReplyTimeout)
 			state = state.withMember(known)
@@ -56,7 +56,7 @@
 
 func (state State) withoutProbes() State {
 	for _, name := range state.names(func(known member) bool { return !known.replyDeadline.IsZero() }) {
-		known, _ := state.members.Get(name)
+		known, _ := state.member(name)
 		state = state.withMember(known.withoutProbe())
 	}
 	return state
@@ -69,7 +69,7 @@
 	var outgoing []Outgoing
 	overdue := func(known member) bool { return !known.replyDeadline.IsZero() && now.After(known.replyDeadline) }
 	for _, name := range state.names(overdue) {
-		known, _ := state.members.Get(name)
+		known, _ := state.member(name)
 		probers := state.probersFor(name)
 		if known.indirect || len(probers) == 0 {
 			entry := known.entry
@@ -88,7 +88,7 @@
 		return !known.live() && !known.listed && !known.seed && now.After(known.unresponsiveSince.Add(forgetAfter))
 	}
 	for _, name := range state.names(expired) {
-		state.members = state.members.Delete(name)
+		state = state.withoutMember(name)
 	}
 	return state, outgoing
 }
@@ -100,12 +100,12 @@
 	return live[:min(indirectProbers, len(live))]
 }
 
-// nextReceivers returns the next live instances of the round, at most the fan-out, and one random unresponsive instance,
+// nextReceivers returns the next neighbours of the round, at most the fan-out, and one random unresponsive instance,
 // so that its return is noticed. If fewer instances are live than the fan-out, unresponsive ones make up for them.
 func (state State) nextReceivers() (State, []coltsfootlink.InstanceName) {
 	var receivers []coltsfootlink.InstanceName
 	isLive := func(name coltsfootlink.InstanceName) bool {
-		known, found := state.members.Get(name)
+		known, found := state.member(name)
 		return found && known.live()
 	}
 	for reshuffled := false; len(receivers) < state.policy.Fanout; {
@@ -114,7 +114,7 @@
 				break
 			}
 			reshuffled = true
-			state.round = state.names(member.live)
+			state.round = state.neighbours()
 			rand.Shuffle(len(state.round), func(left, right int) { state.round[left], state.round[right] = state.round[right], state.round[left] })
 			continue
 		}
--- a/membership/state.go
+++ b/membership/state.go
@@ -24,15 +24,18 @@
 
 // State is what one instance knows about the fleet; it is immutable.
 type State struct {
-	policy  Policy
-	own     coltsfootlink.HeartbeatEntry
-	members *immutable.SortedMap[coltsfootlink.InstanceName, member]
+	policy Policy
+	own    coltsfootlink.HeartbeatEntry
+	// members holds pointers, since the map copies its values; what they point to does not change.
+	members *immutable.SortedMap[coltsfootlink.InstanceName, *member]
+	// viewChanges counts the changes of what View returns.
+	viewChanges uint64
 	// updates holds the instances whose newest entry may not have reached all others yet, and how often it was sent.
 	updates *immutable.SortedMap[coltsfootlink.InstanceName, int]
 	// signature is the XOR of the signatures of all live members and the instance itself. Instances compare it to find out
 	// whether they know the same.
 	signature uint64
-	// round holds the members that are still to be probed in this round, in random order.
+	// round holds the neighbours that are still to be probed in this round, in random order.
 	round []coltsfootlink.InstanceName
 	// tickDeadline is the time after which a late tick means that the process is taken to have been suspended.
 	tickDeadline time.Time
@@ -46,7 +49,7 @@
 	state := State{
 		policy:    policy,
 		own:       own,
-		members:   immutable.NewSortedMap[coltsfootlink.InstanceName, member](nil),
+		members:   immutable.NewSortedMap[coltsfootlink.InstanceName, *member](nil),
 		updates:   immutable.NewSortedMap[coltsfootlink.InstanceName, int](nil),
 		signature: signature(own),
 	}
@@ -59,7 +62,7 @@
 		if seed.Name == state.own.Instance.Name {
 			continue
 		}
-		known, found := state.members.Get(seed.Name)
+		known, found := state.member(seed.Name)
 		if !found {
 			known = member{entry: coltsfootlink.HeartbeatEntry{Instance: seed, Unresponsive: true}}
 		}
@@ -85,9 +88,10 @@
 		listed[instance.Name] = instance
 	}
 	for iterator := state.members.Iterator(); !iterator.Done(); {
-		name, known, _ := iterator.Next()
+		name, stored, _ := iterator.Next()
+		known := *stored
 		if _, known.listed = listed[name]; !known.listed && !known.live() && !known.seed {
-			state.members = state.members.Delete(name)
+			state = state.withoutMember(name)
 			continue
 		}
 		state = state.withMember(known)
@@ -101,7 +105,7 @@
 }
 
 func (state State) withListed(instance coltsfootlink.Instance) State {
-	known, found := state.members.Get(instance.Name)
+	known, found := state.member(instance.Name)
 	if !found || instance.Incarnation > known.entry.Instance.Incarnation {
 		// With incarnation 0, any entry from the instance itself supersedes the one from the list.
 		instance.Incarnation = 0
@@ -130,18 +134,40 @@
 // withOwn replaces the instance's own entry.
 func (state State) withOwn(own coltsfootlink.HeartbeatEntry) State {
 	state.signature ^= signature(state.own) ^ signature(own)
+	state.viewChanges++
 	state.own = own
 	return state
 }
 
+// member returns a member; false if it is not known.
+func (state State) member(name coltsfootlink.InstanceName) (member, bool) {
+	if known, found := state.members.Get(name); found {
+		return *known, true
+	}
+	return member{}, false
+}
+
 // withMember adds or replaces a member and updates the signature.
 func (state State) withMember(known member) State {
 	name := known.entry.Instance.Name
-	if before, found := state.members.Get(name); found {
-		state.signature ^= before.signature()
+	before, found := state.member(name)
+	if !found || before.entry != known.entry {
+		state.signature ^= known.signature()
+		if found {
+			state.signature ^= before.signature()
+		}
 	}
-	state.signature ^= known.signature()
-	state.members = state.members.Set(name, known)
+	if !found || before.entry != known.entry || before.listed != known.listed {
+		state.viewChanges++
+	}
+	state.members = state.members.Set(name, &known)
+	return state
+}
+
+// withoutMember removes a member that is not live, which the signature does not include.
+func (state State) withoutMember(name coltsfootlink.InstanceName) State {
+	state.viewChanges++
+	state.members = state.members.Delete(name)
 	return state
 }
 
@@ -149,7 +175,7 @@
 func (state State) names(holds func(member) bool) []coltsfootlink.InstanceName {
 	var names []coltsfootlink.InstanceName
 	for iterator := state.members.Iterator(); !iterator.Done(); {
-		if name, known, _ := iterator.Next(); holds(known) {
+		if name, known, _ := iterator.Next(); holds(*known) {
 			names = append(names, name)
 		}
 	}
--- a/membership/task.go
+++ b/membership/task.go
@@ -26,8 +26,10 @@
 	Inbox       *mailbox.Deliveries
 	Subscribers []*mailbox.Deliveries
 
-	state         State
-	view          coltsfootlink.View
+	state State
+	view  coltsfootlink.View
+	// viewChanges is the state's count of view changes when the view was last published.
+	viewChanges   uint64
 	revision      coltsfootlink.Revision
 	peerRevisions map[coltsfootlink.InstanceName]coltsfootlink.Revision
 }
@@ -112,6 +114,10 @@
 
 // publish sends the view to the subscribers if it has changed.
 func (task *Task) publish() {
+	if task.viewChanges == task.state.viewChanges && len(task.view.Members) > 0 {
+		return
+	}
+	task.viewChanges = task.state.viewChanges
 	view := task.state.View()
 	if slices.Equal(view.Members, task.view.Members) {
 		return
