--- a/cmd/surge/run.go
+++ b/cmd/surge/run.go
@@ -24,6 +24,7 @@
 	takeoverSuite   = "takeover"
 	resilienceSuite = "resilience"
 	overloadSuite   = "overload"
+	gatewaysSuite   = "gateways"
 )
 
 // diagnostics receives progress and diagnostic lines; results go to standard output.
@@ -44,10 +45,12 @@
 	flags := ff.NewFlagSet("surge")
 	short := flags.BoolLong("short", "shorten the runs of the fairness suite, and measure fewer fleet sizes in the slopes suite")
 	asJSON := flags.BoolLong("json", "print the results as JSON on one line instead of a table: an object, or an array in the overload suite")
-	suite := flags.StringEnumLong("suite", "the suite of measurements to run", fairnessSuite, operationsSuite, slopesSuite, takeoverSuite, resilienceSuite, overloadSuite)
+	suite := flags.StringEnumLong("suite", "the suite of measurements to run", fairnessSuite, operationsSuite, slopesSuite, takeoverSuite, resilienceSuite, overloadSuite, gatewaysSuite)
 	chosenOnly := flags.BoolLong("chosen-only", "skip the baseline policies of the fairness suite")
 	dayFile := flags.StringLong("day", "", "TOML file with the day that the overload suite replays; the built-in day if empty")
 	plots := flags.StringLong("plots", "", "folder for the plot of the overload suite; no plot if empty")
+	profiles := flags.StringLong("profiles", "", "folder for profiles of an instance in the gateways suite; none if empty")
+	size := flags.IntLong("gateways", 0, "the only fleet size that the gateways suite measures; several if zero")
 	seed := flags.Uint64Long("seed", 1, "seed of the random load")
 	err := ff.Parse(flags, arguments, ff.WithEnvVarPrefix("SURGE"))
 	if errors.Is(err, ff.ErrHelp) {
@@ -72,6 +75,9 @@
 	if *suite == overloadSuite {
 		return bench.printOverload(ctx, *dayFile, *plots, *asJSON)
 	}
+	if *suite == gatewaysSuite {
+		return bench.gateways(ctx, *size, *profiles)
+	}
 	measures, err := bench.runSuite(ctx, *suite)
 	if err != nil {
 		return err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"context"
 	"math"
 	"net/http"
+	"net/http/pprof"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -171,19 +172,19 @@
 		Incarnation: uint64(gateway.clock.Now().UnixNano()),
 	}
 	gateway.mailboxes = mailboxes{
-		admission:  mailbox.NewDeliveries(),
-		catalog:    mailbox.NewDeliveries(),
-		collector:  mailbox.NewDeliveries(),
-		dispatch:   mailbox.NewDeliveries(),
-		gate:       mailbox.NewDeliveries(),
-		connPool:   mailbox.NewDeliveries(),
-		links:      mailbox.NewDeliveries(),
-		membership: mailbox.NewDeliveries(),
-		moves:      mailbox.NewDeliveries(),
-		prober:     mailbox.NewDeliveries(),
-		relay:      mailbox.NewDeliveries(),
-		shares:     mailbox.NewDeliveries(),
-		timeline:   mailbox.NewDeliveries(),
+		admission:  mailbox.NewCounted("admission"),
+		catalog:    mailbox.NewCounted("catalog"),
+		collector:  mailbox.NewCounted("collector"),
+		dispatch:   mailbox.NewCounted("dispatch"),
+		gate:       mailbox.NewCounted("gate"),
+		connPool:   mailbox.NewCounted("keeper"),
+		links:      mailbox.NewCounted("links"),
+		membership: mailbox.NewCounted("membership"),
+		moves:      mailbox.NewCounted("moves"),
+		prober:     mailbox.NewCounted("prober"),
+		relay:      mailbox.NewCounted("relay"),
+		shares:     mailbox.NewCounted("share"),
+		timeline:   mailbox.NewCounted("timeline"),
 	}
 	gateway.hybrid = &timeline.HybridClock{Clock: gateway.clock}
 	gateway.recorder = timeline.Recorder{Stamper: gateway.hybrid, Inbox: gateway.mailboxes.timeline}
@@ -355,6 +356,10 @@
 	branch.Add("server", gateway.server("readiness", gateway.Settings.Listen.Ready, readinessMux))
 	metricsMux := http.NewServeMux()
 	metricsMux.HandleFunc("/metrics", metrics.Text)
+	if gateway.Settings.Profiling {
+		metricsMux.HandleFunc("/debug/pprof/", pprof.Index)
+		metricsMux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	}
 	branch.Add("metrics", gateway.server("metrics", gateway.Settings.Listen.Metrics, metricsMux))
 }
 
--- a/mailbox/mailbox.go
+++ b/mailbox/mailbox.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"coltsfootlink"
+	"coltsfootlink/metrics"
 )
 
 // Mailbox is an unbounded queue. Any number of goroutines may send to it; one receives.
@@ -12,6 +13,8 @@
 	mutex sync.Mutex
 	items []T
 	ready chan struct{}
+	// task is the name under which the items are counted; empty if they are not.
+	task string
 }
 
 // New returns an empty mailbox.
@@ -40,6 +43,9 @@
 	defer box.mutex.Unlock()
 	items := box.items
 	box.items = nil
+	if box.task != "" && len(items) > 0 {
+		metrics.CountTaskMessages(box.task, len(items))
+	}
 	return items
 }
 
@@ -48,3 +54,10 @@
 
 // NewDeliveries returns an empty mailbox for a task.
 func NewDeliveries() *Deliveries { return New[coltsfootlink.Delivery]() }
+
+// NewCounted returns an empty mailbox for a task, whose messages are counted under the task's name.
+func NewCounted(task string) *Deliveries {
+	box := NewDeliveries()
+	box.task = task
+	return box
+}
--- a/rig/gateways.go
+++ b/rig/gateways.go
@@ -40,6 +40,7 @@
 var gatewaySettings = template.Must(template.New("gateway").Parse(`instance = "{{.Name}}"
 zone = "{{.Zone}}"
 memory-mb = 256
+profiling = {{.Profiling}}
 seeds = [{{range .Seeds}}"{{.}}", {{end}}]
 
 [listen]
@@ -74,6 +75,8 @@
 	// Zones are the zones to which the gateways are assigned in turn.
 	Zones []string
 	Count int
+	// Profiling has the gateways serve profiles at their metrics addresses.
+	Profiling bool
 	// ExtraSettings is TOML that is appended to the settings of each gateway.
 	ExtraSettings string
 	// Proxied adds fault proxies before the callers' address of each gateway, and between each gateway and the store.
@@ -150,7 +153,7 @@
 	}
 	err = gatewaySettings.Execute(&text, map[string]any{
 		"Name": gateway.Name, "Zone": gateway.Zone, "Seeds": []string{seed}, "Callers": gateway.Callers, "Ready": gateway.Ready,
-		"Peers": gateway.Peers, "Metrics": gateway.Metrics, "Relay": net.JoinHostPort(host, relayPort), "Store": store, "Extra": fleet.ExtraSettings,
+		"Peers": gateway.Peers, "Metrics": gateway.Metrics, "Relay": net.JoinHostPort(host, relayPort), "Store": store, "Extra": fleet.ExtraSettings, "Profiling": fleet.Profiling,
 		"DrainDelay": cmp.Or(fleet.DrainDelay, defaultDrainDelay),
 	})
 	if err != nil {
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -17,7 +17,9 @@
 	// capacity of the process is ProcessorShare x Cores.
 	ProcessorShare float64 `toml:"processor-share"`
 	Cores          float64 `toml:"cores"`
-	Listen         struct {
+	// Profiling serves profiles of the process at the metrics address, under /debug/pprof/.
+	Profiling bool `toml:"profiling"`
+	Listen    struct {
 		Callers string `toml:"callers"`
 		Ready   string `toml:"ready"`
 		Peers   string `toml:"peers"`
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime/pprof"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -84,9 +85,10 @@
 	runner Runner
 }
 
-// Serve runs the task once.
+// Serve runs the task once. Profiles of the process show its work, and that of the goroutines that it starts, under its name.
 func (service *service) Serve(ctx context.Context) error {
-	err := service.runner.Run(ctx)
+	var err error
+	pprof.Do(ctx, pprof.Labels("task", service.name), func(ctx context.Context) { err = service.runner.Run(ctx) })
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
