Give the roles that work for many to the strongest instances, and index views

Cause: an owner was any instance of the target's zone, so that in a fleet of 195 with 117 targets some 88 instances were owners, most with 0.192 of a core, and each instance kept connections to all of them in both directions; the coordinator of a pool's shares, which hears of 195 instances four times a second, could be one of the small ones, too. Each change of the view was followed by a search through all members for each target.

Change: instances tell their CPU capacity with their heartbeat entries. Owners of targets, coordinators and readers of the platform are those of a zone (of the fleet) with at least half of the capacity of its strongest one; where all are alike, all are. Views have an index, and subscribers get one at most each 100 ms, the links at once.

--- a/catalog/task.go
+++ b/catalog/task.go
@@ -262,7 +262,7 @@
 	if !task.loaded[coltsfootlink.OperatorStream] || !task.loaded[coltsfootlink.TargetStream] {
 		return true
 	}
-	ranked := ownership.Ranked("catalog "+string(task.Self.Zone), task.view.Candidates(task.Self.Zone))
+	ranked := ownership.Ranked("catalog "+string(task.Self.Zone), task.view.Capable(task.Self.Zone))
 	rank := slices.Index(ranked, task.Self.Name)
 	if rank < readersPerZone {
 		return true
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,8 @@
 	stopMargin = 800 * time.Millisecond
 	// shutdownTimeout is how long the servers wait for the last answers to be written before they close connections.
 	shutdownTimeout = 300 * time.Millisecond
+	// milliCores is the unit of an instance's capacity: thousandths of a core.
+	milliCores = 1000
 	// timelineEvents is the number of timeline events that an instance keeps.
 	timelineEvents = 512
 	// retryBudgetFraction is the fraction of the configured retry budget that the fleet uses.
@@ -170,6 +172,7 @@
 		Zone:        coltsfootlink.ZoneName(gateway.Settings.Zone),
 		PeerAddress: gateway.Settings.Listen.Peers,
 		Incarnation: uint64(gateway.clock.Now().UnixNano()),
+		Capacity:    int(gateway.Settings.ProcessorShare * gateway.Settings.Cores * milliCores),
 	}
 	gateway.mailboxes = mailboxes{
 		admission:  mailbox.NewCounted("admission"),
@@ -269,8 +272,9 @@
 		Sender:            gateway.router,
 		Recorder:          gateway.recorder,
 		Inbox:             gateway.mailboxes.membership,
+		Links:             gateway.mailboxes.links,
 		Subscribers: []*mailbox.Deliveries{
-			gateway.mailboxes.links, gateway.mailboxes.catalog, gateway.mailboxes.admission, gateway.mailboxes.dispatch, gateway.mailboxes.shares,
+			gateway.mailboxes.catalog, gateway.mailboxes.admission, gateway.mailboxes.dispatch, gateway.mailboxes.shares,
 			gateway.mailboxes.connPool, gateway.mailboxes.moves, gateway.mailboxes.relay,
 		},
 	})
--- a/membership/task.go
+++ b/membership/task.go
@@ -9,6 +9,9 @@
 	"coltsfootlink/mailbox"
 )
 
+// publishInterval is the minimum time between two views that subscribers get.
+const publishInterval = 100 * time.Millisecond
+
 // Task sends heartbeats and publishes to other tasks which instances are live.
 type Task struct {
 	Self  coltsfootlink.Instance
@@ -19,17 +22,23 @@
 	// direct probe, the other to indirect probes.
 	UnresponsiveAfter time.Duration
 	// Fanout is the number of live instances that are probed in each interval.
-	Fanout      int
-	Clock       coltsfootlink.Clock
-	Sender      coltsfootlink.Sender
-	Recorder    coltsfootlink.Recorder
-	Inbox       *mailbox.Deliveries
+	Fanout   int
+	Clock    coltsfootlink.Clock
+	Sender   coltsfootlink.Sender
+	Recorder coltsfootlink.Recorder
+	Inbox    *mailbox.Deliveries
+	// Links is the mailbox of the task that knows the addresses of instances, which gets each view at once. Subscribers get
+	// one in publishInterval at most, since views change many times in a row when instances start or zones are cut off.
+	Links       *mailbox.Deliveries
 	Subscribers []*mailbox.Deliveries
 
 	state State
 	view  coltsfootlink.View
 	// viewChanges is the state's count of view changes when the view was last published.
-	viewChanges   uint64
+	viewChanges uint64
+	// unpublished indicates that the subscribers do not have the view yet; they get it at publishAt at the earliest.
+	unpublished   bool
+	publishAt     time.Time
 	revision      coltsfootlink.Revision
 	peerRevisions map[coltsfootlink.InstanceName]coltsfootlink.Revision
 }
@@ -112,8 +121,21 @@
 	}
 }
 
-// publish sends the view to the subscribers if it has changed.
+// publish sends the view to the links if it has changed, and to the subscribers if it is time.
 func (task *Task) publish() {
+	task.updateView()
+	now := task.Clock.Now()
+	if !task.unpublished || now.Before(task.publishAt) {
+		return
+	}
+	task.unpublished, task.publishAt = false, now.Add(publishInterval)
+	for _, subscriber := range task.Subscribers {
+		subscriber.Put(coltsfootlink.Delivery{From: task.Self.Name, Message: coltsfootlink.ViewChanged{View: task.view}})
+	}
+}
+
+// updateView takes the view from the state if it has changed, and sends it to the links.
+func (task *Task) updateView() {
 	if task.viewChanges == task.state.viewChanges && len(task.view.Members) > 0 {
 		return
 	}
@@ -123,10 +145,8 @@
 		return
 	}
 	task.recordChanges(view)
-	task.view = view
-	for _, subscriber := range task.Subscribers {
-		subscriber.Put(coltsfootlink.Delivery{From: task.Self.Name, Message: coltsfootlink.ViewChanged{View: view}})
-	}
+	task.view, task.unpublished = view.WithIndex(), true
+	task.Links.Put(coltsfootlink.Delivery{From: task.Self.Name, Message: coltsfootlink.ViewChanged{View: task.view}})
 }
 
 func (task *Task) recordChanges(view coltsfootlink.View) {
--- a/node/node.go
+++ b/node/node.go
@@ -205,7 +205,8 @@
 		Sender:            node.router,
 		Recorder:          node.recorder,
 		Inbox:             node.mailboxes.membership,
-		Subscribers:       []*mailbox.Deliveries{node.mailboxes.links, node.mailboxes.entry, node.mailboxes.owner, node.mailboxes.claims, node.mailboxes.list, node.mailboxes.members},
+		Links:             node.mailboxes.links,
+		Subscribers:       []*mailbox.Deliveries{node.mailboxes.entry, node.mailboxes.owner, node.mailboxes.claims, node.mailboxes.list, node.mailboxes.members},
 	})
 }
 
--- a/ownership/rendezvous.go
+++ b/ownership/rendezvous.go
@@ -82,19 +82,20 @@
 	return ranked
 }
 
-// TargetOwner returns the instance that owns a target: one of the target's zone, or any if the zone has no candidate.
+// TargetOwner returns the instance that owns a target: a capable one of the target's zone, or of all zones if this one has
+// no candidate.
 func TargetOwner(target coltsfootlink.Target, view coltsfootlink.View) (coltsfootlink.InstanceName, bool) {
-	candidates := view.Candidates(target.Zone)
+	candidates := view.Capable(target.Zone)
 	if len(candidates) == 0 {
-		candidates = withoutLeaving(view.Live())
+		candidates = view.AllCapable()
 	}
 	return highestRanked(string(target.Name), candidates)
 }
 
-// SingletonOwner returns the live instance that holds a role of which the fleet has only one; leaving instances are not
+// SingletonOwner returns the capable instance that holds a role of which the fleet has only one; leaving instances are not
 // chosen. It returns false if there is none.
 func SingletonOwner(name string, view coltsfootlink.View) (coltsfootlink.InstanceName, bool) {
-	return highestRanked(name, withoutLeaving(view.Live()))
+	return highestRanked(name, view.AllCapable())
 }
 
 // highestRanked returns the member with the highest hash weight for a name; false if there are no members.
--- a/peer/decode.go
+++ b/peer/decode.go
@@ -29,6 +29,7 @@
 		PeerAddress: decoder.name(instance.GetAddressRef()),
 		Incarnation: decoder.number(instance.GetIncarnationRef()),
 		Leaving:     instance.GetLeaving(),
+		Capacity:    int(instance.GetCapacity()),
 	}
 }
 
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -29,6 +29,7 @@
 		AddressRef:     encoder.ref(instance.PeerAddress),
 		IncarnationRef: encoder.number(instance.Incarnation),
 		Leaving:        instance.Leaving,
+		Capacity:       uint32(instance.Capacity),
 	}
 }
 
