Pass news on by zone, close idle links, and parse the settings only when the file changes

Cause: in a fleet of 195 instances each of the ten readers sent each change of the platform's entries to all 194 others, so a change cost up to 1940 messages; a link once opened, to any instance, was kept for good; and every instance parsed its settings file every other second.

Change: a reader sends changes to the instances of its zone and to the readers of the other zones, which pass on what was new to them. Readers are ranked the same way everywhere: the capable ones first. Links on which nothing was sent for 30 s are closed and opened again for the next message. The file's size and time are looked at before it is parsed.

Result: TestCatalogUpdates (195 instances, 5 zones: at most one message from the reader's zone and two from each other zone's readers per instance, and all follow), TestIdleLinksAreClosed.

--- a/catalog/task.go
+++ b/catalog/task.go
@@ -37,8 +37,8 @@
 	bootstrapPeers    = 3
 )
 
-// Task keeps the catalog of an instance. Some instances of each zone read the platform and forward the records to all
-// other instances; the others read only if no updates arrive.
+// Task keeps the catalog of an instance. Some instances of each zone read the platform and forward the records to the others
+// of the zone and to the readers of other zones; the others read only if no updates arrive.
 type Task struct {
 	Self    coltsfootlink.Instance
 	Source  coltsfootlink.CatalogSource
@@ -111,7 +111,7 @@
 }
 
 // handleNews applies the records that a peer has sent. If these are all of the peer's, keys that the peer knows to be
-// removed are removed here, too.
+// removed are removed here, too. A reader of the zone passes on what is new and comes from another zone.
 func (task *Task) handleNews(from coltsfootlink.InstanceName, news coltsfootlink.News) {
 	if news.ReadAt.After(task.lastUpdateAt) {
 		task.lastUpdateAt = news.ReadAt
@@ -120,10 +120,14 @@
 	for stream, end := range news.Ends {
 		records = append(slices.Clone(records), task.state.Missing(stream, news.Records, end)...)
 	}
-	task.apply(records)
+	changed := newestPerKey(task.apply(records))
 	for stream, end := range news.Ends {
 		task.state = task.state.WithEnd(stream, end)
 	}
+	sender, _ := task.view.Member(from)
+	if len(changed) > 0 && sender.Zone != task.Self.Zone && slices.Contains(task.readers(task.Self.Zone), task.Self.Name) {
+		task.sendToZone(coltsfootlink.News{Records: changed, ReadAt: news.ReadAt, Signature: task.signature})
+	}
 	if len(news.Ends) > 0 {
 		task.bootstrapped[from] = true
 	}
@@ -146,11 +150,54 @@
 		return
 	}
 	task.keepaliveAt = now.Add(keepaliveInterval)
+	update := coltsfootlink.News{Records: changed, ReadAt: result.readAt, Signature: task.signature}
+	task.sendToZone(update)
+	if len(changed) > 0 {
+		task.sendToOtherReaders(update)
+	}
+}
+
+// sendToZone sends an update to the other live instances of the zone.
+func (task *Task) sendToZone(update coltsfootlink.News) {
+	for _, member := range task.view.Live() {
+		if member.Name != task.Self.Name && member.Zone == task.Self.Zone {
+			task.Sender.Send(member.Name, update)
+		}
+	}
+}
+
+// sendToOtherReaders sends an update to the readers of the other zones, which may be cut off from the platform themselves.
+func (task *Task) sendToOtherReaders(update coltsfootlink.News) {
+	zones := make(map[coltsfootlink.ZoneName]bool)
 	for _, member := range task.view.Live() {
-		if member.Name != task.Self.Name && (len(changed) > 0 || member.Zone == task.Self.Zone) {
-			task.Sender.Send(member.Name, coltsfootlink.News{Records: changed, ReadAt: result.readAt, Signature: task.signature})
+		zones[member.Zone] = member.Zone != task.Self.Zone
+	}
+	for zone, other := range zones {
+		if !other {
+			continue
+		}
+		for _, reader := range task.readers(zone) {
+			task.Sender.Send(reader, update)
+		}
+	}
+}
+
+// readers returns the instances of a zone that always read the platform.
+func (task *Task) readers(zone coltsfootlink.ZoneName) []coltsfootlink.InstanceName {
+	ranked := task.ranked(zone)
+	return ranked[:min(readersPerZone, len(ranked))]
+}
+
+// ranked returns the instances of a zone that may read the platform, in the order in which they do: the capable ones first.
+func (task *Task) ranked(zone coltsfootlink.ZoneName) []coltsfootlink.InstanceName {
+	name := "catalog " + string(zone)
+	ranked := ownership.Ranked(name, task.view.Capable(zone))
+	for _, candidate := range ownership.Ranked(name, task.view.Candidates(zone)) {
+		if !slices.Contains(ranked, candidate) {
+			ranked = append(ranked, candidate)
 		}
 	}
+	return ranked
 }
 
 // newestPerKey returns the newest record of each key, in the order in which the keys first occur.
@@ -262,12 +309,11 @@
 	if !task.loaded[coltsfootlink.OperatorStream] || !task.loaded[coltsfootlink.TargetStream] {
 		return true
 	}
-	ranked := ownership.Ranked("catalog "+string(task.Self.Zone), task.view.Capable(task.Self.Zone))
-	rank := slices.Index(ranked, task.Self.Name)
-	if rank < readersPerZone {
+	rank := slices.Index(task.ranked(task.Self.Zone), task.Self.Name)
+	if rank >= 0 && rank < readersPerZone {
 		return true
 	}
-	timeout := updateTimeout + time.Duration(rank)*rankDelay
+	timeout := updateTimeout + time.Duration(max(0, rank))*rankDelay
 	return task.Clock.Now().Sub(task.lastUpdateAt) > timeout
 }
 
--- a/catalog/task_test.go
+++ b/catalog/task_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -96,6 +97,39 @@
 		So(sender.sent[0].From, ShouldEqual, coltsfootlink.InstanceName("i-2"))
 		So(sender.sent[0].Message.(coltsfootlink.News).Records, ShouldBeEmpty)
 	})
+	Convey("in a large fleet a reader sends changes to its zone and to the readers of other zones, which pass them on once", t, func() {
+		const zones, perZone = 5, 39
+		var view coltsfootlink.View
+		for number := range zones * perZone {
+			zone := coltsfootlink.ZoneName(fmt.Sprint("z-", number%zones))
+			name := coltsfootlink.InstanceName(fmt.Sprintf("i-%03d", number))
+			view.Members = append(view.Members, coltsfootlink.Member{Instance: coltsfootlink.Instance{Name: name, Zone: zone}, Live: true})
+		}
+		tasks := make(map[coltsfootlink.InstanceName]*Task)
+		senders := make(map[coltsfootlink.InstanceName]*recordingSender)
+		for _, member := range view.Members {
+			tasks[member.Name], senders[member.Name], _ = newTask(member.Name, view.WithIndex())
+			tasks[member.Name].Self.Zone = member.Zone
+		}
+		first := tasks["i-000"].readers("z-0")[0]
+		tasks[first].handle(coltsfootlink.Delivery{Message: readResult{stream: coltsfootlink.TargetStream, records: []coltsfootlink.CatalogRecord{targetRecord(1, "t", "target h:1")}}})
+		sent := 0
+		for round := 0; round < 3; round++ {
+			for name, sender := range senders {
+				outgoing := sender.sent
+				sender.sent = nil
+				for _, delivery := range outgoing {
+					sent++
+					tasks[delivery.From].handle(coltsfootlink.Delivery{From: name, Message: delivery.Message})
+				}
+			}
+		}
+		for _, task := range tasks {
+			So(task.state.Catalog().Targets, ShouldHaveLength, 1)
+		}
+		// Each of the other zones has two readers, each of which tells its zone once.
+		So(sent, ShouldBeLessThanOrEqualTo, perZone-1+(zones-1)*readersPerZone*perZone)
+	})
 	Convey("an instance that has missed an update asks the reader for all records, and then has the same catalog", t, func() {
 		reader, fromReader, _ := newTask("i-1", viewOf("i-1", "i-2"))
 		other, fromOther, clock := newTask("i-2", viewOf("i-1", "i-2"))
--- a/gateway/reload.go
+++ b/gateway/reload.go
@@ -24,6 +24,10 @@
 	current    settings.Gateway
 	membership *mailbox.Deliveries
 	log        zerolog.Logger
+
+	// size and modifiedAt are those of the file when it was last read.
+	size       int64
+	modifiedAt time.Time
 }
 
 // Run reads the file on SIGHUP and at every reloadInterval until the context ends.
@@ -40,11 +44,25 @@
 		case <-signals:
 			reloader.log.Info().Msg("settings: SIGHUP received, reading the file again")
 		case <-ticker.C:
+			if !reloader.changed() {
+				continue
+			}
 		}
 		reloader.reload()
 	}
 }
 
+// changed reports whether the file may differ from what was last read, by its size and time.
+func (reloader *reloader) changed() bool {
+	info, err := os.Stat(reloader.file)
+	if err != nil {
+		return true
+	}
+	same := info.Size() == reloader.size && info.ModTime().Equal(reloader.modifiedAt)
+	reloader.size, reloader.modifiedAt = info.Size(), info.ModTime()
+	return !same
+}
+
 // reload applies changes of the file. A file that cannot be read or is invalid changes nothing.
 func (reloader *reloader) reload() {
 	read, err := settings.ReadGateway(reloader.file)
--- a/peer/link_test.go
+++ b/peer/link_test.go
@@ -13,6 +13,7 @@
 	"coltsfootlink"
 	"coltsfootlink/mailbox"
 	"coltsfootlink/peerpb"
+	"coltsfootlink/supervisor"
 	"coltsfootlink/timeline"
 )
 
@@ -155,3 +156,27 @@
 type skewedClock struct{ by time.Duration }
 
 func (clock skewedClock) Now() time.Time { return time.Now().Add(clock.by) }
+
+// TestIdleLinksAreClosed checks that a link is closed once no message was sent on it for a while, and opened again.
+func TestIdleLinksAreClosed(t *testing.T) {
+	Convey("links are kept while they are used", t, func() {
+		links := &Links{
+			Self: "a", Secure: insecure.NewCredentials(), Log: zerolog.Nop(), Branch: supervisor.New("links", zerolog.Nop()),
+			Stamper: &timeline.HybridClock{Clock: coltsfootlink.SystemClock{}}, links: make(map[coltsfootlink.InstanceName]handle),
+		}
+		for _, name := range []coltsfootlink.InstanceName{"b", "c"} {
+			links.view.Members = append(links.view.Members, coltsfootlink.Member{Instance: coltsfootlink.Instance{Name: name, PeerAddress: "127.0.0.1:1"}, Live: true})
+			links.forward(Outgoing{To: name, Message: coltsfootlink.Heartbeat{}})
+		}
+		used := links.links["c"]
+		used.idleAt = used.idleAt.Add(idleTimeout)
+		links.links["c"] = used
+		links.closeIdle(time.Now().Add(idleTimeout / 2))
+		So(links.links, ShouldHaveLength, 2)
+		links.closeIdle(time.Now().Add(idleTimeout + time.Second))
+		So(links.links, ShouldHaveLength, 1)
+		So(links.links["c"].outbox, ShouldNotBeNil)
+		links.forward(Outgoing{To: "b", Message: coltsfootlink.Heartbeat{}})
+		So(links.links, ShouldHaveLength, 2)
+	})
+}
--- a/peer/links.go
+++ b/peer/links.go
@@ -12,11 +12,17 @@
 	"coltsfootlink/supervisor"
 )
 
-// reconnectInterval is the minimum time between two connections to an unresponsive instance.
-const reconnectInterval = 2 * time.Second
+const (
+	// reconnectInterval is the minimum time between two connections to an unresponsive instance.
+	reconnectInterval = 2 * time.Second
+	// idleTimeout is how long a link without messages is kept, and sweepInterval the time between two searches for such
+	// links. Links that are used now and then are not opened again for each message.
+	idleTimeout   = 30 * time.Second
+	sweepInterval = 10 * time.Second
+)
 
-// Links is a task that starts a link to each instance that messages are sent to and stops the links to removed
-// instances.
+// Links is a task that starts a link to each instance that messages are sent to, and stops those that are idle and those to
+// removed instances.
 type Links struct {
 	Self    coltsfootlink.InstanceName
 	Token   string
@@ -42,16 +48,22 @@
 	stop    func()
 	// reconnectAt is when the link may be replaced if its instance is unresponsive.
 	reconnectAt time.Time
+	// idleAt is when the link is closed if no message is sent until then.
+	idleAt time.Time
 }
 
 // Run forwards outgoing messages to the links, and starts and stops links, until the context ends.
 func (links *Links) Run(ctx context.Context) error {
 	links.links = make(map[coltsfootlink.InstanceName]handle)
 	defer links.closeAll()
+	sweep := time.NewTicker(sweepInterval)
+	defer sweep.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-sweep.C:
+			links.closeIdle(time.Now())
 		case <-links.Inbox.Ready():
 		case <-links.Outbox.Ready():
 		}
@@ -82,11 +94,22 @@
 	}
 	if !open {
 		current = links.open(member)
-		links.links[outgoing.To] = current
 	}
+	current.idleAt = time.Now().Add(idleTimeout)
+	links.links[outgoing.To] = current
 	current.outbox.Put(outgoing.Message)
 }
 
+// closeIdle stops the links on which no message was sent for idleTimeout.
+func (links *Links) closeIdle(now time.Time) {
+	for name, handle := range links.links {
+		if now.After(handle.idleAt) {
+			handle.stop()
+			delete(links.links, name)
+		}
+	}
+}
+
 func (links *Links) open(member coltsfootlink.Member) handle {
 	outbox := mailbox.New[coltsfootlink.Message]()
 	stop := links.Branch.Add(string(member.Name), &link{
