Log how far an answer had come when the connection to its target broke

Cause: when a target crashes, all requests on it break, and the lines of callers' requests don't tell which of them began it, nor what their prompts have in common. Change: one line for each such request, with the fingerprint, the parts of the prompt, the stage of the answer, its events, framing and times. Parts get an identity that does not depend on the parts before them; it is only logged.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -92,17 +92,23 @@
 	}, current.rule.Repeatable())
 	var failure *coltsfootlink.Refusal
 	result := coltsfootlink.Succeeded
+	progress := new(answerProgress)
 	switch {
 	case err != nil:
 		failure, result = current.callFailure(err)
 	default:
 		current.attempts++
 		current.reportNotice(choice.Target, answer.Head)
+		progress.ReadCloser, progress.headAt = answer.Body, current.service.Clock.Now()
+		answer.Body = progress
 		failure, result = current.forward(choice, answer, sentAt)
 		// Closing has no effect after a complete answer; before that, it tells the target that the request was
 		// abandoned.
 		_ = answer.Body.Close()
 	}
+	if result == coltsfootlink.Crashed {
+		current.logBreak(choice, answer, progress, sentAt)
+	}
 	current.report(choice, coltsfootlink.Ended, result, sentAt)
 	return failure
 }
--- /dev/null
+++ b/ingress/progress.go
@@ -0,0 +1,108 @@
+package ingress
+
+import (
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"coltsfootlink"
+	"coltsfootlink/dispatch"
+	"coltsfootlink/upstream"
+)
+
+// How far an answer had come when it broke off.
+const (
+	beforeHead  = "before-head"
+	afterHead   = "after-head"
+	withinEvent = "within-first-event"
+	afterEvents = "after-events"
+)
+
+// answerProgress is how far the answer of a target has come. It reads the body of the answer and counts events.
+type answerProgress struct {
+	io.ReadCloser
+
+	// headAt is when the head of the answer was received; zero before.
+	headAt time.Time
+	// bytes is the number of bytes read of the body, and events the number of complete events among them.
+	bytes  int64
+	events int
+	// lineBegun and eventBegun indicate that the newest line and the newest event are not empty.
+	lineBegun, eventBegun bool
+}
+
+// Read reads from the body and counts the events in it.
+func (progress *answerProgress) Read(buffer []byte) (int, error) {
+	count, err := progress.ReadCloser.Read(buffer)
+	progress.bytes += int64(count)
+	for _, char := range buffer[:count] {
+		progress.count(char)
+	}
+	return count, err
+}
+
+// count takes the next byte of the body. A blank line ends an event.
+func (progress *answerProgress) count(char byte) {
+	switch {
+	case char == '\r':
+	case char != '\n':
+		progress.lineBegun, progress.eventBegun = true, true
+	case progress.lineBegun:
+		progress.lineBegun = false
+	case progress.eventBegun:
+		progress.eventBegun = false
+		progress.events++
+	}
+}
+
+// stage returns how far the answer has come.
+func (progress *answerProgress) stage() string {
+	switch {
+	case progress.headAt.IsZero():
+		return beforeHead
+	case progress.events > 0:
+		return afterEvents
+	case progress.bytes > 0:
+		return withinEvent
+	default:
+		return afterHead
+	}
+}
+
+// framing returns how the end of an answer is marked.
+func framing(answer upstream.Answer) string {
+	switch {
+	case answer.Response == nil:
+		return ""
+	case answer.Response.ContentLength >= 0:
+		return "length"
+	case len(answer.Response.TransferEncoding) > 0:
+		return "chunks"
+	default:
+		return "close"
+	}
+}
+
+// logBreak logs that the connection to a target broke before the answer was complete, with what tells a request that
+// crashed the target from those that were there beside it.
+func (current *exchange) logBreak(choice dispatch.Choice, answer upstream.Answer, progress *answerProgress, sentAt time.Time) {
+	now := current.service.Clock.Now()
+	line := current.service.Log.Warn().Str("request", string(current.head.ID)).Str("rule", current.rule.Name).
+		Str("team", string(current.team)).Str("target", string(choice.Target.Name)).Uint64("incarnation", choice.Target.Incarnation).
+		Int("attempt", current.attempts).Str("fingerprint", strconv.FormatUint(current.fingerprint, 16)).Str("parts", partList(current.head.Work)).
+		Str("stage", progress.stage()).Int("events", progress.events).Str("framing", framing(answer)).Int64("ms", now.Sub(sentAt).Milliseconds())
+	if !progress.headAt.IsZero() {
+		line = line.Int64("since-head-ms", now.Sub(progress.headAt).Milliseconds())
+	}
+	line.Msg("ingress: connection to target broke during a request")
+}
+
+// partList returns the identities of the parts of a prompt in hexadecimal, separated by spaces.
+func partList(work coltsfootlink.Work) string {
+	names := make([]string, 0, len(work.Prompt))
+	for _, part := range work.Prompt {
+		names = append(names, strconv.FormatUint(part.ID, 16))
+	}
+	return strings.Join(names, " ")
+}
--- a/prompt.go
+++ b/prompt.go
@@ -4,6 +4,8 @@
 type CachePart struct {
 	// Key identifies the part together with the model and all parts before it.
 	Key uint64
+	// ID identifies the part alone, whatever comes before it. Instances don't send it to each other.
+	ID uint64
 	// Tokens is the size of the part in tokens.
 	Tokens int
 }
