Test that prompts which crash targets stop reaching them; it fails

Cause: strikes are counted by a fingerprint of the whole request, and no two requests with such a part are alike. Change: a test with processes: four gateways, six targets that crash on a part.

--- /dev/null
+++ b/integration/crashing_test.go
@@ -0,0 +1,227 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"coltsfootlink"
+	"coltsfootlink/loopback"
+	"coltsfootlink/platform"
+	"coltsfootlink/rig"
+)
+
+// fragileTarget is a target that crashes whenever it begins to answer a request with one of some parts in its prompt. A
+// crash breaks all of its connections, and it is down for a while.
+type fragileTarget struct {
+	name, zone, address string
+	// deadly are the parts that crash it.
+	deadly []string
+	crash  chan struct{}
+
+	mutex sync.Mutex
+	// arrivals are the times at which requests with each deadly part arrived, and crashes the times of crashes.
+	arrivals map[string][]time.Time
+	crashes  []time.Time
+}
+
+const (
+	fragileDownTime   = 1500 * time.Millisecond
+	fragileFirstEvent = 40 * time.Millisecond
+	fragileEvents     = 5
+)
+
+// Run serves until the context ends; it registers each incarnation of the target.
+func (target *fragileTarget) Run(ctx context.Context, t *testing.T, bed *testbed) {
+	for ctx.Err() == nil {
+		listener, err := net.Listen("tcp", target.address)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		bed.put(t, platform.TargetTopic, target.name, platform.TargetDocument{
+			Service: "p", Address: target.address, Zone: target.zone, Version: "v1", Slots: 64, State: platform.ReadyState, Born: uint64(time.Now().UnixMilli()),
+		})
+		server := &http.Server{Handler: target, ReadHeaderTimeout: time.Second}
+		served := make(chan struct{})
+		go func() {
+			defer close(served)
+			_ = server.Serve(listener)
+		}()
+		select {
+		case <-target.crash:
+		case <-ctx.Done():
+		}
+		_ = server.Close()
+		<-served
+		coltsfootlink.Sleep(ctx, fragileDownTime)
+	}
+}
+
+// ServeHTTP sends the head of an answer, and then either crashes the target or streams events.
+func (target *fragileTarget) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	_, _ = io.Copy(io.Discard, request.Body)
+	id := request.Header.Get("Attempt-Id")
+	writer.Header().Set("Attempt-Id", id)
+	writer.Header().Set("Answer-Stamp", "stamp-"+id)
+	writer.Header().Set("Content-Type", platform.EventStream)
+	parts := strings.Split(request.Header.Get("Prompt-Prefix"), ",")
+	deadly := ""
+	for _, part := range target.deadly {
+		if slices.Contains(parts, part+":10") {
+			deadly = part
+			target.mutex.Lock()
+			target.arrivals[part] = append(target.arrivals[part], time.Now())
+			target.mutex.Unlock()
+		}
+	}
+	control := http.NewResponseController(writer)
+	_ = control.Flush()
+	time.Sleep(fragileFirstEvent)
+	if deadly != "" {
+		target.mutex.Lock()
+		target.crashes = append(target.crashes, time.Now())
+		target.mutex.Unlock()
+		select {
+		case target.crash <- struct{}{}:
+		default:
+		}
+		<-request.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	for event := range fragileEvents {
+		_, _ = fmt.Fprintf(writer, "id: %d\ndata: x\n\n", event)
+		_ = control.Flush()
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// startFragileTestbed starts four gateways in two zones before six fragile targets.
+func startFragileTestbed(t *testing.T, deadly []string) (*testbed, []*fragileTarget) {
+	t.Helper()
+	bed := newTestbed(t)
+	var targets []*fragileTarget
+	for index := range 6 {
+		address, err := loopback.FreeAddress()
+		if err != nil {
+			t.Fatal(err)
+		}
+		target := &fragileTarget{name: fmt.Sprint("t-", index), zone: zones[index%2], address: address, deadly: deadly, crash: make(chan struct{}, 1), arrivals: make(map[string][]time.Time)}
+		ctx := t.Context()
+		go target.Run(ctx, t, bed)
+		targets = append(targets, target)
+	}
+	fleet := rig.GatewayFleet{Zones: zones[:2], Daemon: programs.Daemon, Folder: t.TempDir(), Store: bed.storeAddress, Count: 4}
+	gateways, err := fleet.Start(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	bed.gateways = gateways
+	t.Cleanup(func() { rig.KillGateways(gateways) })
+	eventually(t, "all gateways serve", func() bool {
+		for index := range gateways {
+			if status, _, err := bed.callWithPrompt(index, fmt.Sprint("first-", index), "c:10,x:10,o:10"); status != http.StatusOK || err != nil {
+				return false
+			}
+		}
+		return true
+	})
+	return bed, targets
+}
+
+// callWithPrompt sends a request for a stream with the given parts in its prompt.
+func (bed *testbed) callWithPrompt(gateway int, id, parts string) (int, string, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+bed.gateways[gateway].Callers+"/stream/a", strings.NewReader("plan "+id))
+	if err != nil {
+		return 0, "", err
+	}
+	request.Host = "h"
+	request.Header.Set("Attempt-Id", id)
+	request.Header.Set("Time-Left-Ms", "4000")
+	request.Header.Set("Authorization", "Bearer key")
+	request.Header.Set("Model", "m")
+	request.Header.Set("Token-Counts", "40,20")
+	request.Header.Set("Prompt-Prefix", parts)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(body), err
+}
+
+func TestPromptPartsThatCrashTargetsStopReachingThem(t *testing.T) {
+	const (
+		contact      = 3 * time.Second
+		duration     = 12 * time.Second
+		interval     = 60 * time.Millisecond
+		crashesUntil = 5
+		mostAfter    = 3
+	)
+	cases := map[string]struct {
+		deadly []string
+		// prompts returns the parts of the deadly request of a number.
+		prompts func(number int) string
+	}{
+		"one part":             {[]string{"d"}, func(number int) string { return fmt.Sprintf("c:10,d:10,own%d:10", number) }},
+		"behind another start": {[]string{"d"}, func(number int) string { return fmt.Sprintf("c%d:10,d:10,own%d:10", number%7, number) }},
+		"two parts at once":    {[]string{"d", "e"}, func(number int) string { return fmt.Sprintf("c:10,%c:10,own%d:10", 'd'+rune(number%2), number) }},
+	}
+	for name, test := range cases {
+		Convey("requests whose prompts crash targets are held back, and sound ones beside them served: "+name, t, func() {
+			bed, targets := startFragileTestbed(t, test.deadly)
+			var served, asked int
+			var mutex sync.Mutex
+			var group sync.WaitGroup
+			begun := time.Now()
+			for number := 0; time.Since(begun) < duration; number++ {
+				if number%4 == 0 {
+					group.Go(func() {
+						_, _, _ = bed.callWithPrompt(number/4%4, fmt.Sprint("deadly-", number), test.prompts(number/4))
+					})
+				}
+				group.Go(func() {
+					status, _, err := bed.callWithPrompt(number%4, fmt.Sprint("sound-", number), fmt.Sprintf("c:10,x%d:10,own-%d:10", number%20, number))
+					mutex.Lock()
+					defer mutex.Unlock()
+					if time.Since(begun) > duration-2*time.Second {
+						asked++
+						if status == http.StatusOK && err == nil {
+							served++
+						}
+					}
+				})
+				time.Sleep(interval)
+			}
+			group.Wait()
+			for _, part := range test.deadly {
+				var arrivals []time.Time
+				for _, target := range targets {
+					target.mutex.Lock()
+					arrivals = append(arrivals, target.arrivals[part]...)
+					target.mutex.Unlock()
+				}
+				slices.SortFunc(arrivals, time.Time.Compare)
+				late := 0
+				for _, at := range arrivals {
+					if len(arrivals) > crashesUntil && at.After(arrivals[crashesUntil-1].Add(contact)) {
+						late++
+					}
+				}
+				So(late, ShouldBeLessThanOrEqualTo, mostAfter)
+			}
+			So(asked, ShouldBeGreaterThan, 20)
+			So(served, ShouldBeGreaterThan, asked*3/4)
+		})
+	}
+}
