--- a/admission/task.go
+++ b/admission/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strconv"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"coltsfootlink"
 	"coltsfootlink/mailbox"
+	"coltsfootlink/metrics"
 	"coltsfootlink/ownership"
 )
 
@@ -17,6 +19,8 @@
 	tickInterval = 200 * time.Millisecond
 	// suspensionLimit is the time without activity after which another instance may have taken over the targets.
 	suspensionLimit = time.Second
+	// trialDuration is how long a trial of barred parts excludes others; its result is known by then.
+	trialDuration = 5 * time.Second
 )
 
 // Task holds the ledgers of the targets that the instance owns, and decides on the requests for them.
@@ -31,6 +35,8 @@
 	Prober *mailbox.Deliveries
 
 	ledgers map[coltsfootlink.TargetName]Ledger
+	// trials are until when no further trial of the same barred parts is permitted.
+	trials  map[uint64]time.Time
 	catalog coltsfootlink.Catalog
 	view    coltsfootlink.View
 	// activeUntil is the time after which the task counts as having been suspended.
@@ -40,6 +46,7 @@
 // Run handles messages until the context ends.
 func (task *Task) Run(ctx context.Context) error {
 	task.ledgers = make(map[coltsfootlink.TargetName]Ledger)
+	task.trials = make(map[uint64]time.Time)
 	task.activeUntil = task.Clock.Now().Add(suspensionLimit)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -136,8 +143,15 @@
 		task.Sender.Send(from, coltsfootlink.Verdict{Serial: ask.Serial, Reason: coltsfootlink.TargetLeaving})
 		return
 	}
+	if until := task.trials[ask.Trial]; now.Before(until) {
+		task.Sender.Send(from, coltsfootlink.Verdict{Serial: ask.Serial, Reason: coltsfootlink.TrialRunning, RetryAt: until})
+		return
+	}
 	requests, wait := ledger.Load(now)
 	updated, verdict := ledger.WithAsk(now, from, ask)
+	if verdict.Reason == "" && ask.Trial != 0 {
+		task.beginTrial(now, from, ask)
+	}
 	task.ledgers[ask.Target] = updated
 	task.Sender.Send(from, verdict)
 	line := task.Log.Debug()
@@ -150,6 +164,15 @@
 		Msg("admission: decided on request")
 }
 
+// beginTrial permits no further trial of the same barred parts for a while.
+func (task *Task) beginTrial(now time.Time, from coltsfootlink.InstanceName, ask coltsfootlink.Ask) {
+	maps.DeleteFunc(task.trials, func(_ uint64, until time.Time) bool { return now.After(until) })
+	task.trials[ask.Trial] = now.Add(trialDuration)
+	metrics.Count("prompt-trials")
+	task.Log.Warn().Str("target", string(ask.Target)).Str("from", string(from)).Uint64("permit", ask.Serial).Str("trial", strconv.FormatUint(ask.Trial, 16)).
+		Msg("admission: permitted a request whose prompt is barred, as a trial")
+}
+
 // updateOwnership creates ledgers for the targets that the instance now owns, updates the existing ones, and drops
 // those of targets that it no longer owns.
 func (task *Task) updateOwnership() {
--- a/dispatch/ask.go
+++ b/dispatch/ask.go
@@ -44,6 +44,7 @@
 			Rank:            waiting.want.Rank,
 			Standing:        waiting.want.Standing,
 			MaxWaitFraction: waiting.want.MaxWaitFraction,
+			Trial:           waiting.want.Trial,
 		})
 		return
 	}
--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -51,6 +51,18 @@
 	return usable.targets()
 }
 
+// trialTarget returns the one target to which all instances send trials of the same barred parts, so that its owner can limit
+// them; none if the pool has no usable target.
+func trialTarget(catalog coltsfootlink.Catalog, want Want) []coltsfootlink.Target {
+	var best ranking
+	for _, target := range catalog.Targets {
+		if target.Pool == want.Pool && catalog.Usable(target) {
+			best = best.with(ranked{target: target, weight: weight(target.Name, want.Trial)}, 1)
+		}
+	}
+	return best.targets()
+}
+
 // ranked is a target with its sort keys: a shorter distance comes first, then a higher weight. The distance is 1 for
 // targets in another zone, unless the request has a shared prefix; otherwise it is 0.
 type ranked struct {
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -30,6 +30,9 @@
 	Retry bool
 	// Fingerprint is the same for similar requests; strikes against requests that crash targets are counted by it.
 	Fingerprint uint64
+	// Trial identifies the barred parts of the prompt if the request is a trial of them, which goes to one target only; zero
+	// if it is none.
+	Trial uint64
 	// Avoid is the set of targets that the request must not be sent to again.
 	Avoid map[coltsfootlink.TargetName]bool
 	// Gone is closed when the caller has disconnected; nil if that is not known.
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -239,7 +239,11 @@
 		waiting.tried = make(map[coltsfootlink.TargetName]bool)
 	}
 	waiting.refusal = task.avoidWithheld(now, catalog, waiting)
-	waiting.candidates = Candidates(catalog, task.liveZones, want.Pool, want.Work, task.Self.Zone, rand.Uint64(), waiting.tried)
+	if want.Trial != 0 {
+		waiting.candidates, waiting.spilled = trialTarget(catalog, want), true
+	} else {
+		waiting.candidates = Candidates(catalog, task.liveZones, want.Pool, want.Work, task.Self.Zone, rand.Uint64(), waiting.tried)
+	}
 	task.askNext(waiting)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"coltsfootlink/peer"
 	"coltsfootlink/platform"
 	"coltsfootlink/pressure"
+	"coltsfootlink/quarantine"
 	"coltsfootlink/relay"
 	"coltsfootlink/settings"
 	"coltsfootlink/share"
@@ -92,7 +93,7 @@
 
 // mailboxes holds the inboxes of the tasks.
 type mailboxes struct {
-	admission, catalog, collector, dispatch, gate, connPool, links, membership, moves, prober, relay, shares, timeline *mailbox.Deliveries
+	admission, catalog, collector, dispatch, gate, connPool, links, membership, moves, prober, quarantine, relay, shares, timeline *mailbox.Deliveries
 }
 
 // Run runs the daemon until the context ends, and then shuts it down gracefully: requests in progress are finished first.
@@ -185,6 +186,7 @@
 		membership: mailbox.NewCounted("membership"),
 		moves:      mailbox.NewCounted("moves"),
 		prober:     mailbox.NewCounted("prober"),
+		quarantine: mailbox.NewCounted("quarantine"),
 		relay:      mailbox.NewCounted("relay"),
 		shares:     mailbox.NewCounted("share"),
 		timeline:   mailbox.NewCounted("timeline"),
@@ -201,6 +203,7 @@
 		Gate:       gateway.mailboxes.gate,
 		Moves:      gateway.mailboxes.moves,
 		Catalog:    gateway.mailboxes.catalog,
+		Quarantine: gateway.mailboxes.quarantine,
 	}
 	gateway.store = platform.NewStore("http://" + gateway.Settings.Store.Address)
 	gateway.gate = &ingress.Gate{Inbox: gateway.mailboxes.gate, Clock: gateway.clock, Log: gateway.Log}
@@ -215,6 +218,7 @@
 		Client:       &upstream.Client{Clock: gateway.clock, ConnPool: gateway.mailboxes.connPool},
 		Clock:        gateway.clock,
 		Dispatch:     gateway.mailboxes.dispatch,
+		Quarantine:   gateway.mailboxes.quarantine,
 		Log:          gateway.Log,
 
 		Connections:    new(atomic.Int64),
@@ -248,6 +252,7 @@
 			coltsfootlink.TargetsSubject:   gateway.mailboxes.admission,
 			coltsfootlink.InstancesSubject: gateway.mailboxes.membership,
 			coltsfootlink.TimelineSubject:  gateway.mailboxes.timeline,
+			coltsfootlink.BarsSubject:      gateway.mailboxes.quarantine,
 		}},
 		Log: gateway.Log,
 	})
@@ -275,7 +280,7 @@
 		Links:             gateway.mailboxes.links,
 		Subscribers: []*mailbox.Deliveries{
 			gateway.mailboxes.catalog, gateway.mailboxes.admission, gateway.mailboxes.dispatch, gateway.mailboxes.shares,
-			gateway.mailboxes.connPool, gateway.mailboxes.moves, gateway.mailboxes.relay,
+			gateway.mailboxes.connPool, gateway.mailboxes.moves, gateway.mailboxes.relay, gateway.mailboxes.quarantine,
 		},
 	})
 	branch.Add("timeline", &timeline.Task{
@@ -334,6 +339,14 @@
 		Log:             gateway.Log,
 		Inbox:           gateway.mailboxes.shares,
 	})
+	branch.Add("quarantine", &quarantine.Task{
+		Self:        gateway.self.Name,
+		Clock:       gateway.clock,
+		Sender:      gateway.router,
+		Log:         gateway.Log,
+		Inbox:       gateway.mailboxes.quarantine,
+		Subscribers: []*mailbox.Deliveries{gateway.mailboxes.gate},
+	})
 	branch.Add("moves", &move.Task{
 		Self:    gateway.self.Name,
 		Records: platform.MoveRecords{Store: gateway.store},
--- a/ingress/admission.go
+++ b/ingress/admission.go
@@ -42,7 +42,7 @@
 		current.refuse(http.StatusServiceUnavailable, coltsfootlink.Refuse(coltsfootlink.InstanceStopping, "the instance stops before the request's deadline").WithRetryAt(current.arrived.Add(otherInstanceRetryDelay)))
 		return false
 	}
-	if !current.admittedByShare() || !current.admittedByLoad() {
+	if !current.admittedByQuarantine() || !current.admittedByShare() || !current.admittedByLoad() {
 		return false
 	}
 	current.rank = catalog.Table.Rank(current.pool, rule, current.team)
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -52,6 +52,7 @@
 		MaxWaitFraction: current.maxWaitFraction,
 		Retry:           current.attempts > 0,
 		Fingerprint:     current.fingerprint,
+		Trial:           current.trial,
 		Avoid:           current.avoid,
 		Gone:            current.incoming.Context().Done(),
 		Reply:           reply,
@@ -99,7 +100,10 @@
 	default:
 		current.attempts++
 		current.reportNotice(choice.Target, answer.Head)
-		progress.ReadCloser, progress.headAt = answer.Body, current.service.Clock.Now()
+		progress.ReadCloser, progress.headAt, progress.framed = answer.Body, current.service.Clock.Now(), answer.Framed()
+		if answer.Response.StatusCode == http.StatusOK {
+			progress.answered = current.reportAnswered
+		}
 		answer.Body = progress
 		failure, result = current.forward(choice, answer, sentAt)
 		// Closing has no effect after a complete answer; before that, it tells the target that the request was
@@ -107,7 +111,8 @@
 		_ = answer.Body.Close()
 	}
 	if result == coltsfootlink.Crashed {
-		current.logBreak(choice, answer, progress, sentAt)
+		current.logBreak(choice, progress, sentAt)
+		current.reportCrash(ctx, choice, progress, sentAt)
 	}
 	current.report(choice, coltsfootlink.Ended, result, sentAt)
 	return failure
--- a/ingress/gate.go
+++ b/ingress/gate.go
@@ -13,6 +13,7 @@
 	"coltsfootlink"
 	"coltsfootlink/mailbox"
 	"coltsfootlink/pressure"
+	"coltsfootlink/quarantine"
 	"coltsfootlink/share"
 )
 
@@ -28,6 +29,7 @@
 	catalog   atomic.Pointer[coltsfootlink.Catalog]
 	standings atomic.Pointer[share.Standings]
 	pressure  atomic.Pointer[pressure.State]
+	barred    atomic.Pointer[quarantine.View]
 	leaving   atomic.Bool
 	// endsAt is when the instance stops; nil while no shutdown is planned.
 	endsAt atomic.Pointer[time.Time]
@@ -51,6 +53,8 @@
 				gate.standings.Store(&standings)
 			case pressure.Changed:
 				gate.pressure.Store(&message.State)
+			case quarantine.Changed:
+				gate.barred.Store(&message.View)
 			case coltsfootlink.Leave:
 				gate.leaving.Store(true)
 			case coltsfootlink.Stopping:
@@ -95,6 +99,14 @@
 	return pressure.State{}
 }
 
+// Barred returns which prompts are held back because targets crash under them.
+func (gate *Gate) Barred() quarantine.View {
+	if view := gate.barred.Load(); view != nil {
+		return *view
+	}
+	return quarantine.View{}
+}
+
 // Accepts reports whether a request with the given deadline can finish before the instance stops.
 func (gate *Gate) Accepts(until time.Time) bool {
 	endsAt := gate.endsAt.Load()
--- a/ingress/progress.go
+++ b/ingress/progress.go
@@ -8,7 +8,6 @@
 
 	"coltsfootlink"
 	"coltsfootlink/dispatch"
-	"coltsfootlink/upstream"
 )
 
 // How far an answer had come when it broke off.
@@ -23,11 +22,15 @@
 type answerProgress struct {
 	io.ReadCloser
 
+	// answered is called once the target has answered minEvents events, or a whole answer with a length or chunks.
+	answered func()
 	// headAt is when the head of the answer was received; zero before.
 	headAt time.Time
 	// bytes is the number of bytes read of the body, and events the number of complete events among them.
 	bytes  int64
 	events int
+	// framed indicates that the end of the answer is marked by a length or chunks.
+	framed bool
 	// lineBegun and eventBegun indicate that the newest line and the newest event are not empty.
 	lineBegun, eventBegun bool
 }
@@ -39,6 +42,10 @@
 	for _, char := range buffer[:count] {
 		progress.count(char)
 	}
+	if progress.answered != nil && (progress.events >= minEvents || err == io.EOF && progress.framed) {
+		progress.answered()
+		progress.answered = nil
+	}
 	return count, err
 }
 
@@ -70,28 +77,14 @@
 	}
 }
 
-// framing returns how the end of an answer is marked.
-func framing(answer upstream.Answer) string {
-	switch {
-	case answer.Response == nil:
-		return ""
-	case answer.Response.ContentLength >= 0:
-		return "length"
-	case len(answer.Response.TransferEncoding) > 0:
-		return "chunks"
-	default:
-		return "close"
-	}
-}
-
 // logBreak logs that the connection to a target broke before the answer was complete, with what tells a request that
 // crashed the target from those that were there beside it.
-func (current *exchange) logBreak(choice dispatch.Choice, answer upstream.Answer, progress *answerProgress, sentAt time.Time) {
+func (current *exchange) logBreak(choice dispatch.Choice, progress *answerProgress, sentAt time.Time) {
 	now := current.service.Clock.Now()
 	line := current.service.Log.Warn().Str("request", string(current.head.ID)).Str("rule", current.rule.Name).
 		Str("team", string(current.team)).Str("target", string(choice.Target.Name)).Uint64("incarnation", choice.Target.Incarnation).
 		Int("attempt", current.attempts).Str("fingerprint", strconv.FormatUint(current.fingerprint, 16)).Str("parts", partList(current.head.Work)).
-		Str("stage", progress.stage()).Int("events", progress.events).Str("framing", framing(answer)).Int64("ms", now.Sub(sentAt).Milliseconds())
+		Str("stage", progress.stage()).Int("events", progress.events).Bool("framed", progress.framed).Int64("ms", now.Sub(sentAt).Milliseconds())
 	if !progress.headAt.IsZero() {
 		line = line.Int64("since-head-ms", now.Sub(progress.headAt).Milliseconds())
 	}
@@ -102,7 +95,7 @@
 func partList(work coltsfootlink.Work) string {
 	names := make([]string, 0, len(work.Prompt))
 	for _, part := range work.Prompt {
-		names = append(names, strconv.FormatUint(part.ID, 16))
+		names = append(names, part.ID.String())
 	}
 	return strings.Join(names, " ")
 }
--- /dev/null
+++ b/ingress/quarantine.go
@@ -0,0 +1,92 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"coltsfootlink"
+	"coltsfootlink/dispatch"
+	"coltsfootlink/quarantine"
+)
+
+// minEvents is the number of events after which a target has begun to answer and did not crash under the prompt.
+const minEvents = 2
+
+// quarantineTimeout is how long the quarantine task may take to reply.
+const quarantineTimeout = 200 * time.Millisecond
+
+// admittedByQuarantine reports whether the prompt is not held back because targets crash under it, and refuses the request
+// otherwise. This is decided before anything is counted for the team or kept waiting.
+func (current *exchange) admittedByQuarantine() bool {
+	current.sharedParts = current.head.Work.SharedParts(quarantine.MaxParts)
+	if len(current.sharedParts) == 0 {
+		return true
+	}
+	view := current.service.Gate.Barred()
+	if !view.Synced {
+		current.refuse(http.StatusServiceUnavailable, coltsfootlink.Refuse(coltsfootlink.NotReady, "it is not known yet which prompts crash targets").WithRetryAt(current.arrived.Add(otherInstanceRetryDelay)))
+		return false
+	}
+	if bar, found := view.Bar(current.pool, current.sharedParts); found && !current.arrived.Before(bar.TrialAt) {
+		current.trial = bar.Key()
+		return true
+	}
+	if refusal := current.barredPrompt(); refusal != nil {
+		current.refuse(http.StatusServiceUnavailable, refusal)
+		return false
+	}
+	return true
+}
+
+// barredPrompt returns the refusal of a request whose prompt is held back and that is no trial; nil otherwise.
+func (current *exchange) barredPrompt() *coltsfootlink.Refusal {
+	if len(current.sharedParts) == 0 || current.trial != 0 {
+		return nil
+	}
+	bar, found := current.service.Gate.Barred().Bar(current.pool, current.sharedParts)
+	if !found {
+		return nil
+	}
+	refusal := coltsfootlink.Refuse(coltsfootlink.PromptBarred, "targets crash under prompts with the same parts").WithRetryAt(bar.TrialAt)
+	if current.mayHaveRun {
+		return refusal.WithOutcome(coltsfootlink.MayHaveRun)
+	}
+	return refusal
+}
+
+// reportAnswered reports that a target has answered the prompt.
+func (current *exchange) reportAnswered() {
+	if len(current.sharedParts) > 0 {
+		current.service.Quarantine.Put(coltsfootlink.Delivery{Message: quarantine.Answered{Pool: current.pool, Parts: current.sharedParts, At: current.service.Clock.Now()}})
+	}
+}
+
+// reportCrash reports that the target crashed when it had just begun to answer. A connection that broke for another reason
+// leaves the target reachable, and an answer that was well under way shows that its prompt is not the cause.
+func (current *exchange) reportCrash(ctx context.Context, choice dispatch.Choice, progress *answerProgress, sentAt time.Time) {
+	if len(current.sharedParts) == 0 || progress.headAt.IsZero() || progress.events >= minEvents {
+		return
+	}
+	crashedAt := current.service.Clock.Now()
+	if !current.service.Client.Unreachable(ctx, choice.Target) {
+		return
+	}
+	suspects := make([]coltsfootlink.Suspect, 0, len(current.sharedParts))
+	for _, part := range current.sharedParts {
+		suspects = append(suspects, coltsfootlink.Suspect{Part: part})
+	}
+	reply := make(chan bool, 1)
+	current.service.Quarantine.Put(coltsfootlink.Delivery{Message: quarantine.Crashed{
+		Crash: coltsfootlink.PromptCrash{
+			Pool: current.pool, Request: current.head.ID, Target: choice.Target.Name, Incarnation: choice.Target.Incarnation,
+			Suspects: suspects, SentAt: sentAt, CrashedAt: crashedAt,
+		},
+		Reply: reply,
+	}})
+	select {
+	case mayRepeat := <-reply:
+		current.noRepeat = !mayRepeat || current.trial != 0
+	case <-time.After(quarantineTimeout):
+	}
+}
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -33,7 +33,9 @@
 	Clock  coltsfootlink.Clock
 	// Dispatch is the mailbox of the dispatcher, the task that assigns targets to requests.
 	Dispatch *mailbox.Deliveries
-	Log      zerolog.Logger
+	// Quarantine is the mailbox of the task that finds prompts that crash targets.
+	Quarantine *mailbox.Deliveries
+	Log        zerolog.Logger
 	// Connections counts the open connections of callers. Above MaxConnections, each is closed after its next answer.
 	Connections    *atomic.Int64
 	MaxConnections int64
@@ -85,6 +87,12 @@
 	// fingerprint is a hash of method, URI, team and body, so that repetitions of a request that crashes targets are
 	// recognised.
 	fingerprint uint64
+	// sharedParts are the parts of the prompt that other requests may have, too.
+	sharedParts []coltsfootlink.PartID
+	// trial identifies the barred parts of the prompt if the request is a trial of them; zero if it is none.
+	trial uint64
+	// noRepeat indicates that a target has crashed under the request's prompt, which is likely to crash others.
+	noRepeat bool
 	// lastEventID is the ID of the last event of a resumable stream that the caller has received.
 	lastEventID string
 
@@ -163,6 +171,11 @@
 			current.giveUp(ctx, choice.Refusal)
 			return
 		}
+		if refusal := current.barredPrompt(); refusal != nil {
+			current.report(choice, coltsfootlink.Ended, coltsfootlink.Unused, current.service.Clock.Now())
+			current.giveUp(ctx, refusal)
+			return
+		}
 		failure := current.attempt(ctx, choice)
 		if failure == nil {
 			return
@@ -178,7 +191,7 @@
 // mayRetry reports whether the request may be sent to another target after a failure.
 func (current *exchange) mayRetry(ctx context.Context, failure *coltsfootlink.Refusal) bool {
 	switch {
-	case ctx.Err() != nil, isFinal(failure.Reason), current.started && current.lastEventID == current.head.LastEvent:
+	case ctx.Err() != nil, isFinal(failure.Reason), current.noRepeat, current.started && current.lastEventID == current.head.LastEvent:
 		return false
 	case failure.Reason == coltsfootlink.TargetDown:
 		return current.unsent < maxUnsent
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -56,6 +56,10 @@
 		current.writeHead(answer)
 		err = copyBytes(current.writer, completeEvents(answer, reader), maxAnswerBytes)
 	}
+	if err == nil && !answer.Framed() && current.service.Client.Unreachable(current.incoming.Context(), choice.Target) {
+		// A crash between two events ends an answer without a length or chunks as its end does.
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		if current.started {
 			// Delivers the complete events before the interruption; an error means that the caller has disconnected.
--- a/message_gateway.go
+++ b/message_gateway.go
@@ -21,6 +21,9 @@
 	// the owner's own setting; the maximum wait of a Surplus request grows by the same factor. Zero for the owner's own
 	// setting.
 	MaxWaitFraction float64
+	// Trial identifies the barred parts of the prompt if the request is a trial of them, of which the target's owner permits
+	// one at a time; zero if it is none.
+	Trial uint64
 }
 
 // Expired reports whether the caller no longer waits for an answer.
--- a/outcome.go
+++ b/outcome.go
@@ -56,6 +56,8 @@
 	InstanceBusy     Reason = "instance-busy"
 	OverShare        Reason = "over-share"
 	RetriesUsedUp    Reason = "retries-used-up"
+	PromptBarred     Reason = "prompt-barred"
+	TrialRunning     Reason = "trial-running"
 )
 
 // Refusal is the error of a request that ends without a complete answer.
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -72,6 +72,10 @@
 		return &peerpb.Message{Kind: &peerpb.Message_MoveWord{MoveWord: encoder.encodeMoveWord(message)}}, nil
 	case coltsfootlink.NewsRequest:
 		return &peerpb.Message{Kind: &peerpb.Message_NewsRequest{NewsRequest: &peerpb.NewsRequest{}}}, nil
+	case coltsfootlink.QuarantineNews:
+		return &peerpb.Message{Kind: &peerpb.Message_QuarantineNews{QuarantineNews: encoder.encodeQuarantineNews(message)}}, nil
+	case coltsfootlink.QuarantineRequest:
+		return &peerpb.Message{Kind: &peerpb.Message_QuarantineRequest{QuarantineRequest: &peerpb.QuarantineRequest{}}}, nil
 	default:
 		return nil, errors.Newf("peer: message of type %T is local to an instance and has no encoding", message)
 	}
@@ -152,6 +156,10 @@
 		return decoder.decodeShares(kind.Shares), nil
 	case *peerpb.Message_NewsRequest:
 		return coltsfootlink.NewsRequest{}, nil
+	case *peerpb.Message_QuarantineNews:
+		return decoder.decodeQuarantineNews(kind.QuarantineNews), nil
+	case *peerpb.Message_QuarantineRequest:
+		return coltsfootlink.QuarantineRequest{}, nil
 	default:
 		return nil, errors.New("peer: unknown kind of message")
 	}
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -46,12 +46,18 @@
 		Parts: []coltsfootlink.CounterPart{{Team: "x", Instance: "a", Incarnation: 3, Charged: 1.5, Refunded: 0.25}},
 		Lifts: []coltsfootlink.CounterLift{{Team: "y", Lift: 2.5}},
 	},
-	"strikes":       coltsfootlink.Strikes{Strikes: []coltsfootlink.Strike{{Fingerprint: 1 << 63, Target: "t", Deadline: at}}},
-	"claim request": coltsfootlink.ClaimRequest{Key: "k", Attempt: "a", Deadline: at},
-	"claim reply":   coltsfootlink.ClaimReply{Attempt: "a", Won: true, Settled: true, Outcome: coltsfootlink.Ran},
-	"claim outcome": coltsfootlink.ClaimOutcome{Key: "k", Attempt: "a", Outcome: coltsfootlink.NotRun},
-	"not owner":     coltsfootlink.NotOwner{Shard: shard},
-	"list request":  coltsfootlink.ListRequest{},
+	"strikes": coltsfootlink.Strikes{Strikes: []coltsfootlink.Strike{{Fingerprint: 1 << 63, Target: "t", Deadline: at}}},
+	"quarantine news": coltsfootlink.QuarantineNews{
+		Crashes:  []coltsfootlink.PromptCrash{{Pool: "p", Request: "r", Target: "t", Incarnation: 3, Suspects: []coltsfootlink.Suspect{{Part: 1 << 63}}}},
+		Answered: []coltsfootlink.PartAnswered{{Pool: "p", Part: 7}},
+	},
+	"quarantine request": coltsfootlink.QuarantineRequest{},
+	"ask for a trial":    coltsfootlink.Ask{Serial: 1, Target: "t", Team: "x", Trial: 1 << 63},
+	"claim request":      coltsfootlink.ClaimRequest{Key: "k", Attempt: "a", Deadline: at},
+	"claim reply":        coltsfootlink.ClaimReply{Attempt: "a", Won: true, Settled: true, Outcome: coltsfootlink.Ran},
+	"claim outcome":      coltsfootlink.ClaimOutcome{Key: "k", Attempt: "a", Outcome: coltsfootlink.NotRun},
+	"not owner":          coltsfootlink.NotOwner{Shard: shard},
+	"list request":       coltsfootlink.ListRequest{},
 	"list reply": coltsfootlink.ListReply{Listing: coltsfootlink.Listing{
 		Instances: []coltsfootlink.Instance{{Name: "a", Zone: "z", PeerAddress: "127.0.0.1:1"}},
 		Targets:   []coltsfootlink.Target{{Name: "t", Pool: "p", Zone: "z", Address: "127.0.0.1:2", Version: "v1", Incarnation: 3, Leaving: true}},
@@ -112,6 +118,12 @@
 		"a target's retry time": {coltsfootlink.TargetNotice{RetryAt: now.Add(time.Second)}, func(message coltsfootlink.Message) time.Time {
 			return message.(coltsfootlink.TargetNotice).RetryAt
 		}},
+		"the time of a crash": {coltsfootlink.QuarantineNews{Crashes: []coltsfootlink.PromptCrash{{CrashedAt: now.Add(-time.Second)}}}, func(message coltsfootlink.Message) time.Time {
+			return message.(coltsfootlink.QuarantineNews).Crashes[0].CrashedAt
+		}},
+		"the time of an answer": {coltsfootlink.QuarantineNews{Answered: []coltsfootlink.PartAnswered{{At: now.Add(-time.Hour)}}}, func(message coltsfootlink.Message) time.Time {
+			return message.(coltsfootlink.QuarantineNews).Answered[0].At
+		}},
 		"the time at which a catalog update was read": {coltsfootlink.News{Records: []coltsfootlink.CatalogRecord{record}, ReadAt: now.Add(-time.Second), Signature: 7, Ends: ends}, func(message coltsfootlink.Message) time.Time {
 			So(message.(coltsfootlink.News).Records, ShouldResemble, []coltsfootlink.CatalogRecord{record})
 			So(message.(coltsfootlink.News).Ends, ShouldResemble, ends)
--- a/peer/gateway.go
+++ b/peer/gateway.go
@@ -58,6 +58,7 @@
 		Rank:            uint32(ask.Rank),
 		Standing:        uint32(ask.Standing),
 		Patience:        float32(ask.MaxWaitFraction),
+		Trial:           ask.Trial,
 	}
 }
 
@@ -72,6 +73,7 @@
 		Rank:            int(ask.GetRank()),
 		Standing:        coltsfootlink.Standing(ask.GetStanding()),
 		MaxWaitFraction: float64(ask.GetPatience()),
+		Trial:           ask.GetTrial(),
 	}
 }
 
--- a/peer/router.go
+++ b/peer/router.go
@@ -23,6 +23,7 @@
 	Gate       *mailbox.Deliveries
 	Moves      *mailbox.Deliveries
 	Catalog    *mailbox.Deliveries
+	Quarantine *mailbox.Deliveries
 }
 
 // Outgoing is a message for another instance.
@@ -88,6 +89,8 @@
 		return []*mailbox.Deliveries{router.Dispatch}
 	case coltsfootlink.News, coltsfootlink.NewsRequest:
 		return []*mailbox.Deliveries{router.Catalog}
+	case coltsfootlink.QuarantineNews, coltsfootlink.QuarantineRequest:
+		return []*mailbox.Deliveries{router.Quarantine}
 	case coltsfootlink.ClaimRequest, coltsfootlink.ClaimReply, coltsfootlink.ClaimOutcome:
 		return []*mailbox.Deliveries{router.Claims}
 	case coltsfootlink.RevisionRequest, coltsfootlink.RevisionReply:
--- a/prompt.go
+++ b/prompt.go
@@ -1,11 +1,19 @@
 package coltsfootlink
 
+import "strconv"
+
+// PartID identifies a part of prompts by its name, whatever comes before it in a prompt.
+type PartID uint64
+
+// String returns the identifier in hexadecimal.
+func (id PartID) String() string { return strconv.FormatUint(uint64(id), 16) }
+
 // CachePart is one part of a prompt as stored in an engine's prefix cache.
 type CachePart struct {
 	// Key identifies the part together with the model and all parts before it.
 	Key uint64
-	// ID identifies the part alone, whatever comes before it. Instances don't send it to each other.
-	ID uint64
+	// ID identifies the part alone, whatever comes before it. Permits are requested without it.
+	ID PartID
 	// Tokens is the size of the part in tokens.
 	Tokens int
 }
@@ -28,6 +36,16 @@
 	return work.Prompt[:len(work.Prompt)-1]
 }
 
+// SharedParts returns the identifiers of all parts of the prompt but the last, at most limit.
+func (work Work) SharedParts(limit int) []PartID {
+	shared := work.SharedPrefix()
+	ids := make([]PartID, 0, min(limit, len(shared)))
+	for _, part := range shared[:min(limit, len(shared))] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // Affinity is the same for requests with the same shared prefix; zero if there is no shared prefix.
 func (work Work) Affinity() uint64 {
 	shared := work.SharedPrefix()
--- /dev/null
+++ b/quarantine.go
@@ -0,0 +1,42 @@
+package coltsfootlink
+
+import "time"
+
+// PromptCrash is the crash of a target that had just begun to answer a request.
+type PromptCrash struct {
+	Pool PoolName
+	// Request is the request that the target was answering, and Target with its Incarnation the target.
+	Request     RequestID
+	Target      TargetName
+	Incarnation uint64
+	// Suspects are the shared parts of the request's prompt; one of them may have crashed the target.
+	Suspects []Suspect
+	// SentAt is when the request was sent to the target, and CrashedAt when its connection broke.
+	SentAt, CrashedAt time.Time
+}
+
+// Suspect is a part of a prompt under which a target has crashed.
+type Suspect struct {
+	Part PartID
+	// AnsweredAt is when a target was last known to have answered a request with the part; zero if never.
+	AnsweredAt time.Time
+}
+
+// PartAnswered reports that a target has answered a request with a part of a prompt.
+type PartAnswered struct {
+	Pool PoolName
+	Part PartID
+	At   time.Time
+}
+
+// QuarantineNews is sent between instances: what is known of prompts that crash targets.
+type QuarantineNews struct {
+	Crashes  []PromptCrash
+	Answered []PartAnswered
+}
+
+// QuarantineRequest asks an instance for all that it knows of prompts that crash targets; the reply is QuarantineNews.
+type QuarantineRequest struct{}
+
+func (QuarantineNews) isMessage()    {}
+func (QuarantineRequest) isMessage() {}
--- /dev/null
+++ b/quarantine/bar.go
@@ -0,0 +1,174 @@
+package quarantine
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"coltsfootlink"
+)
+
+const (
+	// minCrashes is the number of successive crashes from which parts are barred that no target has answered, and
+	// minCrashesAnswered the number for a part that targets have answered before.
+	minCrashes         = 2
+	minCrashesAnswered = 3
+	// firstTrialDelay is the time from the last crash until a request is let through as a trial; it is short because parts may
+	// be blamed wrongly. It grows by trialBackoff with each further crash, up to maxTrialDelay.
+	firstTrialDelay = 2 * time.Second
+	trialBackoff    = 4
+	maxTrialDelay   = 10 * time.Minute
+)
+
+// Bar holds back the requests whose prompts contain all of some parts.
+type Bar struct {
+	// Parts are what the prompts have in common under which targets crashed, in ascending order.
+	Parts []coltsfootlink.PartID
+	// Crashes is the number of crashes that the bar rests on, FirstAt and LastAt when the first and the last of them were.
+	Crashes         int
+	FirstAt, LastAt time.Time
+	// TrialAt is from when on a request may be let through as a trial.
+	TrialAt time.Time
+}
+
+// Holds reports whether the bar holds back requests with the given parts.
+func (bar Bar) Holds(parts []coltsfootlink.PartID) bool {
+	return !slices.ContainsFunc(bar.Parts, func(part coltsfootlink.PartID) bool { return !slices.Contains(parts, part) })
+}
+
+// Key identifies the parts of the bar.
+func (bar Bar) Key() uint64 {
+	var text []byte
+	for _, part := range bar.Parts {
+		text = binary.LittleEndian.AppendUint64(text, uint64(part))
+	}
+	return xxhash.Sum64(text)
+}
+
+// evidence is a crash with the suspects that were not answered after it.
+type evidence struct {
+	crash coltsfootlink.PromptCrash
+	parts []coltsfootlink.PartID
+}
+
+// shares reports whether one of the parts is left as a suspect.
+func (found evidence) shares(parts []coltsfootlink.PartID) bool {
+	return slices.ContainsFunc(found.parts, func(part coltsfootlink.PartID) bool { return slices.Contains(parts, part) })
+}
+
+// withBars derives the bars from the crashes and answers. The part that explains most crashes is barred first, together with
+// the parts that all prompts with it have in common; the crashes that this explains count against no other part.
+func (state State) withBars() State {
+	state.unexplained = nil
+	for _, crash := range state.crashes {
+		parts := partsOf(crash)
+		parts = slices.DeleteFunc(parts, func(part coltsfootlink.PartID) bool { return state.answered.At(part).After(crash.CrashedAt) })
+		if len(parts) > 0 {
+			state.unexplained = append(state.unexplained, evidence{crash: crash, parts: parts})
+		}
+	}
+	state.bars = nil
+	for {
+		bar, found := state.nextBar()
+		if !found {
+			return state
+		}
+		state.bars = append(state.bars, bar)
+		state.unexplained = slices.DeleteFunc(state.unexplained, func(explained evidence) bool { return bar.Holds(explained.parts) })
+	}
+}
+
+// candidate is a part that may have caused crashes.
+type candidate struct {
+	part coltsfootlink.PartID
+	// answered indicates that a request with the part was answered before.
+	answered bool
+	// successive is the number of crashes one after the other, and all are all crashes with the part.
+	successive int
+	all        []evidence
+}
+
+// compare ranks parts that no target has answered before others, and then those with more crashes.
+func (one candidate) compare(other candidate) int {
+	switch {
+	case one.answered != other.answered && one.answered:
+		return 1
+	case one.answered != other.answered:
+		return -1
+	default:
+		return cmp.Or(cmp.Compare(other.successive, one.successive), cmp.Compare(len(other.all), len(one.all)), cmp.Compare(one.part, other.part))
+	}
+}
+
+// convicted reports whether the crashes suffice to bar the part.
+func (one candidate) convicted() bool {
+	if one.answered {
+		return one.successive >= minCrashesAnswered
+	}
+	return one.successive >= minCrashes
+}
+
+// nextBar returns the bar for the part that is most likely to have caused the unexplained crashes; false if none is likely.
+func (state State) nextBar() (Bar, bool) {
+	var best candidate
+	for _, found := range state.unexplained {
+		for _, part := range found.parts {
+			next := state.candidateOf(part)
+			if next.convicted() && (best.successive == 0 || next.compare(best) < 0) {
+				best = next
+			}
+		}
+	}
+	if best.successive == 0 {
+		return Bar{}, false
+	}
+	first, last := best.all[0].crash.CrashedAt, best.all[len(best.all)-1].crash.CrashedAt
+	return Bar{
+		Parts:   commonParts(best.all),
+		Crashes: len(best.all),
+		FirstAt: first,
+		LastAt:  last,
+		TrialAt: last.Add(trialDelay(best.successive - minCrashes)),
+	}, true
+}
+
+// candidateOf collects the unexplained crashes with a part. Only crashes of requests that were sent after the one before was
+// known count as successive: crashes at the same moment have one cause, which may be none of the prompts.
+func (state State) candidateOf(part coltsfootlink.PartID) candidate {
+	found := candidate{part: part, answered: !state.answered.At(part).IsZero()}
+	var counted coltsfootlink.PromptCrash
+	for _, next := range state.unexplained {
+		if !slices.Contains(next.parts, part) {
+			continue
+		}
+		found.all = append(found.all, next)
+		if found.successive == 0 || next.crash.Request != counted.Request && !next.crash.SentAt.Before(counted.CrashedAt) {
+			found.successive++
+			counted = next.crash
+		}
+	}
+	return found
+}
+
+// commonParts returns the parts that all crashes have in common, in ascending order.
+func commonParts(all []evidence) []coltsfootlink.PartID {
+	common := slices.Clone(all[0].parts)
+	for _, found := range all[1:] {
+		common = slices.DeleteFunc(common, func(part coltsfootlink.PartID) bool { return !slices.Contains(found.parts, part) })
+	}
+	slices.Sort(common)
+	return slices.Compact(common)
+}
+
+// trialDelay returns the time from the last crash to the next trial after a number of crashes beyond those that are needed for
+// a bar.
+func trialDelay(further int) time.Duration {
+	delay := firstTrialDelay
+	for range further {
+		delay = min(trialBackoff*delay, maxTrialDelay)
+	}
+	return delay
+}
--- /dev/null
+++ b/quarantine/messages.go
@@ -0,0 +1,34 @@
+package quarantine
+
+import (
+	"time"
+
+	"coltsfootlink"
+)
+
+// Crashed reports the crash of a target that had just begun to answer a request of this instance. The task fills in when the
+// suspects were last answered, and replies whether the request may be sent to another target.
+type Crashed struct {
+	coltsfootlink.Local
+
+	Crash coltsfootlink.PromptCrash
+	// Reply receives exactly one value. It must be buffered, so that the task does not block on the send.
+	Reply chan<- bool
+}
+
+// Answered reports that a target has answered a request of this instance.
+type Answered struct {
+	coltsfootlink.Local
+
+	Pool coltsfootlink.PoolName
+	// Parts are the shared parts of the request's prompt.
+	Parts []coltsfootlink.PartID
+	At    time.Time
+}
+
+// Changed announces a new view to the tasks of this instance.
+type Changed struct {
+	coltsfootlink.Local
+
+	View View
+}
--- /dev/null
+++ b/quarantine/state.go
@@ -0,0 +1,144 @@
+// Package quarantine finds the parts of prompts that crash targets, by what the crashes have in common, and holds back
+// the requests whose prompts contain them.
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"coltsfootlink"
+)
+
+const (
+	// MaxParts is the number of parts of a prompt, from its beginning, that can be suspected.
+	MaxParts = 64
+	// maxCrashes is the number of crashes that are kept for a pool.
+	maxCrashes = 64
+	// crashTTL is how long a crash is kept.
+	crashTTL = time.Hour
+)
+
+// State holds what is known of the prompts of one pool; it is immutable.
+type State struct {
+	// crashes are sorted by the time of the crash.
+	crashes  []coltsfootlink.PromptCrash
+	answered answered
+	bars     []Bar
+	// unexplained are the crashes that no bar explains, with the suspects that are left.
+	unexplained []evidence
+}
+
+// NewState returns a state without crashes.
+func NewState() State { return State{answered: newAnswered()} }
+
+// WithCrash adds a crash that is not known yet, and when its suspects were last answered. A crash without suspects changes
+// nothing.
+func (state State) WithCrash(now time.Time, crash coltsfootlink.PromptCrash) State {
+	for _, suspect := range crash.Suspects {
+		state = state.WithAnswered(suspect.AnsweredAt, []coltsfootlink.PartID{suspect.Part})
+	}
+	known := slices.ContainsFunc(state.crashes, func(known coltsfootlink.PromptCrash) bool { return sameCrash(known, crash) })
+	if known || len(crash.Suspects) == 0 {
+		return state
+	}
+	position, _ := slices.BinarySearchFunc(state.crashes, crash.CrashedAt, func(known coltsfootlink.PromptCrash, at time.Time) int {
+		return known.CrashedAt.Compare(at)
+	})
+	state.crashes = slices.Insert(slices.Clone(state.crashes), position, crash)
+	return state.WithTime(now).withoutExcess()
+}
+
+// WithAnswered records that a target has answered a request with the given parts, which clears them of the crashes before.
+func (state State) WithAnswered(at time.Time, parts []coltsfootlink.PartID) State {
+	clears := slices.ContainsFunc(parts, func(part coltsfootlink.PartID) bool { return state.clears(part, at) })
+	for _, part := range parts {
+		state.answered = state.answered.With(part, at)
+	}
+	if !clears {
+		return state
+	}
+	return state.withBars()
+}
+
+// clears reports whether an answer clears the part of a crash that it was not cleared of before.
+func (state State) clears(part coltsfootlink.PartID, at time.Time) bool {
+	known := state.answered.At(part)
+	return slices.ContainsFunc(state.crashes, func(crash coltsfootlink.PromptCrash) bool {
+		return !known.After(crash.CrashedAt) && at.After(crash.CrashedAt) && slices.Contains(partsOf(crash), part)
+	})
+}
+
+// WithTime drops the crashes that are too old.
+func (state State) WithTime(now time.Time) State {
+	oldest := now.Add(-crashTTL)
+	state.crashes = slices.DeleteFunc(slices.Clone(state.crashes), func(crash coltsfootlink.PromptCrash) bool { return crash.CrashedAt.Before(oldest) })
+	return state.withBars()
+}
+
+// withoutExcess drops the oldest crashes beyond maxCrashes, those that no bar rests on first.
+func (state State) withoutExcess() State {
+	for len(state.crashes) > maxCrashes {
+		index := max(0, slices.IndexFunc(state.crashes, func(crash coltsfootlink.PromptCrash) bool { return !state.explains(crash) }))
+		state.crashes = slices.Delete(state.crashes, index, index+1)
+		state = state.withBars()
+	}
+	return state
+}
+
+// Bars returns the bars in force.
+func (state State) Bars() []Bar { return state.bars }
+
+// Crashes returns the crashes that are known, oldest first, with when their suspects were last answered.
+func (state State) Crashes() []coltsfootlink.PromptCrash {
+	crashes := slices.Clone(state.crashes)
+	for index, crash := range crashes {
+		suspects := slices.Clone(crash.Suspects)
+		for number, suspect := range suspects {
+			suspects[number].AnsweredAt = state.answered.At(suspect.Part)
+		}
+		crashes[index].Suspects = suspects
+	}
+	return crashes
+}
+
+// AnsweredAt returns when a request with the part was last answered; zero if that is not known.
+func (state State) AnsweredAt(part coltsfootlink.PartID) time.Time { return state.answered.At(part) }
+
+// rank is 0 for a crash that a bar rests on, and otherwise 1.
+func (state State) rank(crash coltsfootlink.PromptCrash) int {
+	if state.explains(crash) {
+		return 0
+	}
+	return 1
+}
+
+// explains reports whether a bar explains a crash.
+func (state State) explains(crash coltsfootlink.PromptCrash) bool {
+	return slices.ContainsFunc(state.bars, func(bar Bar) bool { return bar.Holds(partsOf(crash)) })
+}
+
+// MayRepeat reports whether a request that was sent at a time, and under which a target has crashed, may be sent to a second
+// one: each of its parts has been answered before, and no earlier crash under another request is left unexplained that shares
+// a part with it.
+func (state State) MayRepeat(request coltsfootlink.RequestID, parts []coltsfootlink.PartID, sentAt time.Time) bool {
+	if slices.ContainsFunc(parts, func(part coltsfootlink.PartID) bool { return state.answered.At(part).IsZero() }) {
+		return false
+	}
+	return !slices.ContainsFunc(state.unexplained, func(earlier evidence) bool {
+		return earlier.crash.Request != request && !earlier.crash.CrashedAt.After(sentAt) && earlier.shares(parts)
+	})
+}
+
+// sameCrash reports whether two reports are of the same crash under the same request.
+func sameCrash(one, other coltsfootlink.PromptCrash) bool {
+	return one.Request == other.Request && one.Target == other.Target && one.Incarnation == other.Incarnation
+}
+
+// partsOf returns the suspects of a crash.
+func partsOf(crash coltsfootlink.PromptCrash) []coltsfootlink.PartID {
+	parts := make([]coltsfootlink.PartID, 0, len(crash.Suspects))
+	for _, suspect := range crash.Suspects {
+		parts = append(parts, suspect.Part)
+	}
+	return parts
+}
--- /dev/null
+++ b/quarantine/state_test.go
@@ -0,0 +1,280 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"coltsfootlink"
+)
+
+var start = time.UnixMilli(1_700_000_000_000)
+
+// prompt returns the identifiers of parts that are named by one letter each.
+func prompt(letters string) []coltsfootlink.PartID {
+	parts := make([]coltsfootlink.PartID, 0, len(letters))
+	for _, letter := range letters {
+		parts = append(parts, coltsfootlink.PartID(letter))
+	}
+	return parts
+}
+
+// crashOf returns a crash under a request whose shared parts are the letters; times are milliseconds after the start.
+func crashOf(request, letters string, sent, crashed int) coltsfootlink.PromptCrash {
+	crash := coltsfootlink.PromptCrash{
+		Pool: "p", Request: coltsfootlink.RequestID(request), Target: coltsfootlink.TargetName(fmt.Sprint("t-", request, crashed)),
+		SentAt: start.Add(time.Duration(sent) * time.Millisecond), CrashedAt: start.Add(time.Duration(crashed) * time.Millisecond),
+	}
+	for _, part := range prompt(letters) {
+		crash.Suspects = append(crash.Suspects, coltsfootlink.Suspect{Part: part})
+	}
+	return crash
+}
+
+// answer is an answer to a request with the letters as shared parts; at is in milliseconds after the start.
+type answer struct {
+	letters string
+	at      int
+}
+
+func TestBars(t *testing.T) {
+	cases := map[string]struct {
+		before  []answer
+		crashes []coltsfootlink.PromptCrash
+		after   []answer
+		at      time.Duration
+		// bars are the parts of each bar.
+		bars []string
+	}{
+		"one crash":                                  {nil, []coltsfootlink.PromptCrash{crashOf("1", "cd", 0, 100)}, nil, 0, nil},
+		"two crashes one after the other":            {nil, []coltsfootlink.PromptCrash{crashOf("1", "cd", 0, 100), crashOf("2", "ed", 100, 200)}, nil, 0, []string{"d"}},
+		"two crashes at once":                        {nil, []coltsfootlink.PromptCrash{crashOf("1", "cd", 0, 100), crashOf("2", "ed", 50, 101)}, nil, 0, nil},
+		"one request that crashes two targets":       {nil, []coltsfootlink.PromptCrash{crashOf("1", "cd", 0, 100), crashOf("1", "cd", 101, 200)}, nil, 0, nil},
+		"parts that only come together":              {nil, []coltsfootlink.PromptCrash{crashOf("1", "cde", 0, 100), crashOf("2", "xde", 100, 200)}, nil, 0, []string{"de"}},
+		"one of two parts that come together sound":  {nil, []coltsfootlink.PromptCrash{crashOf("1", "de", 0, 100), crashOf("2", "de", 100, 200)}, []answer{{"e", 250}}, 0, []string{"d"}},
+		"a popular part answered in between":         {nil, []coltsfootlink.PromptCrash{crashOf("1", "cd", 0, 100), crashOf("2", "cd", 150, 250)}, []answer{{"c", 120}}, 0, []string{"d"}},
+		"all parts answered since":                   {nil, []coltsfootlink.PromptCrash{crashOf("1", "cd", 0, 100), crashOf("2", "cd", 150, 250)}, []answer{{"cd", 300}}, 0, nil},
+		"a part that was answered before, two":       {[]answer{{"d", 0}}, []coltsfootlink.PromptCrash{crashOf("1", "d", 0, 100), crashOf("2", "d", 150, 250)}, nil, 0, nil},
+		"a part that was answered before, three":     {[]answer{{"d", 0}}, []coltsfootlink.PromptCrash{crashOf("1", "d", 0, 100), crashOf("2", "d", 150, 250), crashOf("3", "d", 250, 300)}, nil, 0, []string{"d"}},
+		"a popular part beside it, not answered yet": {[]answer{{"c", 90}}, []coltsfootlink.PromptCrash{crashOf("1", "cd", 0, 100), crashOf("2", "cd", 150, 250), crashOf("3", "ce", 250, 300)}, nil, 0, []string{"cd"}},
+		"two parts at once":                          {[]answer{{"c", 90}}, []coltsfootlink.PromptCrash{crashOf("1", "cd", 0, 100), crashOf("2", "ce", 0, 110), crashOf("3", "cd", 150, 250), crashOf("4", "ce", 150, 260)}, []answer{{"c", 130}, {"c", 270}}, 0, []string{"d", "e"}},
+		"the same session in two of three crashes":   {nil, []coltsfootlink.PromptCrash{crashOf("1", "dx", 0, 100), crashOf("2", "dx", 100, 200), crashOf("3", "dy", 200, 300)}, nil, 0, []string{"d"}},
+		"long ago": {nil, []coltsfootlink.PromptCrash{crashOf("1", "d", 0, 100), crashOf("2", "d", 100, 200)}, nil, 2 * time.Hour, nil},
+	}
+	for name, test := range cases {
+		Convey("prompts are held back by what crashes have in common: "+name, t, func() {
+			state := NewState()
+			for _, known := range test.before {
+				state = state.WithAnswered(start.Add(time.Duration(known.at)*time.Millisecond), prompt(known.letters))
+			}
+			for _, crash := range test.crashes {
+				state = state.WithCrash(start.Add(time.Second), crash).WithCrash(start.Add(time.Second), crash)
+			}
+			for _, known := range test.after {
+				state = state.WithAnswered(start.Add(time.Duration(known.at)*time.Millisecond), prompt(known.letters))
+			}
+			state = state.WithTime(start.Add(time.Second + test.at))
+			var bars []string
+			for _, bar := range state.Bars() {
+				letters := ""
+				for _, part := range bar.Parts {
+					letters += string(rune(part))
+				}
+				bars = append(bars, letters)
+			}
+			slices.Sort(bars)
+			So(bars, ShouldResemble, test.bars)
+			reversed := NewState()
+			for _, crash := range slices.Backward(state.Crashes()) {
+				reversed = reversed.WithCrash(start.Add(time.Second), crash)
+			}
+			So(reversed.Bars(), ShouldResemble, state.Bars())
+		})
+	}
+	Convey("trials come later with each further crash", t, func() {
+		state := NewState()
+		for number := range 12 {
+			at := number * 1000
+			state = state.WithCrash(start, crashOf(fmt.Sprint(number), "d", at, at+100))
+			if number > 0 {
+				So(state.Bars()[0].TrialAt.Sub(state.Bars()[0].LastAt), ShouldEqual, min(maxTrialDelay, firstTrialDelay<<(2*(number-1))))
+			}
+		}
+	})
+	Convey("the crashes that bars rest on are kept, however many others follow", t, func() {
+		state := NewState().WithCrash(start, crashOf("1", "d", 0, 1)).WithCrash(start, crashOf("2", "d", 1, 2))
+		for number := range 3 * maxCrashes {
+			state = state.WithCrash(start, crashOf(fmt.Sprint("x", number), string(rune(1000+number)), 3, 4))
+		}
+		So(state.Crashes(), ShouldHaveLength, maxCrashes)
+		So(state.Bars(), ShouldHaveLength, 1)
+	})
+	Convey("the number of parts that are remembered is bounded", t, func() {
+		known := newAnswered()
+		for number := range 5 * maxRecent {
+			known = known.With(coltsfootlink.PartID(number), start)
+		}
+		So(known.recent.Len()+known.older.Len(), ShouldBeLessThanOrEqualTo, 2*maxRecent)
+		So(known.At(coltsfootlink.PartID(5*maxRecent-1)), ShouldEqual, start)
+	})
+}
+
+func TestMayRepeat(t *testing.T) {
+	cases := map[string]struct {
+		answered string
+		crashes  []coltsfootlink.PromptCrash
+		repeat   bool
+	}{
+		"all parts answered before":           {"cx", []coltsfootlink.PromptCrash{crashOf("r", "cx", 0, 100)}, true},
+		"a part that was never answered":      {"c", []coltsfootlink.PromptCrash{crashOf("r", "cx", 0, 100)}, false},
+		"an earlier crash under the same":     {"cx", []coltsfootlink.PromptCrash{crashOf("o", "cx", -200, -100), crashOf("r", "cx", 0, 100)}, false},
+		"another crash at the same time":      {"cx", []coltsfootlink.PromptCrash{crashOf("o", "cd", 0, 100), crashOf("r", "cx", 0, 100)}, true},
+		"an earlier crash under other prompt": {"cx", []coltsfootlink.PromptCrash{crashOf("o", "yd", -200, -100), crashOf("r", "cx", 0, 100)}, true},
+	}
+	for name, test := range cases {
+		Convey("a request under which a target crashed is sent to a second one: "+name, t, func() {
+			state := NewState().WithAnswered(start.Add(-time.Second), prompt(test.answered))
+			for _, crash := range test.crashes {
+				state = state.WithCrash(start, crash)
+			}
+			So(state.MayRepeat("r", prompt("cx"), start), ShouldEqual, test.repeat)
+		})
+	}
+}
+
+// simulation plays requests to targets of which some crash under deadly parts, and some for other reasons.
+type simulation struct {
+	state State
+	now   time.Time
+	// running are the requests that targets are about to answer.
+	running []simulated
+	// sent are the numbers of requests with each deadly part that were sent, soundAsked and soundRefused those of requests
+	// without any.
+	sent                     map[coltsfootlink.PartID]int
+	soundAsked, soundRefused int
+	// trialUntil is until when no further trial of a bar is allowed.
+	trialUntil map[uint64]time.Time
+}
+
+type simulated struct {
+	id     string
+	parts  []coltsfootlink.PartID
+	target int
+	sentAt time.Time
+	deadly bool
+}
+
+const (
+	// headTime and answerTime are how long after a request was sent its answer begins, and is known to be sound.
+	headTime, answerTime = 60 * time.Millisecond, 100 * time.Millisecond
+	simulatedTargets     = 8
+)
+
+// ask sends a request unless it is barred and no trial is due.
+func (play *simulation) ask(request simulated, deadly []coltsfootlink.PartID) {
+	refused := false
+	if bar, held := (View{}).WithBars("p", play.state.Bars()).Bar("p", request.parts); held {
+		refused = play.now.Before(bar.TrialAt) || play.now.Before(play.trialUntil[bar.Key()])
+		if !refused {
+			play.trialUntil[bar.Key()] = play.now.Add(5 * time.Second)
+		}
+	}
+	for _, part := range deadly {
+		if slices.Contains(request.parts, part) {
+			request.deadly = true
+			if !refused {
+				play.sent[part]++
+			}
+		}
+	}
+	if !request.deadly {
+		play.soundAsked++
+		if refused {
+			play.soundRefused++
+		}
+	}
+	if !refused {
+		play.running = append(play.running, request)
+	}
+}
+
+// advance ends the requests that are due. A crash ends all requests on the target, and those whose answers have begun are
+// suspected.
+func (play *simulation) advance(crashed map[int]bool) {
+	for _, request := range play.running {
+		if request.deadly && !play.now.Before(request.sentAt.Add(answerTime)) {
+			crashed[request.target] = true
+		}
+	}
+	var left []simulated
+	for _, request := range play.running {
+		switch {
+		case crashed[request.target] && play.now.Before(request.sentAt.Add(headTime)):
+		case crashed[request.target]:
+			crash := coltsfootlink.PromptCrash{Pool: "p", Request: coltsfootlink.RequestID(request.id), Target: coltsfootlink.TargetName(request.id), SentAt: request.sentAt, CrashedAt: play.now}
+			for _, part := range request.parts {
+				crash.Suspects = append(crash.Suspects, coltsfootlink.Suspect{Part: part, AnsweredAt: play.state.AnsweredAt(part)})
+			}
+			play.state = play.state.WithCrash(play.now, crash)
+		case !play.now.Before(request.sentAt.Add(answerTime)):
+			play.state = play.state.WithAnswered(play.now, request.parts)
+		default:
+			left = append(left, request)
+		}
+	}
+	play.running = left
+}
+
+// TestQuarantineBoundsCrashesAndServesSoundPrompts plays random fleets: the sends of each deadly part are bounded, and prompts
+// without one are served.
+func TestQuarantineBoundsCrashesAndServesSoundPrompts(t *testing.T) {
+	const (
+		steps, step = 1500, 20 * time.Millisecond
+		// trials is how many trials fit into the time that is played.
+		trials = 3
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		deadly := prompt("DE")[:rapid.IntRange(0, 2).Draw(t, "deadly parts")]
+		perStep := rapid.IntRange(1, 3).Draw(t, "requests a step")
+		share := rapid.Float64Range(0.02, 0.4).Draw(t, "share of deadly requests")
+		otherCrashes := rapid.SliceOfN(rapid.IntRange(0, steps), 0, 10).Draw(t, "crashes for other reasons")
+		known := rapid.Bool().Draw(t, "deadly parts are answered at first")
+		random := rapid.Custom(func(t *rapid.T) uint64 { return rapid.Uint64().Draw(t, "seed") }).Draw(t, "draws")
+		draw := func(limit int) int {
+			random = random*6364136223846793005 + 1442695040888963407
+			return int(random>>33) % limit
+		}
+		play := &simulation{state: NewState(), now: start, sent: make(map[coltsfootlink.PartID]int), trialUntil: make(map[uint64]time.Time)}
+		if known {
+			play.state = play.state.WithAnswered(start, deadly)
+		}
+		for number := range steps {
+			play.now = play.now.Add(step)
+			crashed := make(map[int]bool)
+			if slices.Contains(otherCrashes, number) {
+				crashed[draw(simulatedTargets)], crashed[draw(simulatedTargets)] = true, true
+			}
+			play.advance(crashed)
+			for within := range perStep {
+				parts := prompt(string(rune('a'+draw(2))) + string(rune(1000+draw(30))))
+				if len(deadly) > 0 && float64(draw(1000)) < share*1000 {
+					parts[1] = deadly[draw(len(deadly))]
+				}
+				play.ask(simulated{id: fmt.Sprint(number, "-", within), parts: parts, target: draw(simulatedTargets), sentAt: play.now}, deadly)
+			}
+		}
+		inFlight := perStep * int(answerTime/step+1)
+		for part, count := range play.sent {
+			if most := minCrashesAnswered*inFlight + trials; count > most {
+				t.Fatalf("part %d was sent %d times, at most %d are expected", part, count, most)
+			}
+		}
+		if play.soundRefused*20 > play.soundAsked {
+			t.Fatalf("%d of %d sound prompts were refused", play.soundRefused, play.soundAsked)
+		}
+	})
+}
--- /dev/null
+++ b/quarantine/task_test.go
@@ -0,0 +1,152 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"coltsfootlink"
+	"coltsfootlink/mailbox"
+)
+
+// fleet connects the tasks of several instances; those that are cut off get no messages.
+type fleet struct {
+	now   time.Time
+	tasks map[coltsfootlink.InstanceName]*Task
+	cut   map[coltsfootlink.InstanceName]bool
+	// sent is the number of messages between instances.
+	sent int
+}
+
+// link sends the messages of one instance.
+type link struct {
+	fleet *fleet
+	from  coltsfootlink.InstanceName
+}
+
+// Send delivers a message at once, as the receiver decodes it.
+func (link link) Send(to coltsfootlink.InstanceName, message coltsfootlink.Message) {
+	link.fleet.sent++
+	if task, found := link.fleet.tasks[to]; found && !link.fleet.cut[to] && !link.fleet.cut[link.from] {
+		task.handle(coltsfootlink.Delivery{From: link.from, Message: message})
+	}
+}
+
+// Now returns the time of the fleet.
+func (fleet *fleet) Now() time.Time { return fleet.now }
+
+func newFleet(count int) *fleet {
+	fleet := &fleet{now: start, tasks: make(map[coltsfootlink.InstanceName]*Task), cut: make(map[coltsfootlink.InstanceName]bool)}
+	for number := range count {
+		fleet.start(coltsfootlink.InstanceName(fmt.Sprint("i-", number)))
+	}
+	fleet.announce()
+	return fleet
+}
+
+// start starts an instance, or starts it anew.
+func (fleet *fleet) start(name coltsfootlink.InstanceName) {
+	task := &Task{Self: name, Clock: fleet, Sender: link{fleet, name}, Log: zerolog.Nop(), Inbox: mailbox.NewDeliveries()}
+	task.reset()
+	fleet.tasks[name] = task
+}
+
+// announce tells all instances which ones are live; incarnations change with the time of the last start.
+func (fleet *fleet) announce() {
+	for self, task := range fleet.tasks {
+		var view coltsfootlink.View
+		for name, other := range fleet.tasks {
+			view.Members = append(view.Members, coltsfootlink.Member{
+				Instance: coltsfootlink.Instance{Name: name, Incarnation: uint64(other.syncBy.UnixNano())}, Live: fleet.cut[self] == fleet.cut[name],
+			})
+		}
+		task.handle(coltsfootlink.Delivery{Message: coltsfootlink.ViewChanged{View: view.WithIndex()}})
+	}
+}
+
+// crash reports a crash that an instance has seen.
+func (fleet *fleet) crash(name coltsfootlink.InstanceName, request, letters string) {
+	sentAt := fleet.now
+	fleet.now = fleet.now.Add(100 * time.Millisecond)
+	crash := crashOf(request, letters, 0, 0)
+	crash.SentAt, crash.CrashedAt = sentAt, fleet.now
+	fleet.tasks[name].handle(coltsfootlink.Delivery{Message: Crashed{Crash: crash, Reply: make(chan bool, 1)}})
+}
+
+func (fleet *fleet) barring(letters string) int {
+	count := 0
+	for _, task := range fleet.tasks {
+		if _, found := task.view.Bar("p", prompt(letters)); found && task.view.Synced {
+			count++
+		}
+	}
+	return count
+}
+
+func TestAllInstancesLearnWhichPromptsCrashTargets(t *testing.T) {
+	const count = 9
+	cases := map[string]struct {
+		act     func(fleet *fleet)
+		barring int
+	}{
+		"each crash was seen elsewhere": {func(fleet *fleet) {}, count},
+		"one has started since":         {func(fleet *fleet) { fleet.start("i-3"); fleet.announce() }, count},
+		"one comes back from a cut": {func(fleet *fleet) {
+			fleet.start("i-3")
+			fleet.cut["i-3"] = true
+			fleet.announce()
+			fleet.cut["i-3"] = false
+			fleet.announce()
+		}, count},
+		"one after the other has started": {func(fleet *fleet) {
+			for number := range count {
+				fleet.now = fleet.now.Add(time.Second)
+				fleet.start(coltsfootlink.InstanceName(fmt.Sprint("i-", number)))
+				fleet.announce()
+			}
+		}, count},
+		"one missed the news, and others tell of it now and then": {func(fleet *fleet) {
+			fleet.tasks["i-3"].states = make(map[coltsfootlink.PoolName]State)
+			for range 200 {
+				fleet.now = fleet.now.Add(gossipInterval)
+				for _, task := range fleet.tasks {
+					task.tick()
+				}
+			}
+		}, count},
+		"a trial was answered": {func(fleet *fleet) {
+			fleet.now = fleet.now.Add(time.Minute)
+			fleet.tasks["i-7"].handle(coltsfootlink.Delivery{Message: Answered{Pool: "p", Parts: prompt("cd"), At: fleet.now}})
+		}, 0},
+	}
+	for name, test := range cases {
+		Convey("instances hold back what has crashed targets: "+name, t, func() {
+			fleet := newFleet(count)
+			fleet.crash("i-0", "1", "cd")
+			fleet.crash("i-8", "2", "xd")
+			test.act(fleet)
+			So(fleet.barring("yd"), ShouldEqual, test.barring)
+			So(fleet.barring("c"), ShouldEqual, 0)
+		})
+	}
+	Convey("an instance without others begins after a while", t, func() {
+		fleet := newFleet(1)
+		So(fleet.tasks["i-0"].view.Synced, ShouldBeFalse)
+		fleet.now = fleet.now.Add(syncTimeout)
+		fleet.tasks["i-0"].tick()
+		So(fleet.tasks["i-0"].view.Synced, ShouldBeTrue)
+	})
+	Convey("the messages about a crash in a large fleet are bounded", t, func() {
+		fleet := newFleet(195)
+		fleet.sent = 0
+		fleet.crash("i-0", "1", "cd")
+		So(fleet.sent, ShouldEqual, 194)
+		fleet.sent = 0
+		fleet.start("i-3")
+		fleet.announce()
+		So(fleet.sent, ShouldBeLessThanOrEqualTo, 3*syncPeers+1)
+	})
+}
--- a/query.go
+++ b/query.go
@@ -15,6 +15,7 @@
 	MovesSubject     Subject = "moves"
 	TimelineSubject  Subject = "timeline"
 	ZonesSubject     Subject = "zones"
+	BarsSubject      Subject = "bars"
 )
 
 // Table is the result of a query, or one instance's part of it.
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -271,6 +271,20 @@
 	return answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0
 }
 
+// Framed reports whether the end of the answer is marked by its length or last chunk. The end of any other answer looks like
+// that of one that its target broke off.
+func (answer Answer) Framed() bool { return endsBeforeClose(answer.Response) }
+
+// Unreachable reports whether a target accepts no new connection. It is false if the context ends before that is known.
+func (client *Client) Unreachable(ctx context.Context, target coltsfootlink.Target) bool {
+	conn, err := dial(ctx, target)
+	if err != nil {
+		return ctx.Err() == nil
+	}
+	client.returnUnused(conn)
+	return false
+}
+
 // idleTimeout returns how long a connection may stay idle according to the target's Keep-Alive header.
 func idleTimeout(keepAlive string) time.Duration {
 	for _, part := range strings.Split(keepAlive, ",") {
