Let operators list and lift the bars on prompts

Cause: gateways have no port for operators, so nobody could see which prompts are held back, nor end that when a part has been repaired. A lift holds on all instances.

--- a/cmd/coltsfootctl/run.go
+++ b/cmd/coltsfootctl/run.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -40,6 +41,7 @@
 	flags := ff.NewFlagSet("coltsfootctl")
 	address := flags.StringLong("address", "http://127.0.0.1:8081", "URL of the port for operators of an instance")
 	token := flags.StringLong("token", "", "the operators' token")
+	peerAddress := flags.StringLong("peer", "", "address for other instances of a gateway; it is asked instead of an instance's port for operators")
 	asJSON := flags.BoolLong("json", "print JSON")
 	err := ff.Parse(flags, arguments, ff.WithEnvVarPrefix("COLTSFOOTCTL"))
 	if errors.Is(err, ff.ErrHelp) {
@@ -49,6 +51,12 @@
 	if err != nil {
 		return err
 	}
+	if *peerAddress != "" {
+		if _, _, err := net.SplitHostPort(*peerAddress); err != nil {
+			return errors.Newf("--peer %q is not an address with a port", *peerAddress)
+		}
+		return (&peerSession{address: *peerAddress, token: *token, session: session{json: *asJSON, out: out}}).run(strings.Join(flags.GetArgs(), " "))
+	}
 	target, err := url.Parse(*address)
 	if err != nil || target.Host == "" {
 		return errors.Newf("--address %q is not a URL", *address)
--- a/integration/crashing_test.go
+++ b/integration/crashing_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os/exec"
 	"slices"
 	"strings"
 	"sync"
@@ -160,6 +162,18 @@
 	return response.StatusCode, string(body), err
 }
 
+// bars returns the bars of a gateway as an operator sees them; nil if it does not answer.
+func bars(gateway *rig.Gateway) [][]string {
+	output, err := exec.Command(programs.Client, "--peer", gateway.Peers, "--json", "show bars").Output()
+	var answer struct {
+		Rows [][]string `json:"rows"`
+	}
+	if err != nil || json.Unmarshal(output, &answer) != nil {
+		return nil
+	}
+	return answer.Rows
+}
+
 func TestPromptPartsThatCrashTargetsStopReachingThem(t *testing.T) {
 	const (
 		contact      = 3 * time.Second
@@ -222,6 +236,15 @@
 			}
 			So(asked, ShouldBeGreaterThan, 20)
 			So(served, ShouldBeGreaterThan, asked*3/4)
+			for _, gateway := range bed.gateways {
+				So(bars(gateway), ShouldHaveLength, len(test.deadly))
+			}
+			for _, bar := range bars(bed.gateways[0]) {
+				So(exec.Command(programs.Client, "--peer", bed.gateways[0].Peers, `lift bar "`+bar[1]+`" in pool `+bar[0]).Run(), ShouldBeNil)
+			}
+			eventually(t, "all gateways let the prompts through again", func() bool {
+				return !slices.ContainsFunc(bed.gateways, func(gateway *rig.Gateway) bool { return len(bars(gateway)) > 0 })
+			})
 		})
 	}
 }
--- a/language/grammar.go
+++ b/language/grammar.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -22,6 +23,7 @@
 	coltsfootlink.RevisionSubject,
 	coltsfootlink.TimelineSubject,
 	coltsfootlink.MovesSubject,
+	coltsfootlink.BarsSubject,
 }
 
 // statementNode is the syntax tree of a statement. The parser names the node type that it expected in syntax errors, so
@@ -33,11 +35,12 @@
 	Apply  *applyNode  `parser:"| 'apply' @@"`
 	Start  *startNode  `parser:"| 'start' @@"`
 	Finish *finishNode `parser:"| 'finish' @@"`
+	Lift   *liftNode   `parser:"| 'lift' @@"`
 }
 
 type showNode struct {
 	Pos     lexer.Position
-	Subject string     `parser:"@( 'waiting' | 'served' | 'targets' | 'instances' | 'zones' | 'revision' | 'timeline' | 'moves' )"`
+	Subject string     `parser:"@( 'waiting' | 'served' | 'targets' | 'instances' | 'zones' | 'revision' | 'timeline' | 'moves' | 'bars' )"`
 	ByTeam  bool       `parser:"( @'by' 'team' )?"`
 	Pool    string     `parser:"( 'in' 'pool' @Word )?"`
 	Where   *whereNode `parser:"( 'where' @@ )?"`
@@ -88,6 +91,16 @@
 	File string `parser:"@( Word | String )"`
 }
 
+type liftNode struct {
+	Parts *partsNode `parser:"'bar' @@"`
+	Pool  string     `parser:"'in' 'pool' @Word"`
+}
+
+type partsNode struct {
+	Pos  lexer.Position
+	List string `parser:"@( String | Word )"`
+}
+
 var parser = participle.MustBuild[statementNode](
 	participle.Lexer(lexer.MustSimple([]lexer.SimpleRule{
 		{Name: "String", Pattern: `"[^"]*"`},
@@ -119,6 +132,8 @@
 		return Statement{Move: &Move{Action: RollBackMove, Pool: coltsfootlink.PoolName(rollBack.Pool), Reason: rollBack.Reason}}, nil
 	case node.Take != nil:
 		return Statement{Zone: &Zone{Name: coltsfootlink.ZoneName(node.Take.Zone), Out: true}}, nil
+	case node.Lift != nil:
+		return lift(node.Lift)
 	case node.Bring != nil:
 		return Statement{Zone: &Zone{Name: coltsfootlink.ZoneName(node.Bring.Zone)}}, nil
 	default:
@@ -156,6 +171,22 @@
 	}}, nil
 }
 
+// lift reads the parts as show bars prints them: in hexadecimal, separated by spaces.
+func lift(node *liftNode) (Statement, error) {
+	order := &Lift{Pool: coltsfootlink.PoolName(node.Pool)}
+	for _, word := range strings.Fields(node.Parts.List) {
+		id, err := strconv.ParseUint(word, 16, 64)
+		if err != nil {
+			return Statement{}, &SyntaxError{Column: node.Parts.Pos.Column, Text: "expected parts of a prompt in hexadecimal as show bars prints them, found " + quote(word)}
+		}
+		order.Parts = append(order.Parts, coltsfootlink.PartID(id))
+	}
+	if len(order.Parts) == 0 {
+		return Statement{}, &SyntaxError{Column: node.Parts.Pos.Column, Text: "expected parts of a prompt in hexadecimal, found none"}
+	}
+	return Statement{Lift: order}, nil
+}
+
 func syntaxError(err error) error {
 	var parseErr participle.Error
 	if !errors.As(err, &parseErr) {
@@ -166,7 +197,7 @@
 
 // Keywords returns the keywords of the language in alphabetical order, to be shown to operators.
 func Keywords() []string {
-	words := []string{"show", "by", "team", "in", "pool", "where", "last", "take", "bring", "zone", "out", "back", "apply", "start", "finish", "move", "from", "to", "because"}
+	words := []string{"show", "by", "team", "in", "pool", "where", "last", "take", "bring", "zone", "out", "back", "apply", "start", "finish", "move", "from", "to", "because", "lift", "bar"}
 	for _, subject := range Subjects {
 		words = append(words, string(subject))
 	}
--- a/language/grammar_test.go
+++ b/language/grammar_test.go
@@ -22,6 +22,9 @@
 		"show timeline last 1h":                        {Show: &Show{Subject: coltsfootlink.TimelineSubject, Since: now.Add(-time.Hour)}},
 		"take zone mazowsze-b out":                     {Zone: &Zone{Name: "mazowsze-b", Out: true}},
 		"bring zone mazowsze-b back":                   {Zone: &Zone{Name: "mazowsze-b"}},
+		"show bars in pool p":                          {Show: &Show{Subject: coltsfootlink.BarsSubject, Pool: "p"}},
+		"lift bar 1f in pool p":                        {Lift: &Lift{Pool: "p", Parts: []coltsfootlink.PartID{0x1f}}},
+		`lift bar "1f a" in pool p`:                    {Lift: &Lift{Pool: "p", Parts: []coltsfootlink.PartID{0x1f, 0xa}}},
 		"apply fleet.toml":                             {Apply: &Apply{File: "fleet.toml"}},
 		`apply "my fleet.toml"`:                        {Apply: &Apply{File: "my fleet.toml"}},
 	}
@@ -52,6 +55,9 @@
 		"deadline that is not a time":   {"start move p from a to b by Friday", 29},
 		"period that is not a duration": {"show served last week", 18},
 		"negative period":               {"show served last -5m", 18},
+		"bar without a pool":            {"lift bar 1f", 12},
+		"part that is not a number":     {"lift bar roof in pool p", 10},
+		"no parts":                      {`lift bar "" in pool p`, 10},
 		"apply without file":            {"apply", 6},
 	}
 	for name, test := range cases {
--- a/language/statement.go
+++ b/language/statement.go
@@ -13,6 +13,7 @@
 	Zone  *Zone
 	Apply *Apply
 	Move  *Move
+	Lift  *Lift
 }
 
 // Show is a query about one subject.
@@ -55,6 +56,12 @@
 	Reason string
 }
 
+// Lift lets requests through again whose prompts have parts that crashed targets.
+type Lift struct {
+	Pool  coltsfootlink.PoolName
+	Parts []coltsfootlink.PartID
+}
+
 // Apply replaces the fleet's configuration with the document in a file.
 type Apply struct {
 	File string
--- a/operator/arrange.go
+++ b/operator/arrange.go
@@ -17,8 +17,8 @@
 	coltsfootlink.ServedSubject:  {"answers", "service"},
 }
 
-// arrange filters, groups and sorts the rows of all instances as a query asks for, and removes duplicate rows.
-func arrange(query language.Show, table coltsfootlink.Table) (coltsfootlink.Table, error) {
+// Arrange filters, groups and sorts the rows of all instances as a query asks for, and removes duplicate rows.
+func Arrange(query language.Show, table coltsfootlink.Table) (coltsfootlink.Table, error) {
 	table, err := filter(table, query)
 	if err != nil {
 		return table, err
--- a/operator/arrange_test.go
+++ b/operator/arrange_test.go
@@ -31,13 +31,13 @@
 		Convey(name, t, func() {
 			table := test.table
 			table.Rows = append([][]string(nil), table.Rows...)
-			arranged, err := arrange(test.query, table)
+			arranged, err := Arrange(test.query, table)
 			So(err, ShouldBeNil)
 			So(arranged.Rows, ShouldResemble, test.rows)
 		})
 	}
 	Convey("the error for an unknown column lists the existing columns", t, func() {
-		_, err := arrange(language.Show{Subject: coltsfootlink.WaitingSubject, Column: "colour"}, waiting)
+		_, err := Arrange(language.Show{Subject: coltsfootlink.WaitingSubject, Column: "colour"}, waiting)
 		So(err.Error(), ShouldContainSubstring, "pool, team, waiting")
 	})
 }
--- a/operator/service.go
+++ b/operator/service.go
@@ -63,6 +63,8 @@
 		return service.change(ctx, revision.Record{Kind: revision.Zone, Zone: statement.Zone.Name, Out: statement.Zone.Out})
 	case statement.Move != nil:
 		return service.change(ctx, moveRecord(*statement.Move))
+	case statement.Lift != nil:
+		return nil, rejected("bad-statement", "lift", "prompts are held back by gateways only; send the statement to one with --peer")
 	default:
 		if payload.Document == nil {
 			return nil, rejected("bad-statement", "document", "apply needs a document, and the request contains none")
--- a/operator/show.go
+++ b/operator/show.go
@@ -20,7 +20,7 @@
 // show answers a query with the rows of all instances.
 func (service *Service) show(ctx context.Context, query language.Show) (*operators.RunResult, error) {
 	table, missing := service.askAll(ctx, query.Subject, query.Since)
-	arranged, err := arrange(query, table)
+	arranged, err := Arrange(query, table)
 	if err != nil {
 		return nil, rejected("bad-statement", "where", err.Error())
 	}
--- a/peer/asker.go
+++ b/peer/asker.go
@@ -21,15 +21,13 @@
 
 // Ask returns the part of a query's result that the instance at the address has.
 func (asker Asker) Ask(ctx context.Context, address string, subject coltsfootlink.Subject, since time.Time) (coltsfootlink.Table, error) {
-	conn, err := dial(address, asker.Secure)
+	var reply *peerpb.Table
+	err := asker.call(ctx, address, func(ctx context.Context, client peerpb.PeerClient) (err error) {
+		reply, err = client.Ask(ctx, &peerpb.Question{Subject: string(subject), SinceUnixMillis: toUnixMillis(since)})
+		return err
+	})
 	if err != nil {
-		return coltsfootlink.Table{}, errors.Wrap(err, "peer")
-	}
-	defer func() { _ = conn.Close() }()
-	ctx = metadata.AppendToOutgoingContext(ctx, instanceKey, string(asker.Self), tokenKey, asker.Token)
-	reply, err := peerpb.NewPeerClient(conn).Ask(ctx, &peerpb.Question{Subject: string(subject), SinceUnixMillis: toUnixMillis(since)})
-	if err != nil {
-		return coltsfootlink.Table{}, errors.Wrap(err, "peer")
+		return coltsfootlink.Table{}, err
 	}
 	table := coltsfootlink.Table{Columns: reply.GetColumns()}
 	for _, row := range reply.GetRows() {
@@ -37,3 +35,23 @@
 	}
 	return table, nil
 }
+
+// LiftBar has the instance at the address, and through it all others, let requests through whose prompts have the parts.
+func (asker Asker) LiftBar(ctx context.Context, address string, lift coltsfootlink.BarLift) error {
+	return asker.call(ctx, address, func(ctx context.Context, client peerpb.PeerClient) error {
+		parts := convertAll(lift.Parts, func(part coltsfootlink.PartID) uint64 { return uint64(part) })
+		_, err := client.LiftBar(ctx, &peerpb.BarLift{Pool: string(lift.Pool), Parts: parts})
+		return err
+	})
+}
+
+// call connects to the instance at the address and calls it.
+func (asker Asker) call(ctx context.Context, address string, call func(context.Context, peerpb.PeerClient) error) error {
+	conn, err := dial(address, asker.Secure)
+	if err != nil {
+		return errors.Wrap(err, "peer")
+	}
+	defer func() { _ = conn.Close() }()
+	ctx = metadata.AppendToOutgoingContext(ctx, instanceKey, string(asker.Self), tokenKey, asker.Token)
+	return errors.Wrap(call(ctx, peerpb.NewPeerClient(conn)), "peer")
+}
--- a/peer/router.go
+++ b/peer/router.go
@@ -89,7 +89,7 @@
 		return []*mailbox.Deliveries{router.Dispatch}
 	case coltsfootlink.News, coltsfootlink.NewsRequest:
 		return []*mailbox.Deliveries{router.Catalog}
-	case coltsfootlink.QuarantineNews, coltsfootlink.QuarantineRequest:
+	case coltsfootlink.QuarantineNews, coltsfootlink.QuarantineRequest, coltsfootlink.BarLift:
 		return []*mailbox.Deliveries{router.Quarantine}
 	case coltsfootlink.ClaimRequest, coltsfootlink.ClaimReply, coltsfootlink.ClaimOutcome:
 		return []*mailbox.Deliveries{router.Claims}
--- a/peer/server.go
+++ b/peer/server.go
@@ -114,6 +114,19 @@
 	return encoded, nil
 }
 
+// LiftBar passes on an operator's order to let requests through whose prompts have barred parts.
+func (server *Server) LiftBar(ctx context.Context, lift *peerpb.BarLift) (*peerpb.Nothing, error) {
+	from, err := server.authenticate(ctx)
+	if err != nil {
+		return nil, err
+	}
+	server.Router.Deliver(coltsfootlink.Delivery{From: from, Message: coltsfootlink.BarLift{
+		Pool:  coltsfootlink.PoolName(lift.GetPool()),
+		Parts: convertAll(lift.GetParts(), func(part uint64) coltsfootlink.PartID { return coltsfootlink.PartID(part) }),
+	}})
+	return &peerpb.Nothing{}, nil
+}
+
 // recoverStream ends a stream whose handler panics. gRPC would otherwise let the whole process end.
 func (server *Server) recoverStream(service any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, handle grpc.StreamHandler) (err error) {
 	defer server.recoverPanic(&err)
--- a/quarantine.go
+++ b/quarantine.go
@@ -38,5 +38,12 @@
 // QuarantineRequest asks an instance for all that it knows of prompts that crash targets; the reply is QuarantineNews.
 type QuarantineRequest struct{}
 
+// BarLift is an operator's order to let requests through whose prompts have parts that are barred.
+type BarLift struct {
+	Pool  PoolName
+	Parts []PartID
+}
+
+func (BarLift) isMessage()           {}
 func (QuarantineNews) isMessage()    {}
 func (QuarantineRequest) isMessage() {}
--- a/quarantine/task.go
+++ b/quarantine/task.go
@@ -86,6 +86,8 @@
 		task.handleNews(message)
 	case coltsfootlink.QuarantineRequest:
 		task.Sender.Send(delivery.From, task.news(maxCrashes))
+	case coltsfootlink.BarLift:
+		task.lift(message)
 	case coltsfootlink.ViewChanged:
 		task.handleFleet(message.View)
 	case coltsfootlink.Inquiry:
@@ -124,6 +126,18 @@
 	}
 }
 
+// lift clears parts at an operator's order, on all instances.
+func (task *Task) lift(order coltsfootlink.BarLift) {
+	task.Log.Warn().Str("pool", string(order.Pool)).Str("parts", join(order.Parts)).Msg("quarantine: an operator lifts the bar on prompts with these parts")
+	now := task.Clock.Now()
+	var news coltsfootlink.QuarantineNews
+	for _, part := range order.Parts {
+		news.Answered = append(news.Answered, coltsfootlink.PartAnswered{Pool: order.Pool, Part: part, At: now})
+	}
+	task.handleNews(news)
+	task.broadcast(news)
+}
+
 // handleNews records what another instance knows.
 func (task *Task) handleNews(news coltsfootlink.QuarantineNews) {
 	for _, crash := range news.Crashes {
@@ -159,8 +173,12 @@
 	}
 }
 
-// tells reports whether this instance is one of those that tell an instance that has joined what they know.
+// tells reports whether this instance is one of those that tell an instance that has joined what they know. One that has just
+// started leaves that to others.
 func (task *Task) tells(before coltsfootlink.View, joined coltsfootlink.InstanceName) bool {
+	if len(before.Members) == 0 {
+		return false
+	}
 	weight := func(name coltsfootlink.InstanceName) uint64 {
 		return xxhash.Sum64String(string(joined) + "/" + string(name))
 	}
--- a/quarantine/task_test.go
+++ b/quarantine/task_test.go
@@ -117,6 +117,13 @@
 				}
 			}
 		}, count},
+		"an operator lifts the bar on one instance": {func(fleet *fleet) {
+			fleet.now = fleet.now.Add(time.Second)
+			fleet.tasks["i-5"].handle(coltsfootlink.Delivery{Message: coltsfootlink.BarLift{Pool: "p", Parts: prompt("d")}})
+		}, 0},
+		"an operator lifts another bar": {func(fleet *fleet) {
+			fleet.tasks["i-5"].handle(coltsfootlink.Delivery{Message: coltsfootlink.BarLift{Pool: "q", Parts: prompt("d")}})
+		}, count},
 		"a trial was answered": {func(fleet *fleet) {
 			fleet.now = fleet.now.Add(time.Minute)
 			fleet.tasks["i-7"].handle(coltsfootlink.Delivery{Message: Answered{Pool: "p", Parts: prompt("cd"), At: fleet.now}})
