soak: prompts that crash targets

The rule checks from what targets and callers see that at most three such requests reach targets later than four seconds after the fifth crash, and that sound ones are served then. Drawn after all other faults, so that earlier seeds keep theirs.

--- a/cmd/soak/plan.go
+++ b/cmd/soak/plan.go
@@ -66,6 +66,7 @@
 	evacuateKind        faultKind = "evacuate"
 	moveGoodKind        faultKind = "move-good"
 	moveBadKind         faultKind = "move-bad"
+	deadlyPromptsKind   faultKind = "deadly-prompts"
 )
 
 // faultSpec describes a kind of fault.
@@ -142,6 +143,7 @@
 		evacuateKind:        {onZone, 6 * second, 9 * second, true, rig.Pass},
 		moveGoodKind:        {onTable, 12 * second, 14 * second, true, rig.Pass},
 		moveBadKind:         {onTable, 12 * second, 14 * second, true, rig.Pass},
+		deadlyPromptsKind:   {onTable, 8 * second, 12 * second, false, rig.Pass},
 	}
 }
 
@@ -161,10 +163,11 @@
 func newPlan(seed uint64, size size, duration time.Duration) []step {
 	random := rand.New(rand.NewPCG(seed, 0))
 	kinds := slices.Sorted(maps.Keys(faultSpecs()))
-	kinds = slices.DeleteFunc(kinds, func(kind faultKind) bool { return slices.Contains(addedKinds, kind) })
+	kinds = slices.DeleteFunc(kinds, func(kind faultKind) bool { return slices.Contains(addedKinds, kind) || kind == deadlyPromptsKind })
 	faultsPerSecond := minFaultsPerSecond + random.Float64()*(maxFaultsPerSecond-minFaultsPerSecond)
 	plan := drawFaults(random, nil, kinds, faultsPerSecond, size, duration)
 	plan = drawFaults(rand.New(rand.NewPCG(seed, 1)), plan, addedKinds, addedFaultsPerSecond, size, duration)
+	plan = drawFaults(rand.New(rand.NewPCG(seed, 2)), plan, []faultKind{deadlyPromptsKind}, 0, size, duration)
 	slices.SortStableFunc(plan, func(one, other step) int { return int(one.Starts - other.Starts) })
 	return plan
 }
--- a/cmd/soak/replica.go
+++ b/cmd/soak/replica.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"sync"
 	"time"
 
 	"coltsfootlink/loopback"
@@ -13,6 +14,9 @@
 	"coltsfootlink/rig"
 )
 
+// promptCrashDuration is how long a target is down that a prompt has crashed.
+const promptCrashDuration = 2 * time.Second
+
 // missedKeepalives is the number of missed keepalives after which the record of a crashed target is removed.
 const missedKeepalives = 3
 
@@ -129,21 +133,22 @@
 			return
 		}
 	}
-	proxy, err := rig.StartProxy(ctx, address)
+	lifetime, stop := context.WithCancel(ctx)
+	proxy, err := rig.StartProxy(lifetime, address)
 	if err != nil {
+		stop()
 		return
 	}
 	proxy.Set(replica.mode)
 	replica.startCount++
 	now := time.Now()
-	started := &incarnation{proxy: proxy, canary: canary, target: &target{
+	started := &incarnation{stop: stop, proxy: proxy, canary: canary, target: &target{
+		crash: sync.OnceFunc(func() { replica.crashAtOnce(stop) }),
 		index: replica.index, name: fmt.Sprintf("t-%d-%d", replica.index, replica.startCount), zone: replica.zone, version: version, pool: replica.pool,
 		address: address, born: now, coldUntil: now.Add(cold), badVersion: badVersion, record: replica.record,
 	}}
 	behaviour := replica.behaviour
 	started.target.behaviour.Store(&behaviour)
-	var lifetime context.Context
-	lifetime, started.stop = context.WithCancel(ctx)
 	go func() { _ = started.target.Run(lifetime) }()
 	replica.incarnations = append(replica.incarnations, started)
 	replica.register(ctx, started)
@@ -192,6 +197,20 @@
 	}
 }
 
+// crashAtOnce crashes the target that serves, and restarts it after a while.
+func (replica *replica) crashAtOnce(stop context.CancelFunc) {
+	now := time.Now()
+	crash := transition{begin: true, step: step{Kind: targetCrashKind, Subject: onTarget, Index: replica.index, Starts: now.UnixMilli()}}
+	replica.record(crash.disruption(now))
+	stop()
+	replica.inbox.Put(targetFault{transition: crash})
+	time.AfterFunc(promptCrashDuration, func() {
+		crash.begin = false
+		replica.record(crash.disruption(time.Now()))
+		replica.inbox.Put(targetFault{transition: crash})
+	})
+}
+
 // keepalive renews the records of running targets, and stops and removes those that have drained or crashed.
 func (replica *replica) keepalive(ctx context.Context) {
 	now := time.Now()
--- a/cmd/soak/rules.go
+++ b/cmd/soak/rules.go
@@ -45,8 +45,15 @@
 	abandonTimeout = 500 * time.Millisecond
 	abandonSlack   = 3
 	// deniedSlack is the number of wrong denials allowed in a run, in addition to one per deniedDivisor attempts.
-	deniedSlack   = 5
-	deniedDivisor = 500
+	deniedSlack = 5
+	// crashesToLearn is the number of crashes under a part of prompts from which on, after contactTimeout, at most
+	// deadlySlack more requests with it may reach targets. Of minSound sound prompts or more beside them, one in soundDivisor
+	// has to be served then.
+	crashesToLearn = 5
+	deadlySlack    = 3
+	minSound       = 20
+	soundDivisor   = 2
+	deniedDivisor  = 500
 	// fairWindow is the length in seconds of the windows in which fairness is checked, fairDivisor divides what a team
 	// is entitled to into what it has to get, and fairSlack is the number of requests that it may get less.
 	fairWindow  = 6
@@ -85,6 +92,7 @@
 		"gone":     abandonedRequests,
 		"lost":     lossesInStops,
 		"recover":  unservedAfterRecovery,
+		"prompts":  deadlyPrompts,
 		"running":  func(seen history) []string { return seen.exits },
 	}
 }
@@ -424,6 +432,54 @@
 	return found
 }
 
+// deadlyPrompts checks that requests whose prompts crash targets stop reaching them, and that others are served then.
+func deadlyPrompts(seen history) []string {
+	attempts := seen.byID()
+	crashed := make(map[string]bool)
+	var learned time.Time
+	var found []string
+	for _, arrival := range seen.arrivals {
+		if !arrival.deadly {
+			continue
+		}
+		if crashed[arrival.target] = true; len(crashed) == crashesToLearn && learned.IsZero() {
+			learned = arrival.at
+		}
+		attempt, ended := attempts[arrival.id]
+		if ended && !learned.IsZero() && arrival.at.Sub(learned) > contactTimeout && seen.instanceHealthy(attempt.instance, learned, arrival.at) {
+			found = append(found, fmt.Sprintf("%s reached %s %v after the fifth crash", arrival.id, arrival.target, arrival.at.Sub(learned)))
+		}
+	}
+	if len(found) <= deadlySlack {
+		found = nil
+	}
+	return append(found, seen.soundPrompts(learned)...)
+}
+
+// soundPrompts checks that prompts which crash no target are served once it is known which ones do.
+func (seen history) soundPrompts(learned time.Time) []string {
+	if learned.IsZero() {
+		return nil
+	}
+	sent, served := 0, 0
+	for _, attempt := range seen.attempts {
+		if attempt.team != steadyTeam || !streams(attempt.route) || attempt.deadly || attempt.abandoned || attempt.sent.Sub(learned) <= 2*contactTimeout {
+			continue
+		}
+		if seen.disrupted(attempt.sent, attempt.ended, func(step step) bool { return step.Kind != deadlyPromptsKind }) {
+			continue
+		}
+		sent++
+		if attempt.status == okStatus {
+			served++
+		}
+	}
+	if sent >= minSound && served*soundDivisor < sent {
+		return []string{fmt.Sprintf("%d of %d sound prompts were served beside those that crash targets", served, sent)}
+	}
+	return nil
+}
+
 // undisturbed reports whether no fault disrupted an instance, the store or the soak itself.
 func (seen history) undisturbed(from, to time.Time) bool {
 	return !seen.disrupted(from, to, func(step step) bool {
--- a/cmd/soak/site.go
+++ b/cmd/soak/site.go
@@ -55,6 +55,8 @@
 	replicas     []*replica
 	storeAddress string
 	activeFloods atomic.Int32
+	// deadlyPrompts indicates that some prompts crash targets.
+	deadlyPrompts atomic.Bool
 	// stopped is closed when all tasks have ended; nil before they start.
 	stopped chan struct{}
 }
@@ -126,7 +128,8 @@
 			name := fmt.Sprintf("%s-%s-%d", team, route, index)
 			site.branch.Add(name, &caller{
 				name: name, route: route, team: team, meanDelay: meanDelay, active: active,
-				table: func() table { return *site.operator.table.Load() }, picks: balancer.picks, record: site.record,
+				deadlyPrompts: site.deadlyPrompts.Load,
+				table:         func() table { return *site.operator.table.Load() }, picks: balancer.picks, record: site.record,
 			})
 		}
 	}
@@ -217,6 +220,8 @@
 		if transition.begin {
 			work = operator.addKey
 		}
+	case deadlyPromptsKind:
+		site.deadlyPrompts.Store(transition.begin)
 	case oddRecordsKind:
 		work = func(ctx context.Context) { operator.writeOdd(ctx, transition.begin) }
 	case evacuateKind:
--- a/cmd/soak/target.go
+++ b/cmd/soak/target.go
@@ -37,6 +37,8 @@
 	// comments of a stream that does not end.
 	backoffDuration = 2 * time.Second
 	trickleInterval = 200 * time.Millisecond
+	// trickle is the comment that such a stream repeats.
+	trickle = ":\n"
 	// maxGarbageBytes is the maximum number of garbage bytes in an endless answer.
 	maxGarbageBytes = 32 << 20
 )
@@ -91,6 +93,9 @@
 	badVersion bool
 	record     func(any)
 
+	// crash is called when a prompt crashes the target.
+	crash func()
+
 	behaviour atomic.Pointer[behaviour]
 	// leaving indicates that it announces in its answers that it is shutting down.
 	leaving    atomic.Bool
@@ -212,10 +217,14 @@
 	}
 	arrival.ran = true
 	arrival.stamp = fmt.Sprintf("%s.%d.%d.%s", target.name, target.executions.Add(1), status, digest(string(body)))
+	arrival.deadly = strings.Contains(request.Header.Get(standin.PromptHeader), deadlyPart)
 	target.record(arrival)
 	if !coltsfootlink.Sleep(request.Context(), workDuration) {
 		panic(http.ErrAbortHandler)
 	}
+	if arrival.deadly {
+		target.crashUnder(writer, arrival)
+	}
 	if behaviour.garbles && rand.Float64() < faultyShare || behaviour.endless {
 		target.garble(writer, request, behaviour.endless, arrival.stamp, body, status)
 		return
@@ -235,7 +244,7 @@
 	if status == http.StatusOK && request.Header.Get(streamHeader) != "" {
 		target.stream(writer, request, body, cut)
 		if behaviour.trickles && rand.Float64() < faultyShare {
-			trickle(writer, request)
+			sendTrickle(writer, request)
 		}
 		return
 	}
@@ -247,6 +256,17 @@
 	}
 }
 
+// crashUnder begins an answer and crashes.
+func (target *target) crashUnder(writer http.ResponseWriter, arrival arrival) {
+	writer.Header().Set(standin.StampHeader, arrival.stamp)
+	writer.Header().Set("Content-Type", platform.EventStream)
+	// An error means that the peer has disconnected.
+	_ = http.NewResponseController(writer).Flush()
+	time.Sleep(eventInterval)
+	target.crash()
+	panic(http.ErrAbortHandler)
+}
+
 // stream sends the events of a body one by one. It aborts after cut bytes, possibly in the middle of an event, if the
 // body is longer.
 func (target *target) stream(writer http.ResponseWriter, request *http.Request, body []byte, cut int) {
@@ -265,10 +285,10 @@
 	}
 }
 
-// trickle keeps a stream open with comments, a few bytes now and then, until its peer disconnects.
-func trickle(writer http.ResponseWriter, request *http.Request) {
+// sendTrickle keeps a stream open with comments, a few bytes now and then, until its peer disconnects.
+func sendTrickle(writer http.ResponseWriter, request *http.Request) {
 	for coltsfootlink.Sleep(request.Context(), trickleInterval) {
-		_, _ = io.WriteString(writer, ":\n")
+		_, _ = io.WriteString(writer, trickle)
 		_ = http.NewResponseController(writer).Flush()
 	}
 	panic(http.ErrAbortHandler)
