soak: let comments of an endless stream be what its target sent

Change: a body that was cut off may be all that was expected, followed by whole comments of that fault only; anything else is a defect as before.

--- a/cmd/soak/connection.go
+++ b/cmd/soak/connection.go
@@ -111,12 +111,19 @@
 		return fmt.Sprintf("complete answer of %d bytes with status %d does not match its stamp %s", len(answer.body), answer.status, stamp)
 	case answer.complete && !bytes.Equal(answer.body, expected):
 		return fmt.Sprintf("complete answer of %d bytes differs from the expected %d bytes", len(answer.body), len(expected))
-	case !bytes.HasPrefix(expected, answer.body):
+	case !bytes.HasPrefix(expected, answer.body) && !trickled(expected, answer.body):
 		return fmt.Sprintf("truncated answer of %d bytes is not a prefix of the expected one", len(answer.body))
 	}
 	return ""
 }
 
+// trickled reports whether a body that was cut off consists of all that was expected and the comments of a stream that does not
+// end.
+func trickled(expected, body []byte) bool {
+	comments, found := bytes.CutPrefix(body, expected)
+	return found && len(bytes.ReplaceAll(comments, []byte(trickle), nil)) == 0
+}
+
 // stampMatches reports whether a stamp was issued for a complete answer with the given status and body.
 func stampMatches(stamp string, status int, body []byte) bool {
 	return strings.HasSuffix(stamp, fmt.Sprintf(".%d.%s", status, digest(string(body))))
