Tell a flood by the number of a team's requests, not by their size

Cause: a team whose demand in a quarter of a second was three times its mean counted as a flood for a second. With ten requests a second of very different sizes that is an ordinary moment; so is each new team. Ruled out: a higher factor (another threshold; lumps of one request have no bound), and room at targets (the flood of TestTeamsGetNoMoreThanTheirSharesWhileTargetsHaveRoomForAFlood finds room, too). Change: instances report how many requests a team sent; a flood is a rise in their number as well, beyond a few.

--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -47,6 +47,9 @@
 	teamLoad := load.teams[team]
 	teamLoad.Team = team
 	teamLoad.Tokens += requested
+	if requested > 0 {
+		teamLoad.Requests++
+	}
 	teamLoad.Granted += granted
 	load.teams[team] = teamLoad
 	load.burst = load.burst.WithDemand(requested)
--- a/message_gateway.go
+++ b/message_gateway.go
@@ -56,8 +56,9 @@
 // TeamLoad is the work that a team has requested and been granted, in tokens.
 type TeamLoad struct {
 	Team TeamName
-	// Tokens is the requested work.
-	Tokens float64
+	// Tokens is the requested work, and Requests the number of requests.
+	Tokens   float64
+	Requests int
 	// Granted is the part of the work for which permits were granted.
 	Granted float64
 }
--- a/peer/gateway.go
+++ b/peer/gateway.go
@@ -226,7 +226,7 @@
 		Full:    float32(offered.RefusedFull),
 		PoolRef: encoder.ref(string(offered.Pool)),
 		Teams: convertAll(offered.Teams, func(team coltsfootlink.TeamLoad) *peerpb.TeamOffer {
-			return &peerpb.TeamOffer{TeamRef: encoder.ref(string(team.Team)), Tokens: float32(team.Tokens), Granted: float32(team.Granted)}
+			return &peerpb.TeamOffer{TeamRef: encoder.ref(string(team.Team)), Tokens: float32(team.Tokens), Granted: float32(team.Granted), Requests: uint32(team.Requests)}
 		}),
 	}
 }
@@ -237,7 +237,7 @@
 		RefusedFull: float64(offered.GetFull()),
 		Pool:        coltsfootlink.PoolName(decoder.name(offered.GetPoolRef())),
 		Teams: convertAll(offered.GetTeams(), func(team *peerpb.TeamOffer) coltsfootlink.TeamLoad {
-			return coltsfootlink.TeamLoad{Team: coltsfootlink.TeamName(decoder.name(team.GetTeamRef())), Tokens: float64(team.GetTokens()), Granted: float64(team.GetGranted())}
+			return coltsfootlink.TeamLoad{Team: coltsfootlink.TeamName(decoder.name(team.GetTeamRef())), Tokens: float64(team.GetTokens()), Granted: float64(team.GetGranted()), Requests: int(team.GetRequests())}
 		}),
 	}
 }
--- a/share/ledger.go
+++ b/share/ledger.go
@@ -41,9 +41,10 @@
 	for _, load := range offered.Teams {
 		stats, found := ledger.teams.Get(load.Team)
 		if !found {
-			stats = teamStats{surplus: 1, announced: 1, meanAnnounced: 1}
+			stats = teamStats{surplus: 1, announced: 1, meanAnnounced: 1, steadySeconds: averagingWindow.Seconds()}
 		}
 		stats.requested += load.Tokens
+		stats.requests += float64(load.Requests)
 		ledger.burst = ledger.burst.WithDemand(load.Tokens)
 		stats.granted += load.Granted
 		ledger.teams = ledger.teams.Set(load.Team, stats)
--- a/share/teamstats.go
+++ b/share/teamstats.go
@@ -19,6 +19,8 @@
 	// are granted; smaller ones can be noise, since requests arrive in batches.
 	changedFraction   = 0.3
 	minChangeFraction = 0.1
+	// fewRequests is the number of requests between two evaluations that are no flood, however few there were before.
+	fewRequests = 4
 )
 
 // sample is a team's activity between two evaluations, in tokens per second.
@@ -36,8 +38,10 @@
 // teamStats holds the demand and the grants of one team as running means, in tokens per second.
 type teamStats struct {
 	meanRequested, meanGranted float64
-	// requested and granted are the tokens reported since the last evaluation.
-	requested, granted float64
+	// requested and granted are the tokens, and requests the requests reported since the last evaluation; meanRequests is the
+	// running mean of the requests per second.
+	requested, granted     float64
+	requests, meanRequests float64
 	// burst is the demand extrapolated from the reports since the last evaluation, in tokens per second; zero unless
 	// that is many times meanRequested.
 	burst float64
@@ -48,8 +52,8 @@
 	announced, meanAnnounced float64
 	// previous is the sample of the last evaluation.
 	previous sample
-	// knownSeconds is how long the team has been known, at most averagingWindow, and steadySeconds how long its demand
-	// has not risen to teamBurstFactor times its mean.
+	// knownSeconds is how long the team has been known, and steadySeconds how long its demand has not risen to many times its
+	// mean; both are at most averagingWindow.
 	knownSeconds, steadySeconds float64
 }
 
@@ -63,7 +67,7 @@
 	if stats.burst > 0 {
 		recent = newest
 	}
-	if newest.requested > teamBurstFactor*stats.meanRequested {
+	if stats.rises(seconds) {
 		stats.steadySeconds = 0
 	} else {
 		stats.steadySeconds = min(averagingWindow.Seconds(), stats.steadySeconds+seconds)
@@ -71,16 +75,24 @@
 	stats.knownSeconds = min(averagingWindow.Seconds(), stats.knownSeconds+seconds)
 	weight := min(1, seconds/stats.knownSeconds)
 	stats.meanRequested += weight * (newest.requested - stats.meanRequested)
+	stats.meanRequests += weight * (stats.requests/seconds - stats.meanRequests)
 	stats.meanGranted += weight * (newest.granted - stats.meanGranted)
 	stats.meanAnnounced += weight * (newest.announced - stats.meanAnnounced)
 	if stats.knownSeconds > seconds && math.Abs(recent.requested-stats.meanRequested) > max(changedFraction*stats.meanRequested, minChangeFraction*total) {
 		stats.meanRequested, stats.meanGranted, stats.meanAnnounced = recent.requested, recent.granted, recent.announced
 	}
 	stats.previous = newest
-	stats.requested, stats.granted, stats.burst = 0, 0, 0
+	stats.requested, stats.granted, stats.requests, stats.burst = 0, 0, 0, 0
 	return stats
 }
 
+// rises reports whether the team's demand in the last seconds is many times its mean, because it sends many times as many
+// requests. A few large requests among small ones raise its demand as much, but not their number.
+func (stats teamStats) rises(seconds float64) bool {
+	more := stats.requests > teamBurstFactor*stats.meanRequests*seconds+fewRequests
+	return more && stats.requested > teamBurstFactor*stats.meanRequested*seconds
+}
+
 // entitled returns the fraction of the team's requests that is within its share, for a team whose demand exceeds the
 // level: level/demand, raised to compensate for requests that instances short of CPU and full targets refuse after
 // share admission.
@@ -90,7 +102,7 @@
 }
 
 // flooding reports whether the team's demand has risen to many times its mean so recently that it does not show yet
-// which other teams it leaves underserved. A team that has just become known counts as flooding.
+// which other teams it leaves underserved.
 func (stats teamStats) flooding() bool {
 	return stats.burst > 0 || stats.steadySeconds < averagingWindow.Seconds()
 }
