Bar prompts only once it is known which parts targets answer

Change: that a part was never answered counts for nothing until eight parts were; until then three crashes are needed. The first trial is two seconds after the last crash in either case.

--- a/quarantine/answered.go
+++ b/quarantine/answered.go
@@ -35,6 +35,9 @@
 	return known
 }
 
+// Len returns the number of parts that are known to have been answered; those of the latest requests may count twice.
+func (known answered) Len() int { return known.recent.Len() + known.older.Len() }
+
 // At returns when a request with the part was last answered; zero if that is not known.
 func (known answered) At(part coltsfootlink.PartID) time.Time {
 	if at, found := known.recent.Get(part); found {
--- a/quarantine/bar.go
+++ b/quarantine/bar.go
@@ -13,9 +13,11 @@
 
 const (
 	// minCrashes is the number of successive crashes from which parts are barred that no target has answered, and
-	// minCrashesAnswered the number for a part that targets have answered before.
+	// minCrashesAnswered the number for a part that targets have answered before. Of a part it says nothing that it was never
+	// answered until minAnswered others were.
 	minCrashes         = 2
 	minCrashesAnswered = 3
+	minAnswered        = 8
 	// firstTrialDelay is the time from the last crash until a request is let through as a trial; it is short because parts may
 	// be blamed wrongly. It grows by trialBackoff with each further crash, up to maxTrialDelay.
 	firstTrialDelay = 2 * time.Second
@@ -84,7 +86,7 @@
 // candidate is a part that may have caused crashes.
 type candidate struct {
 	part coltsfootlink.PartID
-	// answered indicates that a request with the part was answered before.
+	// answered indicates that a request with the part was answered before, or that too little is known to tell.
 	answered bool
 	// successive is the number of crashes one after the other, and all are all crashes with the part.
 	successive int
@@ -103,12 +105,12 @@
 	}
 }
 
-// convicted reports whether the crashes suffice to bar the part.
-func (one candidate) convicted() bool {
+// excess returns the number of successive crashes beyond those from which the part is barred; negative if there are too few.
+func (one candidate) excess() int {
 	if one.answered {
-		return one.successive >= minCrashesAnswered
+		return one.successive - minCrashesAnswered
 	}
-	return one.successive >= minCrashes
+	return one.successive - minCrashes
 }
 
 // nextBar returns the bar for the part that is most likely to have caused the unexplained crashes; false if none is likely.
@@ -117,7 +119,7 @@
 	for _, found := range state.unexplained {
 		for _, part := range found.parts {
 			next := state.candidateOf(part)
-			if next.convicted() && (best.successive == 0 || next.compare(best) < 0) {
+			if next.excess() >= 0 && (best.successive == 0 || next.compare(best) < 0) {
 				best = next
 			}
 		}
@@ -131,14 +133,14 @@
 		Crashes: len(best.all),
 		FirstAt: first,
 		LastAt:  last,
-		TrialAt: last.Add(trialDelay(best.successive - minCrashes)),
+		TrialAt: last.Add(trialDelay(best.excess())),
 	}, true
 }
 
 // candidateOf collects the unexplained crashes with a part. Only crashes of requests that were sent after the one before was
 // known count as successive: crashes at the same moment have one cause, which may be none of the prompts.
 func (state State) candidateOf(part coltsfootlink.PartID) candidate {
-	found := candidate{part: part, answered: !state.answered.At(part).IsZero()}
+	found := candidate{part: part, answered: !state.answered.At(part).IsZero() || state.answered.Len() < minAnswered}
 	var counted coltsfootlink.PromptCrash
 	for _, next := range state.unexplained {
 		if !slices.Contains(next.parts, part) {
