soak: an ended proxy takes modes without blocking

Since a target's proxy ends with the target, and setting the mode of an ended proxy waited for ever; the task of that replica stood still, and the next target kept the mode that held its bytes. Change: messages to an ended proxy are dropped.

--- a/rig/proxy.go
+++ b/rig/proxy.go
@@ -47,6 +47,8 @@
 
 	mode  atomic.Int32
 	inbox chan any
+	// done is closed when the proxy ends.
+	done <-chan struct{}
 }
 
 // connectionPair reports that a client's connection and the one to the target were opened, or are closed.
@@ -65,17 +67,17 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "rig: proxy")
 	}
-	proxy := &Proxy{Address: address, Target: target, inbox: make(chan any)}
+	proxy := &Proxy{Address: address, Target: target, inbox: make(chan any), done: ctx.Done()}
 	context.AfterFunc(ctx, func() { _ = listener.Close() })
 	go proxy.run(ctx)
-	go proxy.accept(ctx, listener)
+	go proxy.accept(listener)
 	return proxy, nil
 }
 
-// Set changes the mode. Close and Abort also close the connections that are open.
+// Set changes the mode. Close and Abort also close the connections that are open. It has no effect on a proxy that has ended.
 func (proxy *Proxy) Set(mode Mode) {
 	proxy.mode.Store(int32(mode))
-	proxy.inbox <- mode
+	proxy.send(mode)
 }
 
 // run is the task that owns the set of open connections.
@@ -106,17 +108,17 @@
 	}
 }
 
-func (proxy *Proxy) accept(ctx context.Context, listener net.Listener) {
+func (proxy *Proxy) accept(listener net.Listener) {
 	for {
 		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
-		go proxy.serve(ctx, client)
+		go proxy.serve(client)
 	}
 }
 
-func (proxy *Proxy) serve(ctx context.Context, client net.Conn) {
+func (proxy *Proxy) serve(client net.Conn) {
 	defer func() { _ = client.Close() }()
 	switch Mode(proxy.mode.Load()) {
 	case Abort:
@@ -130,8 +132,8 @@
 		return
 	}
 	defer func() { _ = server.Close() }()
-	proxy.send(ctx, connectionPair{client: client, server: server, open: true})
-	defer proxy.send(ctx, connectionPair{client: client})
+	proxy.send(connectionPair{client: client, server: server, open: true})
+	defer proxy.send(connectionPair{client: client})
 	answersDone := make(chan struct{})
 	go func() {
 		proxy.forward(client, server, HoldAnswers)
@@ -173,10 +175,11 @@
 	return mode == Hold || mode == direction
 }
 
-func (proxy *Proxy) send(ctx context.Context, message connectionPair) {
+// send sends a message to the proxy's task unless it has ended.
+func (proxy *Proxy) send(message any) {
 	select {
 	case proxy.inbox <- message:
-	case <-ctx.Done():
+	case <-proxy.done:
 	}
 }
 
--- a/rig/proxy_test.go
+++ b/rig/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"os"
 	"testing"
@@ -86,3 +87,25 @@
 		})
 	}
 }
+
+func TestSettingTheModeOfAnEndedProxyDoesNotBlock(t *testing.T) {
+	Convey("an ended proxy takes modes and does nothing", t, func() {
+		address, _ := listenEcho(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		proxy, err := StartProxy(ctx, address)
+		So(err, ShouldBeNil)
+		cancel()
+		done := make(chan struct{})
+		go func() {
+			for range 10 {
+				proxy.Set(Hold)
+			}
+			close(done)
+		}()
+		select {
+		case <-done:
+		case <-time.After(time.Second):
+			t.Error("setting a mode blocks")
+		}
+	})
+}
