--- a/quarantine/task.go
+++ b/quarantine/task.go
@@ -1,15 +1,11 @@
 package quarantine
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"coltsfootlink"
@@ -22,12 +18,8 @@
 	tickInterval = 250 * time.Millisecond
 	// syncTimeout is how long an instance waits for what others know before it sends prompts to targets.
 	syncTimeout = 1500 * time.Millisecond
-	// syncPeers is the number of instances that tell an instance that joins what they know.
-	syncPeers = 3
 	// gossipInterval is the time between two messages to a random instance, which reach those that missed the first news.
 	gossipInterval = 2 * time.Second
-	// maxGossip is the number of crashes in such a message.
-	maxGossip = 16
 )
 
 // Task owns the quarantine states of all pools. It tells other instances of the crashes that this one sees, and publishes the
@@ -150,56 +142,6 @@
 	task.setSynced(true)
 }
 
-// handleFleet tells instances that have joined what this one knows. If most of the fleet is new to this instance, it has
-// started or was cut off, and asks what others know.
-func (task *Task) handleFleet(fleet coltsfootlink.View) {
-	before := task.fleet
-	task.fleet = fleet
-	joined := 0
-	for _, member := range fleet.Live() {
-		known, found := before.Member(member.Name)
-		if member.Name == task.Self || found && known.Live && known.Incarnation == member.Incarnation {
-			continue
-		}
-		joined++
-		if news := task.news(maxCrashes); len(news.Crashes) > 0 && task.tells(before, member.Name) {
-			task.Sender.Send(member.Name, news)
-		}
-	}
-	if joined > 0 && 2*joined >= len(fleet.Live()) {
-		task.syncBy = task.Clock.Now().Add(syncTimeout)
-		task.setSynced(false)
-		task.requestNews()
-	}
-}
-
-// tells reports whether this instance is one of those that tell an instance that has joined what they know. One that has just
-// started leaves that to others.
-func (task *Task) tells(before coltsfootlink.View, joined coltsfootlink.InstanceName) bool {
-	if len(before.Members) == 0 {
-		return false
-	}
-	weight := func(name coltsfootlink.InstanceName) uint64 {
-		return xxhash.Sum64String(string(joined) + "/" + string(name))
-	}
-	ahead := 0
-	for _, member := range before.Live() {
-		if member.Name != joined && weight(member.Name) > weight(task.Self) {
-			ahead++
-		}
-	}
-	return ahead < syncPeers
-}
-
-// requestNews asks some live instances for what they know.
-func (task *Task) requestNews() {
-	others := task.others()
-	rand.Shuffle(len(others), func(one, other int) { others[one], others[other] = others[other], others[one] })
-	for _, name := range others[:min(syncPeers, len(others))] {
-		task.Sender.Send(name, coltsfootlink.QuarantineRequest{})
-	}
-}
-
 // tick ends the wait for others, drops old crashes and tells a random instance of the newest ones.
 func (task *Task) tick() {
 	now := task.Clock.Now()
@@ -222,36 +164,6 @@
 	}
 }
 
-// news returns the newest crashes of each pool, up to a number, those that bars rest on first.
-func (task *Task) news(limit int) coltsfootlink.QuarantineNews {
-	var news coltsfootlink.QuarantineNews
-	for _, state := range task.states {
-		crashes := state.Crashes()
-		slices.SortStableFunc(crashes, func(one, other coltsfootlink.PromptCrash) int {
-			return cmp.Or(cmp.Compare(state.rank(one), state.rank(other)), other.CrashedAt.Compare(one.CrashedAt))
-		})
-		news.Crashes = append(news.Crashes, crashes[:min(limit, len(crashes))]...)
-	}
-	return news
-}
-
-// others returns the names of the other live instances.
-func (task *Task) others() []coltsfootlink.InstanceName {
-	var names []coltsfootlink.InstanceName
-	for _, member := range task.fleet.Live() {
-		if member.Name != task.Self {
-			names = append(names, member.Name)
-		}
-	}
-	return names
-}
-
-func (task *Task) broadcast(news coltsfootlink.QuarantineNews) {
-	for _, name := range task.others() {
-		task.Sender.Send(name, news)
-	}
-}
-
 func (task *Task) state(pool coltsfootlink.PoolName) State {
 	if state, found := task.states[pool]; found {
 		return state
@@ -298,47 +210,3 @@
 		subscriber.Put(coltsfootlink.Delivery{Message: Changed{View: task.view}})
 	}
 }
-
-// logBar begins a log line on a bar, with the evidence and its age.
-func (task *Task) logBar(pool coltsfootlink.PoolName, bar Bar) *zerolog.Event {
-	return task.Log.Warn().Str("pool", string(pool)).Str("parts", join(bar.Parts)).Int("crashes", bar.Crashes).
-		Int64("first-ms-ago", task.age(bar.FirstAt)).Int64("last-ms-ago", task.age(bar.LastAt)).Time("trial-at", bar.TrialAt)
-}
-
-// age returns how long ago a time was, in milliseconds.
-func (task *Task) age(at time.Time) int64 { return task.Clock.Now().Sub(at).Milliseconds() }
-
-// describe lists suspects, each with the time since a request with it was answered.
-func (task *Task) describe(suspects []coltsfootlink.Suspect) string {
-	words := make([]string, 0, len(suspects))
-	for _, suspect := range suspects {
-		age := "never"
-		if !suspect.AnsweredAt.IsZero() {
-			age = task.Clock.Now().Sub(suspect.AnsweredAt).Round(time.Millisecond).String()
-		}
-		words = append(words, suspect.Part.String()+":"+age)
-	}
-	return strings.Join(words, " ")
-}
-
-// join lists parts in hexadecimal.
-func join(parts []coltsfootlink.PartID) string {
-	words := make([]string, 0, len(parts))
-	for _, part := range parts {
-		words = append(words, part.String())
-	}
-	return strings.Join(words, " ")
-}
-
-// table returns the bars for the operators' query.
-func (task *Task) table() coltsfootlink.Table {
-	table := coltsfootlink.Table{Columns: []string{"pool", "parts", "crashes", "first-crash", "last-crash", "next-trial"}}
-	for pool, state := range task.states {
-		for _, bar := range state.Bars() {
-			table = table.WithRow(string(pool), join(bar.Parts), strconv.Itoa(bar.Crashes), stamp(bar.FirstAt), stamp(bar.LastAt), stamp(bar.TrialAt))
-		}
-	}
-	return table
-}
-
-func stamp(at time.Time) string { return at.UTC().Format(time.RFC3339) }
