--- a/quarantine/bar.go
+++ b/quarantine/bar.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// minCrashes is the number of successive crashes from which parts are barred that no target has answered, and
-	// minCrashesAnswered the number for a part that targets have answered before. Of a part it says nothing that it was never
-	// answered until minAnswered others were.
+	// minCrashes is the number of successive crashes from which a part is barred that no target has ever answered, and
+	// minCrashesAnswered the number for a part that targets have answered before. Until minAnswered parts have been answered,
+	// too little is known to call a part unanswered, and all need minCrashesAnswered.
 	minCrashes         = 2
 	minCrashesAnswered = 3
 	minAnswered        = 8
