Look a prompt's bar up once, and gather news of crashes once for each view

Cause: read again, the change did some work twice: the bar of each request was looked up a second time before a refusal, the news for instances that join was gathered for each of them, and each tick copied all crashes to look at the oldest. Change: one look-up, one gathering, and State.WithTime does nothing while no crash is old. Behaviour is the same.

--- a/ingress/quarantine.go
+++ b/ingress/quarantine.go
@@ -28,15 +28,15 @@
 		current.refuse(http.StatusServiceUnavailable, coltsfootlink.Refuse(coltsfootlink.NotReady, "it is not known yet which prompts crash targets").WithRetryAt(current.arrived.Add(otherInstanceRetryDelay)))
 		return false
 	}
-	if bar, found := view.Bar(current.pool, current.sharedParts); found && !current.arrived.Before(bar.TrialAt) {
+	bar, found := view.Bar(current.pool, current.sharedParts)
+	if found && !current.arrived.Before(bar.TrialAt) {
 		current.trial = bar.Key()
 		return true
 	}
-	if refusal := current.barredPrompt(); refusal != nil {
-		current.refuse(http.StatusServiceUnavailable, refusal)
-		return false
+	if found {
+		current.refuse(http.StatusServiceUnavailable, current.barredBy(bar))
 	}
-	return true
+	return !found
 }
 
 // barredPrompt returns the refusal of a request whose prompt is held back and that is no trial; nil otherwise.
@@ -48,6 +48,11 @@
 	if !found {
 		return nil
 	}
+	return current.barredBy(bar)
+}
+
+// barredBy returns the refusal of a request that a bar holds back.
+func (current *exchange) barredBy(bar quarantine.Bar) *coltsfootlink.Refusal {
 	refusal := coltsfootlink.Refuse(coltsfootlink.PromptBarred, "targets crash under prompts with the same parts").WithRetryAt(bar.TrialAt)
 	if current.mayHaveRun {
 		return refusal.WithOutcome(coltsfootlink.MayHaveRun)
--- a/quarantine/fleet.go
+++ b/quarantine/fleet.go
@@ -22,14 +22,14 @@
 func (task *Task) handleFleet(fleet coltsfootlink.View) {
 	before := task.fleet
 	task.fleet = fleet
-	joined := 0
+	joined, news := 0, task.news(maxCrashes)
 	for _, member := range fleet.Live() {
 		known, found := before.Member(member.Name)
 		if member.Name == task.Self || found && known.Live && known.Incarnation == member.Incarnation {
 			continue
 		}
 		joined++
-		if news := task.news(maxCrashes); len(news.Crashes) > 0 && task.tells(before, member.Name) {
+		if len(news.Crashes) > 0 && task.tells(before, member.Name) {
 			task.Sender.Send(member.Name, news)
 		}
 	}
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -45,7 +45,7 @@
 		return known.CrashedAt.Compare(at)
 	})
 	state.crashes = slices.Insert(slices.Clone(state.crashes), position, crash)
-	return state.WithTime(now).withoutExcess()
+	return state.withBars().WithTime(now).withoutExcess()
 }
 
 // WithAnswered records that a target has answered a request with the given parts, which clears them of the crashes before.
@@ -71,6 +71,9 @@
 // WithTime drops the crashes that are too old.
 func (state State) WithTime(now time.Time) State {
 	oldest := now.Add(-crashTTL)
+	if len(state.crashes) == 0 || !state.crashes[0].CrashedAt.Before(oldest) {
+		return state
+	}
 	state.crashes = slices.DeleteFunc(slices.Clone(state.crashes), func(crash coltsfootlink.PromptCrash) bool { return crash.CrashedAt.Before(oldest) })
 	return state.withBars()
 }
--- a/quarantine/task.go
+++ b/quarantine/task.go
@@ -150,9 +150,7 @@
 		task.setSynced(!now.Before(task.syncBy))
 	}
 	for pool, state := range task.states {
-		if crashes := state.Crashes(); len(crashes) > 0 && now.Sub(crashes[0].CrashedAt) > crashTTL {
-			task.update(pool, state.WithTime(now))
-		}
+		task.update(pool, state.WithTime(now))
 	}
 	if now.Before(task.gossipAt) {
 		return
