--- a/cmd/soak/caller.go
+++ b/cmd/soak/caller.go
@@ -30,11 +30,11 @@
 	reconnectShare = 0.02
 	// maxBodyBytes is the size of the largest answer that callers request.
 	maxBodyBytes = 48 << 10
-	// deadlyPart is the part of prompts that crashes targets, and deadlyShare the share of prompts with it while there are
+	// crashingPart is the part of prompts that crashes targets, and crashingShare the share of prompts with it while there are
 	// any. soundParts is the number of different parts in the others.
-	deadlyPart  = "dead:50"
-	deadlyShare = 0.15
-	soundParts  = 8
+	crashingPart  = "dead:50"
+	crashingShare = 0.15
+	soundParts    = 8
 	// maxEvents is the length of the longest stream that callers request.
 	maxEvents = 30
 )
@@ -67,9 +67,9 @@
 	meanDelay time.Duration
 	// active reports whether the caller makes calls at the moment; nil means always.
 	active func() bool
-	// deadlyPrompts reports whether some of the prompts have the part that crashes targets.
-	deadlyPrompts func() bool
-	table         func() table
+	// crashingPrompts reports whether some of the prompts have the part that crashes targets.
+	crashingPrompts func() bool
+	table           func() table
 	// picks delivers the instance for each new connection.
 	picks  <-chan instanceAddress
 	record func(any)
@@ -111,9 +111,9 @@
 	size int
 	// lastEvent is the number of the last event received completely; zero if there is none.
 	lastEvent int
-	// prompt lists the parts of the prompt; deadly indicates that one of them crashes targets.
-	prompt string
-	deadly bool
+	// prompt lists the parts of the prompt; crashing indicates that one of them crashes targets.
+	prompt   string
+	crashing bool
 }
 
 // call makes attempts until one is served, a retry is not allowed or no time is left.
@@ -133,11 +133,11 @@
 		pending.size = 1 + rand.IntN(maxEvents)
 	}
 	pending.prompt = fmt.Sprintf("%x:%d", len(name), 200)
-	if caller.deadlyPrompts() {
-		pending.deadly = rand.Float64() < deadlyShare
+	if caller.crashingPrompts() {
+		pending.crashing = rand.Float64() < crashingShare
 		pending.prompt = fmt.Sprintf("c:50,%x:50,%s", rand.IntN(soundParts), pending.prompt)
-		if pending.deadly {
-			pending.prompt = "c:50," + deadlyPart + "," + pending.prompt
+		if pending.crashing {
+			pending.prompt = "c:50," + crashingPart + "," + pending.prompt
 		}
 	}
 	if rand.Float64() < abandonShare {
@@ -167,7 +167,7 @@
 	route := pending.route
 	attempt := attempt{
 		id: fmt.Sprint(pending.name, ".", number), call: pending.name, route: route, team: caller.team, key: key,
-		repeatable: repeatable(route), abandoned: pending.abandoned, deadly: pending.deadly,
+		repeatable: repeatable(route), abandoned: pending.abandoned, crashing: pending.crashing,
 	}
 	if caller.connection == nil {
 		address := <-caller.picks
--- a/cmd/soak/history.go
+++ b/cmd/soak/history.go
@@ -24,8 +24,8 @@
 	defect string
 	// abandoned indicates that the caller was set to give up early, before its usual timeout.
 	abandoned bool
-	// deadly indicates that the prompt crashes targets.
-	deadly bool
+	// crashing indicates that the prompt crashes targets.
+	crashing bool
 }
 
 // served reports whether the caller got a complete answer with status 200.
@@ -57,8 +57,8 @@
 	// for no requests.
 	leaving bool
 	backoff time.Duration
-	// deadly indicates that the request crashed the target.
-	deadly bool
+	// crashing indicates that the request crashed the target.
+	crashing bool
 	// cold indicates that the target was in its cold start.
 	cold bool
 	// repeatable indicates that the request may be executed more than once.
--- a/cmd/soak/plan.go
+++ b/cmd/soak/plan.go
@@ -66,7 +66,7 @@
 	evacuateKind        faultKind = "evacuate"
 	moveGoodKind        faultKind = "move-good"
 	moveBadKind         faultKind = "move-bad"
-	deadlyPromptsKind   faultKind = "deadly-prompts"
+	crashingPromptsKind faultKind = "crashing-prompts"
 )
 
 // faultSpec describes a kind of fault.
@@ -143,7 +143,7 @@
 		evacuateKind:        {onZone, 6 * second, 9 * second, true, rig.Pass},
 		moveGoodKind:        {onTable, 12 * second, 14 * second, true, rig.Pass},
 		moveBadKind:         {onTable, 12 * second, 14 * second, true, rig.Pass},
-		deadlyPromptsKind:   {onTable, 8 * second, 12 * second, false, rig.Pass},
+		crashingPromptsKind: {onTable, 8 * second, 12 * second, false, rig.Pass},
 	}
 }
 
@@ -163,11 +163,11 @@
 func newPlan(seed uint64, size size, duration time.Duration) []step {
 	random := rand.New(rand.NewPCG(seed, 0))
 	kinds := slices.Sorted(maps.Keys(faultSpecs()))
-	kinds = slices.DeleteFunc(kinds, func(kind faultKind) bool { return slices.Contains(addedKinds, kind) || kind == deadlyPromptsKind })
+	kinds = slices.DeleteFunc(kinds, func(kind faultKind) bool { return slices.Contains(addedKinds, kind) || kind == crashingPromptsKind })
 	faultsPerSecond := minFaultsPerSecond + random.Float64()*(maxFaultsPerSecond-minFaultsPerSecond)
 	plan := drawFaults(random, nil, kinds, faultsPerSecond, size, duration)
 	plan = drawFaults(rand.New(rand.NewPCG(seed, 1)), plan, addedKinds, addedFaultsPerSecond, size, duration)
-	plan = drawFaults(rand.New(rand.NewPCG(seed, 2)), plan, []faultKind{deadlyPromptsKind}, 0, size, duration)
+	plan = drawFaults(rand.New(rand.NewPCG(seed, 2)), plan, []faultKind{crashingPromptsKind}, 0, size, duration)
 	slices.SortStableFunc(plan, func(one, other step) int { return int(one.Starts - other.Starts) })
 	return plan
 }
--- a/cmd/soak/rules.go
+++ b/cmd/soak/rules.go
@@ -47,10 +47,10 @@
 	// deniedSlack is the number of wrong denials allowed in a run, in addition to one per deniedDivisor attempts.
 	deniedSlack = 5
 	// crashesToLearn is the number of crashes under a part of prompts from which on, after contactTimeout, at most
-	// deadlySlack more requests with it may reach targets. Of minSound sound prompts or more beside them, one in soundDivisor
+	// crashingSlack more requests with it may reach targets. Of minSound sound prompts or more beside them, one in soundDivisor
 	// has to be served then.
 	crashesToLearn = 5
-	deadlySlack    = 3
+	crashingSlack  = 3
 	minSound       = 20
 	soundDivisor   = 2
 	deniedDivisor  = 500
@@ -92,7 +92,7 @@
 		"gone":     abandonedRequests,
 		"lost":     lossesInStops,
 		"recover":  unservedAfterRecovery,
-		"prompts":  deadlyPrompts,
+		"prompts":  crashingPrompts,
 		"running":  func(seen history) []string { return seen.exits },
 	}
 }
@@ -432,14 +432,14 @@
 	return found
 }
 
-// deadlyPrompts checks that requests whose prompts crash targets stop reaching them, and that others are served then.
-func deadlyPrompts(seen history) []string {
+// crashingPrompts checks that requests whose prompts crash targets stop reaching them, and that others are served then.
+func crashingPrompts(seen history) []string {
 	attempts := seen.byID()
 	crashed := make(map[string]bool)
 	var learned time.Time
 	var found []string
 	for _, arrival := range seen.arrivals {
-		if !arrival.deadly {
+		if !arrival.crashing {
 			continue
 		}
 		if crashed[arrival.target] = true; len(crashed) == crashesToLearn && learned.IsZero() {
@@ -450,7 +450,7 @@
 			found = append(found, fmt.Sprintf("%s reached %s %v after the fifth crash", arrival.id, arrival.target, arrival.at.Sub(learned)))
 		}
 	}
-	if len(found) <= deadlySlack {
+	if len(found) <= crashingSlack {
 		found = nil
 	}
 	return append(found, seen.soundPrompts(learned)...)
@@ -463,10 +463,10 @@
 	}
 	sent, served := 0, 0
 	for _, attempt := range seen.attempts {
-		if attempt.team != steadyTeam || !streams(attempt.route) || attempt.deadly || attempt.abandoned || attempt.sent.Sub(learned) <= 2*contactTimeout {
+		if attempt.team != steadyTeam || !streams(attempt.route) || attempt.crashing || attempt.abandoned || attempt.sent.Sub(learned) <= 2*contactTimeout {
 			continue
 		}
-		if seen.disrupted(attempt.sent, attempt.ended, func(step step) bool { return step.Kind != deadlyPromptsKind }) {
+		if seen.disrupted(attempt.sent, attempt.ended, func(step step) bool { return step.Kind != crashingPromptsKind }) {
 			continue
 		}
 		sent++
--- a/cmd/soak/rules_test.go
+++ b/cmd/soak/rules_test.go
@@ -59,9 +59,9 @@
 	return seen
 }
 
-// deadly returns a history in which requests crash targets every few milliseconds from noon on, and sound ones that begin
+// crashing returns a history in which requests crash targets every few milliseconds from noon on, and sound ones that begin
 // eight seconds after the last crash all end with a status.
-func deadly(count, apart, status int) history {
+func crashing(count, apart, status int) history {
 	var seen history
 	for index := range count {
 		id, at := fmt.Sprint("d-", index), index*apart
@@ -69,7 +69,7 @@
 			at += 3000
 		}
 		arrival := makeArrival(id, fmt.Sprint("t-", index), at)
-		arrival.deadly = true
+		arrival.crashing = true
 		seen = seen.WithArrival(arrival).WithAttempt(makeAttempt(id, http.StatusBadGateway, at, at+9))
 	}
 	for index := range minSound {
@@ -154,10 +154,10 @@
 		"a call not served before the recovery timeout":             {"recover", empty.WithFaultsOver(after(10000)).WithCall(unserved), false},
 		"requests that arrive after their callers gave up":          {"gone", abandoned, true},
 		"a request that arrives while its caller waits":             {"gone", empty.WithAttempt(makeAttempt("r", okStatus, 0, 9)).WithArrival(makeArrival("r", "t", 5)), false},
-		"requests that crash targets, soon after the fifth crash":   {"prompts", deadly(9, 900, okStatus), false},
-		"requests that crash targets, long after the fifth crash":   {"prompts", deadly(9, 2000, okStatus), true},
-		"few requests that crash targets after the fifth crash":     {"prompts", deadly(8, 2000, okStatus), false},
-		"sound requests beside those that crash targets, refused":   {"prompts", deadly(5, 1, http.StatusServiceUnavailable), true},
+		"requests that crash targets, soon after the fifth crash":   {"prompts", crashing(9, 900, okStatus), false},
+		"requests that crash targets, long after the fifth crash":   {"prompts", crashing(9, 2000, okStatus), true},
+		"few requests that crash targets after the fifth crash":     {"prompts", crashing(8, 2000, okStatus), false},
+		"sound requests beside those that crash targets, refused":   {"prompts", crashing(5, 1, http.StatusServiceUnavailable), true},
 		"an instance that exited unexpectedly":                      {"running", empty.WithExit("gateway-0 exited unexpectedly"), true},
 	}
 	for name, test := range cases {
--- a/cmd/soak/site.go
+++ b/cmd/soak/site.go
@@ -55,8 +55,8 @@
 	replicas     []*replica
 	storeAddress string
 	activeFloods atomic.Int32
-	// deadlyPrompts indicates that some prompts crash targets.
-	deadlyPrompts atomic.Bool
+	// crashingPrompts indicates that some prompts crash targets.
+	crashingPrompts atomic.Bool
 	// stopped is closed when all tasks have ended; nil before they start.
 	stopped chan struct{}
 }
@@ -128,8 +128,8 @@
 			name := fmt.Sprintf("%s-%s-%d", team, route, index)
 			site.branch.Add(name, &caller{
 				name: name, route: route, team: team, meanDelay: meanDelay, active: active,
-				deadlyPrompts: site.deadlyPrompts.Load,
-				table:         func() table { return *site.operator.table.Load() }, picks: balancer.picks, record: site.record,
+				crashingPrompts: site.crashingPrompts.Load,
+				table:           func() table { return *site.operator.table.Load() }, picks: balancer.picks, record: site.record,
 			})
 		}
 	}
@@ -220,8 +220,8 @@
 		if transition.begin {
 			work = operator.addKey
 		}
-	case deadlyPromptsKind:
-		site.deadlyPrompts.Store(transition.begin)
+	case crashingPromptsKind:
+		site.crashingPrompts.Store(transition.begin)
 	case oddRecordsKind:
 		work = func(ctx context.Context) { operator.writeOdd(ctx, transition.begin) }
 	case evacuateKind:
--- a/cmd/soak/target.go
+++ b/cmd/soak/target.go
@@ -217,12 +217,12 @@
 	}
 	arrival.ran = true
 	arrival.stamp = fmt.Sprintf("%s.%d.%d.%s", target.name, target.executions.Add(1), status, digest(string(body)))
-	arrival.deadly = strings.Contains(request.Header.Get(standin.PromptHeader), deadlyPart)
+	arrival.crashing = strings.Contains(request.Header.Get(standin.PromptHeader), crashingPart)
 	target.record(arrival)
 	if !coltsfootlink.Sleep(request.Context(), workDuration) {
 		panic(http.ErrAbortHandler)
 	}
-	if arrival.deadly {
+	if arrival.crashing {
 		target.crashUnder(writer, arrival)
 	}
 	if behaviour.garbles && rand.Float64() < faultyShare || behaviour.endless {
--- a/integration/crashing_test.go
+++ b/integration/crashing_test.go
@@ -26,12 +26,12 @@
 // crash breaks all of its connections, and it is down for a while.
 type fragileTarget struct {
 	name, zone, address string
-	// deadly are the parts that crash it.
-	deadly []string
-	crash  chan struct{}
+	// crashing are the parts that crash it.
+	crashing []string
+	crash    chan struct{}
 
 	mutex sync.Mutex
-	// arrivals are the times at which requests with each deadly part arrived, and crashes the times of crashes.
+	// arrivals are the times at which requests with each crashing part arrived, and crashes the times of crashes.
 	arrivals map[string][]time.Time
 	crashes  []time.Time
 }
@@ -77,10 +77,10 @@
 	writer.Header().Set("Answer-Stamp", "stamp-"+id)
 	writer.Header().Set("Content-Type", platform.EventStream)
 	parts := strings.Split(request.Header.Get("Prompt-Prefix"), ",")
-	deadly := ""
-	for _, part := range target.deadly {
+	crashing := ""
+	for _, part := range target.crashing {
 		if slices.Contains(parts, part+":10") {
-			deadly = part
+			crashing = part
 			target.mutex.Lock()
 			target.arrivals[part] = append(target.arrivals[part], time.Now())
 			target.mutex.Unlock()
@@ -89,7 +89,7 @@
 	control := http.NewResponseController(writer)
 	_ = control.Flush()
 	time.Sleep(fragileFirstEvent)
-	if deadly != "" {
+	if crashing != "" {
 		target.mutex.Lock()
 		target.crashes = append(target.crashes, time.Now())
 		target.mutex.Unlock()
@@ -108,7 +108,7 @@
 }
 
 // startFragileTestbed starts four gateways in two zones before six fragile targets.
-func startFragileTestbed(t *testing.T, deadly []string) (*testbed, []*fragileTarget) {
+func startFragileTestbed(t *testing.T, crashing []string) (*testbed, []*fragileTarget) {
 	t.Helper()
 	bed := newTestbed(t)
 	var targets []*fragileTarget
@@ -117,7 +117,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		target := &fragileTarget{name: fmt.Sprint("t-", index), zone: zones[index%2], address: address, deadly: deadly, crash: make(chan struct{}, 1), arrivals: make(map[string][]time.Time)}
+		target := &fragileTarget{name: fmt.Sprint("t-", index), zone: zones[index%2], address: address, crashing: crashing, crash: make(chan struct{}, 1), arrivals: make(map[string][]time.Time)}
 		ctx := t.Context()
 		go target.Run(ctx, t, bed)
 		targets = append(targets, target)
@@ -183,8 +183,8 @@
 		mostAfter    = 3
 	)
 	cases := map[string]struct {
-		deadly []string
-		// prompts returns the parts of the deadly request of a number.
+		crashing []string
+		// prompts returns the parts of the crashing request of a number.
 		prompts func(number int) string
 	}{
 		"one part":             {[]string{"d"}, func(number int) string { return fmt.Sprintf("c:10,d:10,own%d:10", number) }},
@@ -193,7 +193,7 @@
 	}
 	for name, test := range cases {
 		Convey("requests whose prompts crash targets are held back, and sound ones beside them served: "+name, t, func() {
-			bed, targets := startFragileTestbed(t, test.deadly)
+			bed, targets := startFragileTestbed(t, test.crashing)
 			var served, asked int
 			var mutex sync.Mutex
 			var group sync.WaitGroup
@@ -201,7 +201,7 @@
 			for number := 0; time.Since(begun) < duration; number++ {
 				if number%4 == 0 {
 					group.Go(func() {
-						_, _, _ = bed.callWithPrompt(number/4%4, fmt.Sprint("deadly-", number), test.prompts(number/4))
+						_, _, _ = bed.callWithPrompt(number/4%4, fmt.Sprint("crashing-", number), test.prompts(number/4))
 					})
 				}
 				group.Go(func() {
@@ -218,7 +218,7 @@
 				time.Sleep(interval)
 			}
 			group.Wait()
-			for _, part := range test.deadly {
+			for _, part := range test.crashing {
 				var arrivals []time.Time
 				for _, target := range targets {
 					target.mutex.Lock()
@@ -237,7 +237,7 @@
 			So(asked, ShouldBeGreaterThan, 20)
 			So(served, ShouldBeGreaterThan, asked*3/4)
 			for _, gateway := range bed.gateways {
-				So(bars(gateway), ShouldHaveLength, len(test.deadly))
+				So(bars(gateway), ShouldHaveLength, len(test.crashing))
 			}
 			for _, bar := range bars(bed.gateways[0]) {
 				So(exec.Command(programs.Client, "--peer", bed.gateways[0].Peers, `lift bar "`+bar[1]+`" in pool `+bar[0]).Run(), ShouldBeNil)
--- a/quarantine/state_test.go
+++ b/quarantine/state_test.go
@@ -161,13 +161,13 @@
 	}
 }
 
-// simulation plays requests to targets of which some crash under deadly parts, and some for other reasons.
+// simulation plays requests to targets of which some crash under crashing parts, and some for other reasons.
 type simulation struct {
 	state State
 	now   time.Time
 	// running are the requests that targets are about to answer.
 	running []simulated
-	// sent are the numbers of requests with each deadly part that were sent, soundAsked and soundServed those of requests
+	// sent are the numbers of requests with each crashing part that were sent, soundAsked and soundServed those of requests
 	// without any, by their first part, once learnTime is over.
 	sent                    map[coltsfootlink.PartID]int
 	soundAsked, soundServed map[coltsfootlink.PartID]int
@@ -176,11 +176,11 @@
 }
 
 type simulated struct {
-	id     string
-	parts  []coltsfootlink.PartID
-	target int
-	sentAt time.Time
-	deadly bool
+	id       string
+	parts    []coltsfootlink.PartID
+	target   int
+	sentAt   time.Time
+	crashing bool
 }
 
 const (
@@ -192,7 +192,7 @@
 )
 
 // ask sends a request unless it is barred and no trial is due.
-func (play *simulation) ask(request simulated, deadly []coltsfootlink.PartID) {
+func (play *simulation) ask(request simulated, crashing []coltsfootlink.PartID) {
 	refused := false
 	if bar, held := (View{}).WithBars("p", play.state.Bars()).Bar("p", request.parts); held {
 		refused = play.now.Before(bar.TrialAt) || play.now.Before(play.trialUntil[bar.Key()])
@@ -200,15 +200,15 @@
 			play.trialUntil[bar.Key()] = play.now.Add(5 * time.Second)
 		}
 	}
-	for _, part := range deadly {
+	for _, part := range crashing {
 		if slices.Contains(request.parts, part) {
-			request.deadly = true
+			request.crashing = true
 			if !refused {
 				play.sent[part]++
 			}
 		}
 	}
-	if !request.deadly && play.now.Sub(start) > learnTime {
+	if !request.crashing && play.now.Sub(start) > learnTime {
 		play.soundAsked[request.parts[0]]++
 		if !refused {
 			play.soundServed[request.parts[0]]++
@@ -223,7 +223,7 @@
 // suspected.
 func (play *simulation) advance(crashed map[int]bool) {
 	for _, request := range play.running {
-		if request.deadly && !play.now.Before(request.sentAt.Add(answerTime)) {
+		if request.crashing && !play.now.Before(request.sentAt.Add(answerTime)) {
 			crashed[request.target] = true
 		}
 	}
@@ -246,7 +246,7 @@
 	play.running = left
 }
 
-// TestQuarantineBoundsCrashesAndServesSoundPrompts plays random fleets: the sends of each deadly part are bounded, and at least
+// TestQuarantineBoundsCrashesAndServesSoundPrompts plays random fleets: the sends of each crashing part are bounded, and at least
 // half of the prompts without one are served, whatever their first part.
 func TestQuarantineBoundsCrashesAndServesSoundPrompts(t *testing.T) {
 	const (
@@ -255,11 +255,11 @@
 		trials = 3
 	)
 	rapid.Check(t, func(t *rapid.T) {
-		deadly := prompt("DE")[:rapid.IntRange(0, 2).Draw(t, "deadly parts")]
+		crashing := prompt("DE")[:rapid.IntRange(0, 2).Draw(t, "crashing parts")]
 		perStep := rapid.IntRange(1, 3).Draw(t, "requests a step")
-		share := rapid.Float64Range(0.02, 0.4).Draw(t, "share of deadly requests")
+		share := rapid.Float64Range(0.02, 0.4).Draw(t, "share of crashing requests")
 		otherCrashes := rapid.SliceOfN(rapid.IntRange(0, steps), 0, 10).Draw(t, "crashes for other reasons")
-		known := rapid.Bool().Draw(t, "deadly parts are answered at first")
+		known := rapid.Bool().Draw(t, "crashing parts are answered at first")
 		random := rapid.Custom(func(t *rapid.T) uint64 { return rapid.Uint64().Draw(t, "seed") }).Draw(t, "draws")
 		draw := func(limit int) int {
 			random = random*6364136223846793005 + 1442695040888963407
@@ -267,7 +267,7 @@
 		}
 		play := &simulation{state: NewState(), now: start, sent: make(map[coltsfootlink.PartID]int), soundAsked: make(map[coltsfootlink.PartID]int), soundServed: make(map[coltsfootlink.PartID]int), trialUntil: make(map[uint64]time.Time)}
 		if known {
-			play.state = play.state.WithAnswered(start, deadly)
+			play.state = play.state.WithAnswered(start, crashing)
 		}
 		for number := range steps {
 			play.now = play.now.Add(step)
@@ -278,10 +278,10 @@
 			play.advance(crashed)
 			for within := range perStep {
 				parts := prompt(string(rune('a'+draw(2))) + string(rune(1000+draw(30))))
-				if len(deadly) > 0 && float64(draw(1000)) < share*1000 {
-					parts[1] = deadly[draw(len(deadly))]
+				if len(crashing) > 0 && float64(draw(1000)) < share*1000 {
+					parts[1] = crashing[draw(len(crashing))]
 				}
-				play.ask(simulated{id: fmt.Sprint(number, "-", within), parts: parts, target: draw(simulatedTargets), sentAt: play.now}, deadly)
+				play.ask(simulated{id: fmt.Sprint(number, "-", within), parts: parts, target: draw(simulatedTargets), sentAt: play.now}, crashing)
 			}
 		}
 		inFlight := perStep * int(answerTime/step+1)
