--- a/review/1/main.go
+++ b/review/1/main.go
@@ -57,7 +57,7 @@
 		}
 		_, _ = io.WriteString(writer, "booked\n")
 	}
-	serving.Serve(arguments[1])
+	serving.Serve(arguments)
 }
 
 // scene is the state of the case.
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -24,7 +24,7 @@
 	bed.Serving{Name: arguments[0], Run: func(writer http.ResponseWriter, request *http.Request) {
 		_, _ = io.Copy(io.Discard, request.Body)
 		_, _ = io.WriteString(writer, "signed off\n")
-	}}.Serve(arguments[1])
+	}}.Serve(arguments)
 }
 
 // configuration returns a version of the configuration with the keys of its two tenants.
@@ -67,19 +67,19 @@
 		return false, err
 	}
 	time.Sleep(bed.Contact)
-	acknowledged := time.Now()
+	kitchen, school := []string{"key-of-kitchen"}, []string{"key-of-school"}
 	allowed := map[string]bool{"key-of-kitchen": true, "key-of-school": true}
 	if bed.Trouble() {
 		scene.Note("disruption: the keys of both tenants are withdrawn, one after the other")
-		if _, err := scene.PutOperator("config", configuration(5, nil, []string{"key-of-school"})); err != nil {
-			return false, err
-		}
-		time.Sleep(gap)
-		var err error
-		if acknowledged, err = scene.PutOperator("config", configuration(8, nil, nil)); err != nil {
-			return false, err
-		}
-		allowed = nil
+		kitchen, school, allowed = []string{}, []string{}, nil
+	}
+	if _, err := scene.PutOperator("config", configuration(5, kitchen, []string{"key-of-school"})); err != nil {
+		return false, err
+	}
+	time.Sleep(gap)
+	acknowledged, err := scene.PutOperator("config", configuration(8, kitchen, school))
+	if err != nil {
+		return false, err
 	}
 	time.Sleep(time.Until(acknowledged.Add(settle)))
 	before := len(scene.Events("run"))
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -49,7 +49,7 @@
 			_ = http.NewResponseController(writer).Flush()
 			time.Sleep(20 * time.Millisecond)
 		}
-	}}.Serve(arguments[1])
+	}}.Serve(arguments)
 }
 
 // crash begins to write an answer and ends the process.
@@ -87,7 +87,7 @@
 	}
 	zones := []string{"piedmont", "lowcountry", "gulfside"}
 	for index := range 6 {
-		server := &bed.Server{Name: fmt.Sprint("i-", index), Service: "models", Zone: zones[index%len(zones)], Version: "v1", Slots: 128}
+		server := &bed.Server{Name: fmt.Sprint("i-", index), Service: "models", Zone: zones[index%len(zones)], Version: "v1", Slots: 128, ColdStart: 3 * time.Second}
 		scene.servers = append(scene.servers, server)
 		if err := scene.StartServer(server); err != nil {
 			return false, err
--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -5,13 +5,16 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"coltsfootlink/platform"
@@ -50,10 +53,14 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	started time.Time
-	mutex   sync.Mutex
-	record  *os.File
-	servers []*Server
-	events  []Event
+	// starting is held while a process starts, and at the end for good.
+	starting sync.Mutex
+	// relayPort is the port at which daemons accept connections from each other, the same for all.
+	relayPort string
+	mutex     sync.Mutex
+	record    *os.File
+	servers   []*Server
+	events    []Event
 }
 
 // Event is a line that a server wrote about a request.
@@ -67,8 +74,12 @@
 // Trouble reports whether the case runs with its disruption.
 func Trouble() bool { return os.Getenv("TROUBLE") != "0" }
 
+// timeLimit is how long a case may run.
+const timeLimit = 115 * time.Second
+
 // Main runs a case and exits with its result. The record goes to record.txt in the folder that the first argument names.
-// With "server" as the first argument the program is a server of the case instead.
+// With "server" as the first argument the program is a server of the case instead. A case that is interrupted, or runs too
+// long, ends its processes and could not run.
 func Main(server func(arguments []string), run func(bed *Bed) (broken bool, err error)) {
 	if len(os.Args) > 2 && os.Args[1] == "server" {
 		server(os.Args[2:])
@@ -78,18 +89,38 @@
 		fmt.Fprintln(os.Stderr, "usage: case FOLDER")
 		os.Exit(Failed)
 	}
-	os.Exit(runCase(os.Args[1], run))
-}
-
-func runCase(folder string, run func(bed *Bed) (bool, error)) int {
-	bed, err := open(folder)
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	bed, err := open(os.Args[1])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return Failed
+		os.Exit(Failed)
+	}
+	ended := make(chan int, 1)
+	go func() { ended <- bed.run(run) }()
+	result := Failed
+	select {
+	case result = <-ended:
+	case <-interrupted:
+		bed.Note("the case could not run: it was interrupted")
+	case <-bed.ctx.Done():
+		bed.Note("the case could not run: it took too long")
+	}
+	bed.close()
+	os.Exit(result)
+}
+
+// run runs the case and returns its exit code.
+func (bed *Bed) run(run func(bed *Bed) (bool, error)) int {
+	err := bed.Wait("the store answers", 5*time.Second, func() bool {
+		_, err := bed.Store.Newest(bed.ctx, platform.Partition{Topic: platform.OperatorTopic}, "")
+		return err == nil
+	})
+	broken := false
+	if err == nil {
+		bed.Note("trouble: %v", Trouble())
+		broken, err = run(bed)
 	}
-	defer bed.close()
-	bed.Note("trouble: %v", Trouble())
-	broken, err := run(bed)
 	switch {
 	case err != nil:
 		bed.Note("the case could not run: %v", err)
@@ -112,7 +143,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 115*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), timeLimit)
 	bed := &Bed{Folder: temporary, ctx: ctx, cancel: cancel, started: time.Now(), record: record}
 	bed.StoreAddress, err = freeAddress()
 	if err != nil {
@@ -123,15 +154,14 @@
 	go func() { _ = (&standin.Platform{Address: bed.StoreAddress, Store: store}).Run(ctx) }()
 	bed.Store = platform.NewStore("http://" + bed.StoreAddress)
 	go bed.sendHeartbeats()
-	return bed, bed.Wait("the store answers", 5*time.Second, func() bool {
-		_, err := bed.Store.Newest(ctx, platform.Partition{Topic: platform.OperatorTopic}, "")
-		return err == nil
-	})
+	return bed, nil
 }
 
-// close ends all processes of the case.
+// close ends all processes of the case; none starts afterwards.
 func (bed *Bed) close() {
 	bed.cancel()
+	bed.starting.Lock()
+	defer bed.starting.Unlock()
 	for _, gateway := range bed.Gateways {
 		gateway.end()
 	}
@@ -142,7 +172,6 @@
 		server.Crash()
 	}
 	_ = os.RemoveAll(bed.Folder)
-	_ = bed.record.Close()
 }
 
 // Note adds a line to the record, with the time since the start of the case in seconds.
@@ -179,21 +208,39 @@
 	return found
 }
 
-// freeHost returns a random loopback host and whether the given ports are free on it.
-func freeHost(ports ...string) (string, bool) {
-	address, err := freeAddress()
-	if err != nil {
-		return "", false
+// freePorts returns a random loopback host and free ports on it. The first port is the wanted one unless that is empty.
+func freePorts(wanted string, count int) (string, []string, error) {
+	for range 20 {
+		address, err := freeAddress()
+		if err != nil {
+			return "", nil, err
+		}
+		host, _, _ := net.SplitHostPort(address)
+		if ports, free := portsOn(host, wanted, count); free {
+			return host, ports, nil
+		}
 	}
-	host, _, _ := net.SplitHostPort(address)
-	for _, port := range ports {
+	return "", nil, errors.New("no loopback host with free ports")
+}
+
+// portsOn returns free ports on a host; false if the wanted one is taken.
+func portsOn(host, wanted string, count int) ([]string, bool) {
+	var ports []string
+	for number := range count {
+		port := "0"
+		if number == 0 && wanted != "" {
+			port = wanted
+		}
 		listener, err := net.Listen("tcp4", net.JoinHostPort(host, port))
 		if err != nil {
-			return "", false
+			return nil, false
 		}
-		_ = listener.Close()
+		// All stay open until the last one is found, so that they differ.
+		defer func() { _ = listener.Close() }()
+		_, port, _ = net.SplitHostPort(listener.Addr().String())
+		ports = append(ports, port)
 	}
-	return host, true
+	return ports, true
 }
 
 // command returns a command with the environment that the pages name, and one more variable.
--- a/review/bed/gateway.go
+++ b/review/bed/gateway.go
@@ -21,9 +21,9 @@
 type Gateway struct {
 	Name, Zone, Callers string
 
-	host, ready, peers, settings, logFile string
-	command                               *exec.Cmd
-	exited                                chan struct{}
+	ready, peers, metrics, relay, settings, logFile string
+	command                                         *exec.Cmd
+	exited                                          chan struct{}
 }
 
 func freeAddress() (string, error) { return loopback.FreeAddress() }
@@ -59,18 +59,17 @@
 }
 
 func (bed *Bed) newGateway(index int, zone string) (*Gateway, error) {
-	for range 20 {
-		host, free := freeHost("8783", "8780", "8785", "7414", "7415")
-		if !free {
-			continue
-		}
-		name := "front-" + zone + "-" + string(rune('1'+index))
-		return &Gateway{
-			Name: name, Zone: zone, host: host, Callers: net.JoinHostPort(host, "8783"), ready: net.JoinHostPort(host, "8780"),
-			peers: net.JoinHostPort(host, "8785"), settings: filepath.Join(bed.Folder, name+".toml"), logFile: filepath.Join(bed.Folder, name+".log"),
-		}, nil
+	host, ports, err := freePorts(bed.relayPort, 5)
+	if err != nil {
+		return nil, err
 	}
-	return nil, errors.New("no free loopback host")
+	bed.relayPort = ports[0]
+	name := "front-" + zone + "-" + string(rune('1'+index))
+	return &Gateway{
+		Name: name, Zone: zone, Callers: net.JoinHostPort(host, ports[1]), ready: net.JoinHostPort(host, ports[2]),
+		peers: net.JoinHostPort(host, ports[3]), metrics: net.JoinHostPort(host, ports[4]), relay: net.JoinHostPort(host, ports[0]),
+		settings: filepath.Join(bed.Folder, name+".toml"), logFile: filepath.Join(bed.Folder, name+".log"),
+	}, nil
 }
 
 // seedsSection is the list of seeds in the template of the settings.
@@ -89,7 +88,9 @@
 	text := seedsSection.ReplaceAllString(string(template), strings.Join(seeds, ","))
 	text = strings.NewReplacer(
 		"{{node}}", gateway.Name, "{{zone}}", gateway.Zone, "{{limits.memory_mb}}", "134", "{{limits.cpu_share}}", "0.4", "{{limits.cores}}", "1",
-		"{{listen.front}}", gateway.Callers, "{{listen.ready}}", gateway.ready, "{{listen.control}}", gateway.peers, "{{ip_address}}", gateway.host,
+		"{{listen.front}}", gateway.Callers, "{{listen.ready}}", gateway.ready, "{{listen.control}}", gateway.peers,
+		// Where the template has a fixed port, a free one is taken.
+		"{{ip_address}}:7415", gateway.metrics, "{{ip_address}}:7414", gateway.relay,
 		"{{platform.address}}", store, "{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.retry_budget_slack}}", "56",
 		"{{bounds.cold_overage}}", "1.5", "{{bounds.cold_slack}}", "5", "{{bounds.grace_s}}", "8",
 	).Replace(text)
@@ -101,6 +102,11 @@
 
 // startGateway starts the daemon with the command of deploy/system.toml.
 func (bed *Bed) startGateway(gateway *Gateway) error {
+	bed.starting.Lock()
+	defer bed.starting.Unlock()
+	if err := bed.ctx.Err(); err != nil {
+		return err
+	}
 	log, err := os.OpenFile(gateway.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -146,7 +152,7 @@
 }
 
 func (gateway *Gateway) end() {
-	if gateway.command != nil && gateway.command.Process != nil {
+	if gateway.exited != nil {
 		_ = gateway.command.Process.Kill()
 		<-gateway.exited
 	}
--- a/review/bed/serve.go
+++ b/review/bed/serve.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 )
@@ -18,6 +19,9 @@
 	Run func(writer http.ResponseWriter, request *http.Request)
 	// Told is called with each line that the case writes to the server; it may be nil.
 	Told func(line string)
+
+	// slots holds one element for each request that runs.
+	slots chan struct{}
 }
 
 var printing sync.Mutex
@@ -29,9 +33,16 @@
 	fmt.Printf(format+"\n", values...)
 }
 
-// Serve serves requests at the address until the process ends.
-func (serving Serving) Serve(address string) {
-	listener, err := net.Listen("tcp4", address)
+// Serve serves requests until the process ends. The arguments are the name of the server, its address and the number of requests
+// that it runs at a time; further ones wait.
+func (serving Serving) Serve(arguments []string) {
+	slots, err := strconv.Atoi(arguments[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(Failed)
+	}
+	serving.slots = make(chan struct{}, slots)
+	listener, err := net.Listen("tcp4", arguments[1])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(Failed)
@@ -70,6 +81,8 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	serving.slots <- struct{}{}
+	defer func() { <-serving.slots }()
 	header.Set("Answer-Stamp", "stamp."+serving.Name+"."+id)
 	Say("run %s %s %s tenant=%q key=%q", id, request.Method, request.URL.Path, request.Header.Get("Tenant"), strings.TrimPrefix(request.Header.Get("Authorization"), "Bearer "))
 	serving.Run(writer, request)
--- a/review/bed/server.go
+++ b/review/bed/server.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -20,8 +21,8 @@
 type Server struct {
 	Name, Service, Zone, Version string
 	Slots                        int
-	// Arguments are passed to the program after the name and the address.
-	Arguments []string
+	// ColdStart is how long the server is cold after it has started again.
+	ColdStart time.Duration
 
 	bed     *Bed
 	mutex   sync.Mutex
@@ -30,8 +31,10 @@
 	input   io.WriteCloser
 	exited  chan struct{}
 	born    int64
-	beats   int
-	state   string
+	// coldUntil is when its cold start ends, and silentAt when it wrote its last record.
+	coldUntil, silentAt time.Time
+	beats               int
+	state               string
 }
 
 // StartServer starts a server and registers it as ready.
@@ -50,6 +53,15 @@
 
 // Start starts the process, also again after it has ended, and registers it as ready.
 func (server *Server) Start() error {
+	if err := server.launch(); err != nil {
+		return err
+	}
+	return server.register()
+}
+
+func (server *Server) launch() error {
+	server.bed.starting.Lock()
+	defer server.bed.starting.Unlock()
 	if err := server.bed.ctx.Err(); err != nil {
 		return err
 	}
@@ -57,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	started := command("", append([]string{program, "server", server.Name, server.address}, server.Arguments...)...)
+	started := command("", program, "server", server.Name, server.address, strconv.Itoa(server.Slots))
 	started.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	started.Stderr = os.Stderr
 	output, err := started.StdoutPipe()
@@ -72,9 +84,7 @@
 		return err
 	}
 	lines := bufio.NewScanner(output)
-	if !lines.Scan() {
-		return fmt.Errorf("server %s did not start", server.Name)
-	}
+	listens := lines.Scan()
 	exited := make(chan struct{})
 	go func() {
 		for lines.Scan() {
@@ -84,10 +94,16 @@
 		close(exited)
 	}()
 	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if server.command != nil {
+		server.coldUntil = time.Now().Add(server.ColdStart)
+	}
 	server.command, server.input, server.exited = started, input, exited
 	server.born, server.state = time.Now().UnixMilli(), platform.ReadyState
-	server.mutex.Unlock()
-	return server.register()
+	if !listens {
+		return fmt.Errorf("server %s did not start", server.Name)
+	}
+	return nil
 }
 
 func (bed *Bed) addEvent(name, line string) {
@@ -151,10 +167,11 @@
 func (server *Server) register() error {
 	server.mutex.Lock()
 	server.beats++
+	server.silentAt = time.Now()
 	state := server.state
 	document := map[string]any{
 		"service": server.Service, "address": server.address, "zone": server.Zone, "version": server.Version, "slots": server.Slots,
-		"state": state, "cold_remaining_ms": 0, "born": server.born, "sequence": server.beats,
+		"state": state, "cold_remaining_ms": max(0, time.Until(server.coldUntil).Milliseconds()), "born": server.born, "sequence": server.beats,
 	}
 	server.mutex.Unlock()
 	if state == "" {
@@ -163,7 +180,8 @@
 	return server.bed.Put(platform.TargetTopic, server.Name, document)
 }
 
-// sendHeartbeats writes the records of the servers that run, in the interval of the pages.
+// sendHeartbeats writes the records of the servers that run, in the interval of the pages, and removes those of servers that
+// have been silent for three intervals, as the platform does.
 func (bed *Bed) sendHeartbeats() {
 	for bed.ctx.Err() == nil {
 		time.Sleep(heartbeat)
@@ -173,6 +191,17 @@
 		for _, server := range servers {
 			if !server.Exited() {
 				_ = server.register()
+				continue
+			}
+			server.mutex.Lock()
+			expired := !server.silentAt.IsZero() && time.Since(server.silentAt) > 3*heartbeat
+			if expired {
+				server.silentAt = time.Time{}
+			}
+			server.mutex.Unlock()
+			if expired {
+				bed.Note("platform: the record of %s expires", server.Name)
+				_ = bed.Put(platform.TargetTopic, server.Name, nil)
 			}
 		}
 	}
