A stale coordinator of a version move no longer replaces the recorded outcome

Cause: record kept an outcome of another coordinator only while the own instance had recorded nothing yet, so a coordinator that had recorded "running" wrote over it: the condition on the end of the log proves nothing if the writer reads the end just before. Its announcements revived the move at every instance, since any announcement replaced any other.

Change, for the writer, the holder of the role and the readers: - A final record of a move is never replaced, and is adopted by whoever finds it. Records name their order, so that a second order of the same version is no longer taken for the first one, and an earlier order cannot write over a later one. - A completion is announced only once it is recorded; a rollback at once. - A coordinator that has stood still for a second, suspended or stopped, announces and decides nothing until it has read the record again; results of reads from before are ignored. An outcome that another coordinator announces is adopted. - Readers ignore announcements of earlier orders, and anything after a recorded outcome.

--- a/clock.go
+++ b/clock.go
@@ -15,6 +15,12 @@
 
 func (SystemClock) Now() time.Time { return time.Now() }
 
+// Elapsed returns the time between two readings of a clock. It includes the time for which the machine was suspended, which
+// the steady clock leaves out.
+func Elapsed(from, to time.Time) time.Duration {
+	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
+}
+
 // Sleep waits for a duration and returns true, or false if the context ends first.
 func Sleep(ctx context.Context, duration time.Duration) bool {
 	timer := time.NewTimer(duration)
--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -31,6 +31,14 @@
 	}
 }
 
+// hear takes an announcement, unless it is late: of an earlier move, or of a move that has ended since.
+func (moves moves) hear(now time.Time, word coltsfootlink.MoveWord) {
+	if known, found := moves.announcements[word.Move.Pool]; found && !word.Replaces(known.MoveWord) {
+		return
+	}
+	moves.announcements[word.Move.Pool] = moveAnnouncement{MoveWord: word, validUntil: now.Add(moveAnnouncementTTL)}
+}
+
 // announcement returns the valid announcement of a pool's move; without one, the move counts as running with no
 // requests moved yet.
 func (moves moves) announcement(now time.Time, order coltsfootlink.Move) coltsfootlink.MoveWord {
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -190,7 +190,7 @@
 	case coltsfootlink.TargetNotice:
 		task.handleNotice(delivery.From, message)
 	case coltsfootlink.MoveWord:
-		task.moves.announcements[message.Move.Pool] = moveAnnouncement{MoveWord: message, validUntil: task.Clock.Now().Add(moveAnnouncementTTL)}
+		task.moves.hear(task.Clock.Now(), message)
 	case pressure.Changed:
 		task.pressure = message.State
 	case coltsfootlink.Stopping:
--- a/message_gateway.go
+++ b/message_gateway.go
@@ -112,6 +112,23 @@
 	Move Move
 	// Share is the fraction of the requests that go to the new version, from 0 to 1.
 	Share float64
+	// Recorded indicates that the move has ended and that its outcome is recorded on the platform.
+	Recorded bool
+}
+
+// Replaces reports whether the announcement replaces what is known of the pool's move. A recorded outcome is final, and one
+// that is not recorded yet is replaced only by a recorded one, so that no late announcement revives a move.
+func (word MoveWord) Replaces(known MoveWord) bool {
+	switch {
+	case word.Move.Started != known.Move.Started:
+		return word.Move.Started > known.Move.Started
+	case known.Recorded:
+		return false
+	case known.Move.State.Final():
+		return word.Recorded
+	default:
+		return true
+	}
 }
 
 // PacedPermitTTL is how long a permit for a cold target may be used, counted from when it was requested.
--- a/move.go
+++ b/move.go
@@ -18,6 +18,9 @@
 	MoveRolledBack MoveState = "taken-back"
 )
 
+// Final reports whether the move has ended.
+func (state MoveState) Final() bool { return state == MoveDone || state == MoveRolledBack }
+
 // Move shifts the traffic of a pool from one version to another.
 type Move struct {
 	Pool PoolName
@@ -50,8 +53,15 @@
 
 // MoveRecord is the recorded state of a pool's newest move.
 type MoveRecord struct {
-	To    Version
-	State MoveState
+	To Version
+	// Started is the revision that started the move; zero if the record does not say.
+	Started Revision
+	State   MoveState
+}
+
+// IsOf reports whether the record is of the given move, and not of an earlier or a later one of the pool.
+func (record MoveRecord) IsOf(move Move) bool {
+	return record.To == move.To && (record.Started == 0 || record.Started == move.Started)
 }
 
 // MoveRecords stores the state of moves on the platform.
--- a/move/task.go
+++ b/move/task.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"coltsfootlink"
@@ -20,8 +21,14 @@
 	recordTimeout = 3 * time.Second
 	// recordRetryDelay is the time from a failed attempt to the next one.
 	recordRetryDelay = 500 * time.Millisecond
+	// stallTimeout is how long an instance may stand still and still trust what it knows of the recorded states. It is shorter
+	// than the time after which another instance takes over its moves.
+	stallTimeout = time.Second
 )
 
+// errSuperseded is the error of recording a move after a later one of the pool has been recorded.
+var errSuperseded = errors.New("a later move of the pool is recorded")
+
 // Task coordinates the moves of the pools whose coordinator is its instance: it announces their shares to all live
 // instances and records their states on the platform.
 type Task struct {
@@ -34,11 +41,13 @@
 
 	catalog coltsfootlink.Catalog
 	view    coltsfootlink.View
-	// announcements are the moves that their coordinators have announced last. They let this instance continue a move
-	// if it becomes the coordinator.
-	announcements map[coltsfootlink.PoolName]coltsfootlink.Move
+	// announcements are what coordinators have announced. They let this instance continue a move if it becomes the
+	// coordinator.
+	announcements map[coltsfootlink.PoolName]coltsfootlink.MoveWord
 	// coordinated are the moves that this instance coordinates.
 	coordinated map[coltsfootlink.PoolName]coordination
+	// ranAt is when the moves were last advanced.
+	ranAt time.Time
 }
 
 // coordination is a move that this instance coordinates.
@@ -47,9 +56,10 @@
 	// recorded is the state that is recorded on the platform; empty while it is not known.
 	recorded coltsfootlink.MoveState
 	// recording indicates that an attempt to record the state is in progress; nextRecordAt is the earliest time of the
-	// next one.
+	// next one. attempt is the number of the newest one; results of others are ignored.
 	recording    bool
 	nextRecordAt time.Time
+	attempt      int
 	// announceAt is when the move is next announced.
 	announceAt time.Time
 }
@@ -60,6 +70,7 @@
 
 	pool    coltsfootlink.PoolName
 	started coltsfootlink.Revision
+	attempt int
 	// state is the state that is now recorded, if the attempt succeeded.
 	state coltsfootlink.MoveState
 	err   error
@@ -67,7 +78,7 @@
 
 // Run coordinates moves until the context ends.
 func (task *Task) Run(ctx context.Context) error {
-	task.announcements = make(map[coltsfootlink.PoolName]coltsfootlink.Move)
+	task.announcements = make(map[coltsfootlink.PoolName]coltsfootlink.MoveWord)
 	task.coordinated = make(map[coltsfootlink.PoolName]coordination)
 	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
@@ -92,7 +103,7 @@
 	case coltsfootlink.ViewChanged:
 		task.view = message.View
 	case coltsfootlink.MoveWord:
-		task.announcements[message.Move.Pool] = message.Move
+		task.handleWord(delivery.From, message)
 	case coltsfootlink.MoveUsages:
 		if current, found := task.coordinated[message.Pool]; found && current.tracker.Move().Started == message.Started {
 			current.tracker = current.tracker.WithUsages(task.Clock.Now(), delivery.From, message)
@@ -103,8 +114,49 @@
 	}
 }
 
+// handleWord takes an announcement unless it is late. An outcome that another coordinator has announced for a move that this
+// instance coordinates, too, holds until the recorded state is known.
+func (task *Task) handleWord(from coltsfootlink.InstanceName, word coltsfootlink.MoveWord) {
+	if known, found := task.announcements[word.Move.Pool]; found && !word.Replaces(known) {
+		return
+	}
+	task.announcements[word.Move.Pool] = word
+	current, found := task.coordinated[word.Move.Pool]
+	if !found || from == task.Self || !word.Move.State.Final() || current.tracker.Move().Started != word.Move.Started || current.tracker.Move().State == word.Move.State {
+		return
+	}
+	task.Log.Warn().Str("pool", string(word.Move.Pool)).Str("from", string(from)).Str("state", string(word.Move.State)).Bool("recorded", word.Recorded).
+		Str("own-state", string(current.tracker.Move().State)).Msg("move: another instance announced the outcome of a move that this one coordinates")
+	current = current.withUnknownRecord()
+	current.tracker = current.tracker.WithMove(word.Move)
+	task.coordinated[word.Move.Pool] = current
+}
+
+// withUnknownRecord returns the coordination after the state on the platform may have changed: nothing is announced or decided
+// until it has been read again. An attempt in progress may have read it before the change, so its result is ignored.
+func (current coordination) withUnknownRecord() coordination {
+	return coordination{tracker: current.tracker, attempt: current.attempt + 1}
+}
+
+// distrustAfterStall makes this instance read the recorded states again if it has stood still, since another one may have
+// coordinated its moves in the meantime.
+func (task *Task) distrustAfterStall(now time.Time) {
+	stall := coltsfootlink.Elapsed(task.ranAt, now)
+	stalled := !task.ranAt.IsZero() && stall >= stallTimeout
+	task.ranAt = now
+	if !stalled {
+		return
+	}
+	for pool, current := range task.coordinated {
+		task.Log.Warn().Str("pool", string(pool)).Int64("stall-ms", stall.Milliseconds()).Str("recorded", string(current.recorded)).
+			Msg("move: instance stood still while it coordinated a version move; reading the recorded state again")
+		task.coordinated[pool] = current.withUnknownRecord()
+	}
+}
+
 // coordinate advances the moves that this instance coordinates and drops the others.
 func (task *Task) coordinate(ctx context.Context) {
+	task.distrustAfterStall(task.Clock.Now())
 	for pool := range task.coordinated {
 		if _, ordered := task.catalog.Moves[pool]; !ordered {
 			delete(task.coordinated, pool)
@@ -127,8 +179,8 @@
 	current, found := task.coordinated[order.Pool]
 	if !found || current.tracker.Move().Started != order.Started {
 		current = coordination{tracker: NewTracker(order)}
-		if announced, known := task.announcements[order.Pool]; known && announced.Started == order.Started {
-			current.tracker = current.tracker.WithMove(announced)
+		if announced, known := task.announcements[order.Pool]; known && announced.Move.Started == order.Started {
+			current.tracker = current.tracker.WithMove(announced.Move)
 		}
 		task.Log.Info().Str("pool", string(order.Pool)).Str("to", string(order.To)).Uint64("started", uint64(order.Started)).
 			Time("finish-by", current.tracker.Move().FinishBy).Str("state", string(current.tracker.Move().State)).Msg("move: instance became the coordinator of a version move")
@@ -145,7 +197,8 @@
 	}
 	if current.recorded != current.tracker.Move().State && !current.recording && !now.Before(current.nextRecordAt) {
 		current.recording = true
-		go task.record(ctx, current.tracker.Move(), current.recorded == "")
+		current.attempt++
+		go task.record(ctx, current.tracker.Move(), current.attempt)
 	}
 	task.coordinated[order.Pool] = current
 }
@@ -159,29 +212,39 @@
 	if current.tracker.Move().State != coltsfootlink.MoveRunning {
 		current.announceAt = now.Add(endedAnnounceInterval)
 	}
-	announcement := coltsfootlink.MoveWord{Move: current.tracker.Move(), Share: current.tracker.Share(now)}
+	announcement := current.word(now)
 	for _, member := range task.view.Live() {
 		task.Sender.Send(member.Name, announcement)
 	}
 	return current
 }
 
-// record writes the state of the move to the platform, unless it is recorded already. If the recorded state was not known
-// and another coordinator has recorded an outcome, the outcome is kept and returned as the result. The write fails if
-// others have written since the read.
-func (task *Task) record(ctx context.Context, move coltsfootlink.Move, stateUnknown bool) {
+// word returns the announcement of the move. A rollback is announced at once, so that the new version gets nothing more, but
+// the completion only once it is recorded: until then another coordinator may still record a rollback.
+func (current coordination) word(now time.Time) coltsfootlink.MoveWord {
+	move := current.tracker.Move()
+	word := coltsfootlink.MoveWord{Move: move, Share: current.tracker.Share(now), Recorded: move.State.Final() && current.recorded == move.State}
+	if move.State == coltsfootlink.MoveDone && !word.Recorded {
+		word.Move = move.WithState(coltsfootlink.MoveRunning, "")
+	}
+	return word
+}
+
+// record writes the state of the move to the platform. A recorded outcome is never replaced, whoever recorded it, and returned
+// as the result. The write fails if others have written since the read.
+func (task *Task) record(ctx context.Context, move coltsfootlink.Move, attempt int) {
 	ctx, cancel := context.WithDeadline(ctx, task.Clock.Now().Add(recordTimeout))
 	defer cancel()
-	result := recordResult{pool: move.Pool, started: move.Started}
+	result := recordResult{pool: move.Pool, started: move.Started, attempt: attempt}
 	records, offset, err := task.Records.Moves(ctx)
 	existing := records[move.Pool]
 	switch {
 	case err != nil:
 		result.err = err
-	case stateUnknown && existing.To == move.To && existing.State != "" && existing.State != coltsfootlink.MoveRunning:
+	case existing.Started > move.Started:
+		result.err = errSuperseded
+	case existing.IsOf(move) && (existing.State.Final() || existing.State == move.State):
 		result.state = existing.State
-	case existing.To == move.To && existing.State == move.State:
-		result.state = move.State
 	default:
 		result.state = move.State
 		result.err = task.Records.Record(ctx, move, offset)
@@ -191,7 +254,7 @@
 
 func (task *Task) handleRecordResult(message recordResult) {
 	current, found := task.coordinated[message.pool]
-	if !found || current.tracker.Move().Started != message.started {
+	if !found || current.tracker.Move().Started != message.started || current.attempt != message.attempt {
 		return
 	}
 	current.recording = false
@@ -199,10 +262,14 @@
 		current.nextRecordAt = task.Clock.Now().Add(recordRetryDelay)
 		task.Log.Warn().Err(message.err).Str("pool", string(message.pool)).Msg("move: recording the state of a version move failed; retrying")
 	} else {
-		if current.recorded == "" && message.state != coltsfootlink.MoveRunning {
+		if own := current.tracker.Move().State; message.state.Final() && own != message.state {
+			task.Log.Warn().Str("pool", string(message.pool)).Str("own-state", string(own)).Str("state", string(message.state)).Msg("move: another coordinator has recorded the outcome")
 			current.tracker = current.tracker.WithMove(current.tracker.Move().WithState(message.state, "recorded before"))
 		}
 		current.recorded = message.state
+		if message.state.Final() {
+			current.announceAt = time.Time{}
+		}
 		task.Log.Info().Str("pool", string(message.pool)).Str("state", string(message.state)).Msg("move: state of a version move recorded")
 	}
 	task.coordinated[message.pool] = current
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -38,7 +38,7 @@
 	"move usages": coltsfootlink.MoveUsages{Pool: "p", Started: 7, RunningOld: 3, RunningNew: 2, Usages: []coltsfootlink.MoveUsage{
 		{OnNewVersion: true, Route: "r", Failed: true, Millis: 12.5, ExpectedMillis: 8.5}, {Route: "q"},
 	}},
-	"move word": coltsfootlink.MoveWord{Share: 0.25, Move: coltsfootlink.Move{
+	"move word": coltsfootlink.MoveWord{Share: 0.25, Recorded: true, Move: coltsfootlink.Move{
 		Pool: "p", To: "v2", Started: 7, OrderedAt: at, FinishBy: at, State: coltsfootlink.MoveRolledBack, Reason: "requests fail",
 	}},
 	"counters": coltsfootlink.Counters{
--- a/peer/moves.go
+++ b/peer/moves.go
@@ -39,6 +39,7 @@
 		StateRef:            encoder.ref(string(announcement.Move.State)),
 		ReasonRef:           encoder.ref(announcement.Move.Reason),
 		Share:               float32(announcement.Share),
+		Recorded:            announcement.Recorded,
 	}
 }
 
@@ -53,6 +54,7 @@
 			State:     coltsfootlink.MoveState(decoder.name(announcement.GetStateRef())),
 			Reason:    decoder.name(announcement.GetReasonRef()),
 		},
-		Share: float64(announcement.GetShare()),
+		Share:    float64(announcement.GetShare()),
+		Recorded: announcement.GetRecorded(),
 	}
 }
