Crashes count against prompts from the first byte of an answer on

A crash was reported to the quarantine only if the whole head of the answer had been received, because a whole head was taken for the first sign that a target begins to answer. The lines of broken connections called these crashes before-head, as they call those of requests that were only there beside the crash, so the two could not be told apart.

Change: upstream says whether a byte of the answer's head was received (interim answers don't count, and neither do late answers to other requests); from then on a crash counts. Such connections have the stage within-head in the log. A request of which no byte of an answer came is blamed as little as before: it is one of many that a crash takes along.

--- a/engine.go
+++ b/engine.go
@@ -54,7 +54,9 @@
 // CallError describes how a call to a target failed.
 type CallError struct {
 	// Sent indicates that at least one byte of the request may have been sent to the target.
-	Sent   bool
+	Sent bool
+	// Begun indicates that a part of the head of the answer was received.
+	Begun  bool
 	Result Result
 	Reason Reason
 	Cause  error
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -96,11 +96,11 @@
 	progress := new(answerProgress)
 	switch {
 	case err != nil:
-		failure, result = current.callFailure(err)
+		failure, result, progress.begun = current.callFailure(err)
 	default:
 		current.attempts++
 		current.reportNotice(choice.Target, answer.Head)
-		progress.ReadCloser, progress.headAt, progress.framed = answer.Body, current.service.Clock.Now(), answer.Framed()
+		progress.ReadCloser, progress.begun, progress.headAt, progress.framed = answer.Body, true, current.service.Clock.Now(), answer.Framed()
 		if answer.Response.StatusCode == http.StatusOK {
 			progress.answered = current.reportAnswered
 		}
@@ -137,22 +137,22 @@
 	}})
 }
 
-// callFailure classifies a call that returned no answer.
-func (current *exchange) callFailure(err error) (*coltsfootlink.Refusal, coltsfootlink.Result) {
+// callFailure classifies a call that returned no answer; begun reports whether a part of its head was received.
+func (current *exchange) callFailure(err error) (refusal *coltsfootlink.Refusal, result coltsfootlink.Result, begun bool) {
 	var call *coltsfootlink.CallError
 	if !errors.As(err, &call) {
 		call = &coltsfootlink.CallError{Sent: true, Result: coltsfootlink.Failed, Reason: coltsfootlink.TargetFailed, Cause: err}
 	}
 	if call.Reason == coltsfootlink.CallerGone {
-		return coltsfootlink.Refuse(call.Reason, call.Cause.Error()), call.Result
+		return coltsfootlink.Refuse(call.Reason, call.Cause.Error()), call.Result, call.Begun
 	}
 	if !call.Sent {
 		current.unsent++
-		return coltsfootlink.Refuse(coltsfootlink.TargetDown, call.Cause.Error()), call.Result
+		return coltsfootlink.Refuse(coltsfootlink.TargetDown, call.Cause.Error()), call.Result, call.Begun
 	}
 	current.attempts++
 	current.mayHaveRun = true
-	return coltsfootlink.Refuse(call.Reason, call.Cause.Error()).WithOutcome(coltsfootlink.MayHaveRun), call.Result
+	return coltsfootlink.Refuse(call.Reason, call.Cause.Error()).WithOutcome(coltsfootlink.MayHaveRun), call.Result, call.Begun
 }
 
 // forward sends the target's answer to the caller, or returns why it is not a valid answer.
--- a/ingress/progress.go
+++ b/ingress/progress.go
@@ -13,6 +13,7 @@
 // How far an answer had come when it broke off.
 const (
 	beforeHead  = "before-head"
+	withinHead  = "within-head"
 	afterHead   = "after-head"
 	withinEvent = "within-first-event"
 	afterEvents = "after-events"
@@ -24,7 +25,8 @@
 
 	// answered is called once the target has answered minEvents events, or a whole answer with a length or chunks.
 	answered func()
-	// headAt is when the head of the answer was received; zero before.
+	// begun indicates that a part of the head of the answer was received, and headAt when all of it was; zero before.
+	begun  bool
 	headAt time.Time
 	// bytes is the number of bytes read of the body, and events the number of complete events among them.
 	bytes  int64
@@ -66,8 +68,10 @@
 // stage returns how far the answer has come.
 func (progress *answerProgress) stage() string {
 	switch {
-	case progress.headAt.IsZero():
+	case !progress.begun:
 		return beforeHead
+	case progress.headAt.IsZero():
+		return withinHead
 	case progress.events > 0:
 		return afterEvents
 	case progress.bytes > 0:
--- a/ingress/quarantine.go
+++ b/ingress/quarantine.go
@@ -70,7 +70,7 @@
 // reportCrash reports that the target crashed when it had just begun to answer. A connection that broke for another reason
 // leaves the target reachable, and an answer that was well under way shows that its prompt is not the cause.
 func (current *exchange) reportCrash(ctx context.Context, choice dispatch.Choice, progress *answerProgress, sentAt time.Time) {
-	if len(current.sharedParts) == 0 || progress.headAt.IsZero() || progress.events >= minEvents {
+	if len(current.sharedParts) == 0 || !progress.begun || progress.events >= minEvents {
 		return
 	}
 	crashedAt := current.service.Clock.Now()
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -78,7 +78,9 @@
 	if err != nil {
 		stopAbort()
 		conn.abort()
-		return Answer{}, callError(ctx, err)
+		failure := callError(ctx, err)
+		failure.Begun = conn.answerBegun
+		return Answer{}, failure
 	}
 	answer.Body = &body{ReadCloser: answer.Response.Body, answer: answer.Response, conn: conn, client: client, written: written, stopAbort: stopAbort}
 	return answer, nil
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -41,6 +41,8 @@
 	reader *bufio.Reader
 	// headBytesLeft is how many bytes may still be read while the head of an answer is read; negative for no limit.
 	headBytesLeft int64
+	// answerBegun indicates that a byte of the newest head was received.
+	answerBegun bool
 	// reused indicates that the connection was taken from the pool, so it has usually carried a request before.
 	reused bool
 	// idleSince is when the connection became idle, and idleUntil when it may no longer be reused.
@@ -140,6 +142,9 @@
 // readHead reads the head of the next answer, which may be an interim one.
 func (conn *conn) readHead(method string) (*http.Response, error) {
 	conn.headBytesLeft = maxHeadBytes
+	// The error of Peek is that of the read that follows.
+	begun, _ := conn.reader.Peek(1)
+	conn.answerBegun = len(begun) > 0
 	response, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
 	conn.headBytesLeft = -1
 	return response, err
