Withdrawing the last API key opens no route

Cause: RoutingTable.HasTeams was "some key is left", and the table keeps nothing else of the tenants, so a configuration whose tenants have no keys looked like one without tenants.

An empty key in the list is no key; requests without one would have counted as that tenant's.

--- a/ingress/admission.go
+++ b/ingress/admission.go
@@ -25,7 +25,7 @@
 	if limit := catalog.Table.Limits.BodyBytes; limit > 0 {
 		current.maxBodyBytes = limit
 	}
-	if catalog.Table.HasTeams() && !rule.Public {
+	if catalog.Table.KeysRequired() && !rule.Public {
 		team, known := catalog.Table.Team(current.head.Key)
 		if !known {
 			current.refuse(http.StatusUnauthorized, coltsfootlink.Refuse(coltsfootlink.UnknownTeam, "the API key belongs to no team"))
--- a/routing.go
+++ b/routing.go
@@ -107,7 +107,9 @@
 
 	rules map[string][]RoutingRule
 	pools map[PoolName]PoolTraits
-	keys  map[string]TeamName
+	// keysRequired indicates that the configuration has teams, whether or not any of them has a key left.
+	keysRequired bool
+	keys         map[string]TeamName
 	// priorities are the priorities of teams; they override those of rules.
 	priorities map[TeamName]int
 }
@@ -135,14 +137,24 @@
 	return table
 }
 
-// WithKeys returns the table with API keys of a team added.
+// WithKeysRequired returns the table of a configuration with teams: requests need an API key unless their rule is public.
+func (table RoutingTable) WithKeysRequired() RoutingTable {
+	table.keysRequired = true
+	return table
+}
+
+// WithKeys returns the table with a team and its API keys added. Empty keys are left out, because requests without a key have
+// an empty one.
 func (table RoutingTable) WithKeys(team TeamName, keys []string) RoutingTable {
+	table = table.WithKeysRequired()
 	owners := maps.Clone(table.keys)
 	if owners == nil {
 		owners = make(map[string]TeamName)
 	}
 	for _, key := range keys {
-		owners[key] = team
+		if key != "" {
+			owners[key] = team
+		}
 	}
 	table.keys = owners
 	return table
@@ -218,5 +230,5 @@
 	return pool, found
 }
 
-// HasTeams reports whether callers need API keys.
-func (table RoutingTable) HasTeams() bool { return len(table.keys) > 0 }
+// KeysRequired reports whether requests need an API key unless their rule is public.
+func (table RoutingTable) KeysRequired() bool { return table.keysRequired }
