Settings without a token open no listener beyond loopback

Change: the settings are refused with the place if such a listener has no token and an address other than a loopback one. Both new cases of TestDaemonFindings failed before.

--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -144,6 +144,8 @@
 	doc.checkListener("callers", daemon.Callers)
 	doc.checkListener("operators", daemon.Operators)
 	doc.checkListener("peers", daemon.Peers)
+	doc.checkToken("operators", daemon.Operators)
+	doc.checkToken("peers", daemon.Peers)
 	doc.checkPlatform(daemon)
 	doc.checkPolicy(daemon.Policy)
 	doc.checkTiming(daemon.Timing)
@@ -166,6 +168,13 @@
 	doc.checkFile(key+".authority", listener.Authority)
 }
 
+// checkToken reports a listener that everybody may use because it has no token. On a loopback address it needs none.
+func (doc *document) checkToken(key string, listener Listener) {
+	host, _, _ := net.SplitHostPort(listener.Address)
+	local := host == "localhost" || net.ParseIP(host).IsLoopback()
+	doc.check(listener.Token != "" || local || !isAddress(listener.Address), key+".token", "is missing, and the address is not a loopback one")
+}
+
 func (doc *document) checkFile(key, file string) {
 	if file == "" {
 		return
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -68,6 +68,9 @@
 		"invalid duration":                      {validDaemon + "[timing]\nstop-limit = \"soon\"\n", []string{"f:12: timing.stop-limit"}},
 		"heartbeat timeout below two intervals": {validDaemon + "[timing]\nsilence-limit = \"600ms\"\n", []string{"f:12: timing.silence-limit"}},
 		"seed address without port":             {validDaemon + "[[seed]]\ninstance = \"b\"\nzone = \"b\"\naddress = \"b\"\n", []string{"f:14: seed[0].address"}},
+		"no operators' token beyond loopback":   {strings.Replace(validDaemon, "127.0.0.1:2", "10.0.0.1:2", 1), []string{"f:5: operators.token"}},
+		"no peers' token beyond loopback":       {strings.Replace(validDaemon, "127.0.0.1:3", "0.0.0.0:3", 1), []string{"f:7: peers.token"}},
+		"tokens beyond loopback":                {strings.ReplaceAll(strings.Replace(validDaemon, "127.0.0.1:2\"", "10.0.0.1:2\"\ntoken = \"t\"", 1), "127.0.0.1:3\"", "10.0.0.1:3\"\ntoken = \"t\""), nil},
 		"two findings":                          {strings.Replace(validDaemon, `zone = "a"`, `zone = ""`, 1) + "[policy]\norder = \"dice\"\n", []string{"f:2: zone", "f:12: policy.order"}},
 	}
 	for name, test := range cases {
