Long answers share one pace, so that endless ones leave the processor to others

Cause: the lines of the refused say "the instance is short of CPU" (403 of 449) and "the owner of the target does not answer" (46): copying up to 64 MiB for each answer at loopback speed, four kilobytes at a time with a flush each, and the search of every byte for the ends of events took the processor.

Plain answers are copied 16 KiB at a time, and what lies beyond the first MiB is not searched for events.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"coltsfootlink"
@@ -56,6 +57,10 @@
 	requestsPerMB    = 4
 	// waitingPerCore limits the requests that wait for a target, per core of the instance's CPU share.
 	waitingPerCore = 200
+	// longAnswerBytesPerCore is the pace at which long answers are passed on, in bytes per second and core of the instance's
+	// CPU share; copying them at that pace takes a small part of it. longAnswerBurstBytes may be passed on at once.
+	longAnswerBytesPerCore = 64 << 20
+	longAnswerBurstBytes   = 1 << 20
 	// stopMargin is how much earlier than allowed (StopSeconds) the process stops waiting for requests.
 	stopMargin = 800 * time.Millisecond
 	// shutdownTimeout is how long the servers wait for the last answers to be written before they close connections.
@@ -225,9 +230,15 @@
 		MaxConnections: int64(gateway.Settings.MemoryMB * connectionsPerMB),
 		MaxActive:      int64(gateway.Settings.MemoryMB * requestsPerMB),
 		MaxWaiting:     gateway.maxWaiting(),
+		LongAnswers:    rate.NewLimiter(rate.Limit(gateway.cores()*longAnswerBytesPerCore), longAnswerBurstBytes),
 	}
 }
 
+// cores returns the instance's share of the processor, in cores.
+func (gateway *Gateway) cores() float64 {
+	return gateway.Settings.ProcessorShare * gateway.Settings.Cores
+}
+
 // logLimits logs the instance's size and the limits derived from it. If no CPU size is set, one whole core is assumed.
 func (gateway *Gateway) logLimits() {
 	gateway.Log.Info().
@@ -239,7 +250,7 @@
 // maxWaiting returns the maximum number of requests that wait for a target at a time. It is also the maximum number of
 // connections that wait to be accepted by another instance.
 func (gateway *Gateway) maxWaiting() int64 {
-	return int64(math.Ceil(gateway.Settings.ProcessorShare * gateway.Settings.Cores * waitingPerCore))
+	return int64(math.Ceil(gateway.cores() * waitingPerCore))
 }
 
 func (gateway *Gateway) addPeers(branch *supervisor.Branch) {
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -11,6 +11,7 @@
 
 	"coltsfootlink"
 	"coltsfootlink/dispatch"
+	"coltsfootlink/metrics"
 	"coltsfootlink/platform"
 	"coltsfootlink/upstream"
 )
@@ -93,7 +94,7 @@
 	}, current.rule.Repeatable())
 	var failure *coltsfootlink.Refusal
 	result := coltsfootlink.Succeeded
-	progress := new(answerProgress)
+	progress := &answerProgress{pace: func(bytes int) error { return current.pace(ctx, bytes) }}
 	switch {
 	case err != nil:
 		failure, result, progress.begun = current.callFailure(err)
@@ -118,6 +119,16 @@
 	return failure
 }
 
+// pace waits until the instance may pass on more bytes of long answers. An answer that cannot come to its end before the
+// deadline is too long.
+func (current *exchange) pace(ctx context.Context, bytes int) error {
+	if err := current.service.LongAnswers.WaitN(ctx, bytes); err != nil {
+		metrics.Count("long-answers-cut")
+		return errors.Mark(err, errAnswerTooLong)
+	}
+	return nil
+}
+
 // reportNotice passes on what a target announced about itself in the head of its answer.
 func (current *exchange) reportNotice(target coltsfootlink.Target, head platform.AnswerHead) {
 	if !head.Leaving && head.RetryAt.IsZero() {
@@ -209,7 +220,7 @@
 	if complete {
 		// A write error means that the caller has disconnected.
 		_, _ = current.writer.Write(buffered)
-	} else if err := copyBytes(current.writer, io.MultiReader(bytes.NewReader(buffered), answer.Body), maxAnswerBytes); err != nil {
+	} else if err := current.copyRest(buffered, answer.Body); err != nil {
 		return current.interruption(err)
 	}
 	result := coltsfootlink.Succeeded
@@ -220,6 +231,16 @@
 	return nil, result
 }
 
+// copyRest forwards an answer that is longer than its buffer.
+func (current *exchange) copyRest(buffered []byte, rest io.Reader) error {
+	if err := writeNow(current.writer, buffered); err != nil {
+		return err
+	}
+	buffer := longAnswerBuffers.Get().(*[longAnswerBufferBytes]byte)
+	defer longAnswerBuffers.Put(buffer)
+	return copyBytes(current.writer, rest, buffer[:], maxAnswerBytes-int64(len(buffered)))
+}
+
 // startAnswer records that the answer has begun and copies the target's headers.
 func (current *exchange) startAnswer(answer upstream.Answer) {
 	current.started = true
--- a/ingress/progress.go
+++ b/ingress/progress.go
@@ -10,6 +10,10 @@
 	"coltsfootlink/dispatch"
 )
 
+// freeAnswerBytes is how much of an answer is read as fast as it comes. What lies beyond shares the pace of all long answers,
+// so that targets that send without end leave the processor to other requests; it is not searched for events either.
+const freeAnswerBytes = 1 << 20
+
 // How far an answer had come when it broke off.
 const (
 	beforeHead  = "before-head"
@@ -23,6 +27,8 @@
 type answerProgress struct {
 	io.ReadCloser
 
+	// pace waits until a number of bytes beyond freeAnswerBytes may be passed on; an error ends the answer.
+	pace func(bytes int) error
 	// answered is called once the target has answered minEvents events, or a whole answer with a length or chunks.
 	answered func()
 	// begun indicates that a part of the head of the answer was received, and headAt when all of it was; zero before.
@@ -41,7 +47,13 @@
 func (progress *answerProgress) Read(buffer []byte) (int, error) {
 	count, err := progress.ReadCloser.Read(buffer)
 	progress.bytes += int64(count)
-	for _, char := range buffer[:count] {
+	if beyond := min(int64(count), progress.bytes-freeAnswerBytes); beyond > 0 {
+		if failure := progress.pace(int(beyond)); failure != nil {
+			return count, failure
+		}
+		buffer = buffer[:int64(count)-beyond]
+	}
+	for _, char := range buffer[:min(count, len(buffer))] {
 		progress.count(char)
 	}
 	if progress.answered != nil && (progress.events >= minEvents || err == io.EOF && progress.framed) {
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"coltsfootlink"
 	"coltsfootlink/mailbox"
@@ -45,6 +46,8 @@
 	// MaxWaiting limits the requests that wait for a target. A fraction of these slots is reserved for requests within
 	// their teams' shares.
 	MaxWaiting int64
+	// LongAnswers is the pace, in bytes per second, at which all long answers together are passed on.
+	LongAnswers *rate.Limiter
 	// WouldForward reports whether a new connection would be forwarded to another instance, so that a refused caller
 	// does better to reconnect; nil means never.
 	WouldForward func() bool
--- a/ingress/service_test.go
+++ b/ingress/service_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/rs/zerolog"
 	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/time/rate"
 
 	"coltsfootlink"
 	"coltsfootlink/dispatch"
@@ -210,8 +211,8 @@
 	service := &Service{
 		Gate: gate, Clock: coltsfootlink.SystemClock{}, Dispatch: dispatcher.inbox, Log: dispatcher.log,
 		Connections: new(atomic.Int64), MaxConnections: 100, MaxActive: int64(dispatcher.maxActive), MaxWaiting: cmp.Or(dispatcher.maxWaiting, 100),
-		WouldForward: dispatcher.wouldForward,
-		Client:       &upstream.Client{Clock: coltsfootlink.SystemClock{}, ConnPool: pool.Inbox},
+		WouldForward: dispatcher.wouldForward, LongAnswers: rate.NewLimiter(rate.Inf, freeAnswerBytes),
+		Client: &upstream.Client{Clock: coltsfootlink.SystemClock{}, ConnPool: pool.Inbox},
 	}
 	ctx := t.Context()
 	go func() { _ = pool.Run(ctx) }()
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -19,18 +19,23 @@
 )
 
 const (
-	// streamBytes is the size of a stream's read and copy buffers.
-	streamBytes = 4 << 10
+	// streamBytes is the size of a stream's read and copy buffers, longAnswerBufferBytes that of the copy buffer of another
+	// long answer.
+	streamBytes           = 4 << 10
+	longAnswerBufferBytes = 16 << 10
 	// maxEventBytes limits the size of an event in a resumable stream, which is buffered until it is complete.
 	maxEventBytes = 1 << 20
 	// blankLineBytes is the size of the longest end of an event: a line ending and a blank line.
 	blankLineBytes = len("\r\n\r\n")
 )
 
-// streamReaders pools the read buffers of streams, copyBuffers the buffers for copying answers.
+// streamReaders pools the read buffers of streams, copyBuffers their copy buffers, and longAnswerBuffers those of other long
+// answers.
 var (
 	streamReaders = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, streamBytes) }}
 	copyBuffers   = sync.Pool{New: func() any { return new([streamBytes]byte) }}
+
+	longAnswerBuffers = sync.Pool{New: func() any { return new([longAnswerBufferBytes]byte) }}
 )
 
 // lineEndings normalises line endings to \n.
@@ -54,7 +59,9 @@
 		err = current.copyEvents(answer, reader)
 	} else {
 		current.writeHead(answer)
-		err = copyBytes(current.writer, completeEvents(answer, reader), maxAnswerBytes)
+		buffer := copyBuffers.Get().(*[streamBytes]byte)
+		err = copyBytes(current.writer, completeEvents(answer, reader), buffer[:], maxAnswerBytes)
+		copyBuffers.Put(buffer)
 	}
 	if err == nil && !answer.Framed() && current.service.Client.Unreachable(current.incoming.Context(), choice.Target) {
 		// A crash between two events ends an answer without a length or chunks as its end does.
@@ -108,12 +115,11 @@
 	current.writer.WriteHeader(answer.Response.StatusCode)
 }
 
-// copyBytes forwards up to limit bytes as they arrive; it returns an error if the answer is longer or ends early.
-func copyBytes(writer http.ResponseWriter, reader io.Reader, limit int64) error {
-	buffer := copyBuffers.Get().(*[streamBytes]byte)
-	defer copyBuffers.Put(buffer)
+// copyBytes forwards up to limit bytes as they arrive, through a buffer; it returns an error if the answer is longer or ends
+// early.
+func copyBytes(writer http.ResponseWriter, reader io.Reader, buffer []byte, limit int64) error {
 	for {
-		count, err := reader.Read(buffer[:])
+		count, err := reader.Read(buffer)
 		limit -= int64(count)
 		if limit < 0 {
 			return errAnswerTooLong
