Heads of answers end after 256 lines, as short lines take many times their bytes

Cause: the limit counts bytes on the wire, and a decoded header of four bytes takes a hundred or more.

Change: no more is read of a head once 256 of its lines have come; the answer then counts as too long, as before. TestHeadsOfManyLinesAreTooLong failed before for "several reads beyond that" (1,820 lines; the answer was passed on).

--- a/upstream/answer_test.go
+++ b/upstream/answer_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/smartystreets/goconvey/convey"
+
+	"coltsfootlink"
 )
 
 // answerInTurn writes the first text after the first request, the second after the second, and so on.
@@ -87,3 +91,33 @@
 		})
 	}
 }
+
+// TestHeadsOfManyLinesAreTooLong guards against short header lines that take many times their length in memory.
+func TestHeadsOfManyLinesAreTooLong(t *testing.T) {
+	cases := map[string]struct {
+		lines int
+		fails bool
+	}{
+		"as many as are read":        {maxHeadLines - 10, false},
+		"several reads beyond that":  {4 * readBytes / len("A: 1234\r\n"), true},
+		"the largest head in bytes":  {maxHeadBytes / len("A: 1234\r\n"), true},
+		"a few lines, and long ones": {0, false},
+	}
+	for name, test := range cases {
+		Convey("the head of an answer has many lines: "+name, t, func() {
+			lines := "Long: " + strings.Repeat("x", 3*readBytes) + "\r\n"
+			for number := range test.lines {
+				lines += fmt.Sprintf("A%d: 1234\r\n", number)
+			}
+			target, _ := startTarget(t, answerEach(strings.Replace(completeAnswer, "\r\n", "\r\n"+lines, 1)))
+			body, err := call(t, newClient(t), target, true)
+			So(err != nil, ShouldEqual, test.fails)
+			So(body == "roof", ShouldEqual, !test.fails)
+			if test.fails {
+				var failure *coltsfootlink.CallError
+				So(errors.As(err, &failure), ShouldBeTrue)
+				So(failure.Reason, ShouldEqual, coltsfootlink.AnswerTooLong)
+			}
+		})
+	}
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -27,8 +28,10 @@
 	keepAliveCount    = 3
 	// readBytes is the size of the read buffer of a connection.
 	readBytes = 4 << 10
-	// maxHeadBytes is the largest head of an answer.
+	// maxHeadBytes is the largest head of an answer, and maxHeadLines the number of its lines after which no more is read; a
+	// decoded header takes many times the bytes of a short line.
 	maxHeadBytes = 64 << 10
+	maxHeadLines = 256
 	// maxInterimAnswers is the largest number of interim (1xx) answers that are skipped before a final one.
 	maxInterimAnswers = 5
 )
@@ -41,6 +44,8 @@
 	reader *bufio.Reader
 	// headBytesLeft is how many bytes may still be read while the head of an answer is read; negative for no limit.
 	headBytesLeft int64
+	// headLines is how many lines were read of the head.
+	headLines int
 	// answerBegun indicates that a byte of the newest head was received.
 	answerBegun bool
 	// reused indicates that the connection was taken from the pool, so it has usually carried a request before.
@@ -121,12 +126,13 @@
 	return err
 }
 
-// errHeadTooLong is the error of an answer whose head is longer than maxHeadBytes.
+// errHeadTooLong is the error of an answer whose head is longer than maxHeadBytes or has more than maxHeadLines.
 var errHeadTooLong = errors.New("the head of the answer is too long")
 
-// Read reads from the target. While the head of an answer is read, it fails with errHeadTooLong after maxHeadBytes.
+// Read reads from the target. While the head of an answer is read, it fails with errHeadTooLong after maxHeadBytes or
+// maxHeadLines.
 func (conn *conn) Read(buffer []byte) (int, error) {
-	if conn.headBytesLeft == 0 {
+	if conn.headBytesLeft == 0 || conn.headBytesLeft > 0 && conn.headLines > maxHeadLines {
 		return 0, errHeadTooLong
 	}
 	if conn.headBytesLeft > 0 {
@@ -135,13 +141,14 @@
 	count, err := conn.Conn.Read(buffer)
 	if conn.headBytesLeft > 0 {
 		conn.headBytesLeft -= int64(count)
+		conn.headLines += bytes.Count(buffer[:count], []byte("\n"))
 	}
 	return count, err
 }
 
 // readHead reads the head of the next answer, which may be an interim one.
 func (conn *conn) readHead(method string) (*http.Response, error) {
-	conn.headBytesLeft = maxHeadBytes
+	conn.headBytesLeft, conn.headLines = maxHeadBytes, 0
 	// The error of Peek is that of the read that follows.
 	begun, _ := conn.reader.Peek(1)
 	conn.answerBegun = len(begun) > 0
