Large bodies of requests, answers and events share one budget of memory

Change: what is larger than 64 KiB comes out of one budget, a fifth of the instance's memory (package memory). - A request's body waits for it for half a second, with reading paused, and is then refused as not run with Retry-After; a declared length beyond the limit is refused before it is read. Bodies above 64 KiB are no longer copied to be sent, and buffers grow once, to what was reserved. - An answer without memory is streamed from its first 64 KiB on. Nothing is refused for it, but it can then not be repeated. - An event of a resumable stream that is larger than 64 KiB and gets no memory is too long. - Small requests, answers and events take nothing from the budget and go on.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"coltsfootlink/ingress"
 	"coltsfootlink/mailbox"
 	"coltsfootlink/membership"
+	"coltsfootlink/memory"
 	"coltsfootlink/metrics"
 	"coltsfootlink/move"
 	"coltsfootlink/operator"
@@ -51,6 +52,9 @@
 	// Near it, garbage is collected as often as needed to stay below, at the cost of CPU.
 	memoryLimitFraction = 0.6
 	bytesPerMB          = 1 << 20
+	// memoryBudgetFraction is the fraction of the configured memory for large bodies of requests, answers and events. The rest
+	// is for everything else, and for garbage that has not been collected yet.
+	memoryBudgetFraction = 0.2
 	// connectionsPerMB and requestsPerMB limit the callers' connections and the requests in progress, per megabyte of the
 	// configured memory.
 	connectionsPerMB = 8
@@ -230,10 +234,16 @@
 		MaxConnections: int64(gateway.Settings.MemoryMB * connectionsPerMB),
 		MaxActive:      int64(gateway.Settings.MemoryMB * requestsPerMB),
 		MaxWaiting:     gateway.maxWaiting(),
+		Memory:         memory.NewBudget(gateway.memoryBudget()),
 		LongAnswers:    rate.NewLimiter(rate.Limit(gateway.cores()*longAnswerBytesPerCore), longAnswerBurstBytes),
 	}
 }
 
+// memoryBudget returns the bytes that large bodies of requests, answers and events may take together.
+func (gateway *Gateway) memoryBudget() int64 {
+	return int64(gateway.Settings.MemoryMB * memoryBudgetFraction * bytesPerMB)
+}
+
 // cores returns the instance's share of the processor, in cores.
 func (gateway *Gateway) cores() float64 {
 	return gateway.Settings.ProcessorShare * gateway.Settings.Cores
@@ -244,6 +254,7 @@
 	gateway.Log.Info().
 		Float64("memory-mb", gateway.Settings.MemoryMB).Float64("processor-share", gateway.Settings.ProcessorShare).Float64("cores", gateway.Settings.Cores).
 		Int64("connections", gateway.service.MaxConnections).Int64("requests", gateway.service.MaxActive).Int64("waiting", gateway.service.MaxWaiting).
+		Int64("large-bodies-bytes", gateway.memoryBudget()).
 		Msg("gateway: limits derived from the memory and CPU size")
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -36,6 +36,7 @@
 				"level": "info", "message": "gateway: limits derived from the memory and CPU size", "memory-mb": 184.0,
 				"processor-share": document.ProcessorShare, "cores": document.Cores,
 				"connections": 1472.0, "requests": 736.0, "waiting": test.waiting,
+				"large-bodies-bytes": float64(38587596),
 			})
 		})
 	}
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -11,6 +11,7 @@
 
 	"coltsfootlink"
 	"coltsfootlink/dispatch"
+	"coltsfootlink/memory"
 	"coltsfootlink/metrics"
 	"coltsfootlink/platform"
 	"coltsfootlink/upstream"
@@ -196,11 +197,33 @@
 	return answer.Response.StatusCode == http.StatusOK && answer.Head.MediaType == current.mediaType
 }
 
+// bufferAnswer reads an answer up to the size of its buffer, and reports whether it is complete. Without memory for more, the
+// buffer is a small one.
+func (current *exchange) bufferAnswer(answer upstream.Answer) (buffered []byte, complete bool, reserved memory.Reservation, err error) {
+	length := answer.Response.ContentLength
+	buffer := new(bytes.Buffer)
+	buffered, err = readAll(buffer, io.LimitReader(answer.Body, smallBytes), min(smallBytes, length))
+	if err != nil || len(buffered) < smallBytes {
+		return buffered, true, reserved, err
+	}
+	wanted := int64(bufferedAnswerBytes)
+	if length >= 0 {
+		wanted = min(wanted, length)
+	}
+	reserved, found := current.service.Memory.TryReserve(wanted)
+	if !found {
+		return buffered, false, reserved, nil
+	}
+	// The buffer grows once, so that it holds no more than was reserved.
+	buffered, err = readAll(buffer, io.LimitReader(answer.Body, bufferedAnswerBytes-smallBytes), wanted-smallBytes)
+	return buffered, len(buffered) < bufferedAnswerBytes, reserved, err
+}
+
 // forwardBuffered forwards an answer once it is complete, or streams it if it exceeds the buffer.
 func (current *exchange) forwardBuffered(answer upstream.Answer) (*coltsfootlink.Refusal, coltsfootlink.Result) {
 	length := answer.Response.ContentLength
-	buffered, err := readAll(new(bytes.Buffer), io.LimitReader(answer.Body, bufferedAnswerBytes), min(maxPreallocBytes, length))
-	complete := len(buffered) < bufferedAnswerBytes
+	buffered, complete, reserved, err := current.bufferAnswer(answer)
+	defer reserved.Release()
 	switch {
 	case current.incoming.Method == http.MethodHead:
 		// An answer to HEAD keeps the length of the body that it leaves out.
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"os"
@@ -17,9 +18,12 @@
 const (
 	// defaultBodyBytes limits the size of a request body if the configuration sets no limit.
 	defaultBodyBytes = 4 << 20
-	// maxPreallocBytes limits the memory that is allocated for a body before it is received, and the size of buffers
-	// that are pooled.
-	maxPreallocBytes = 64 << 10
+	// smallBytes is the size up to which bodies of requests, answers and events are held without a reservation. Buffers up to
+	// maxPooledBytes are pooled.
+	smallBytes     = 64 << 10
+	maxPooledBytes = 2 * smallBytes
+	// memoryTimeout is how long a large body waits for memory, with reading paused, before its request is refused.
+	memoryTimeout = 500 * time.Millisecond
 	// discardTimeout limits how long the body of a refused request is read.
 	discardTimeout = 250 * time.Millisecond
 )
@@ -44,15 +48,30 @@
 	return nil
 }
 
+// errNoMemory indicates that a large body got no memory in time.
+var errNoMemory = errors.New("other large requests and answers use the memory")
+
 // readBody reads the body before the request's deadline; it returns false if the request was refused.
 func (current *exchange) readBody() bool {
 	current.bodyBuffer = bodyBuffers.Get().(*bytes.Buffer)
-	err := current.receive(current.deadline, func(body io.Reader) (err error) {
-		current.body, err = readAll(current.bodyBuffer, body, min(maxPreallocBytes, current.incoming.ContentLength))
-		return err
-	})
+	length := current.incoming.ContentLength
+	err := error(nil)
+	switch {
+	case length > current.maxBodyBytes:
+		err = &http.MaxBytesError{Limit: current.maxBodyBytes}
+	case length > smallBytes:
+		err = current.reserveBody(length)
+	}
+	if err == nil {
+		err = current.receive(current.deadline, current.bufferBody)
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errNoMemory):
+		// The rest of the body is read and dropped, so that its caller does not miss the refusal.
+		current.bodyReadStarted = false
+		current.shedAndRefuse(coltsfootlink.Refuse(coltsfootlink.InstanceBusy, err.Error()).WithRetryAt(current.service.Clock.Now().Add(memoryTimeout)))
+		return false
 	case errors.As(err, &tooLarge):
 		current.refuse(http.StatusRequestEntityTooLarge, coltsfootlink.Refuse(coltsfootlink.BodyTooLarge, "the body is too large"))
 		return false
@@ -71,6 +90,36 @@
 	return true
 }
 
+// bufferBody reads the body. A length that was not declared is known only once it is too much for a small buffer.
+func (current *exchange) bufferBody(body io.Reader) error {
+	length := current.incoming.ContentLength
+	if length < 0 {
+		if _, err := readAll(current.bodyBuffer, io.LimitReader(body, smallBytes), 0); err != nil || current.bodyBuffer.Len() < smallBytes {
+			current.body = current.bodyBuffer.Bytes()
+			return err
+		}
+		if err := current.reserveBody(current.maxBodyBytes); err != nil {
+			return err
+		}
+		length = current.maxBodyBytes - smallBytes
+	}
+	text, err := readAll(current.bodyBuffer, body, length)
+	current.body = text
+	return err
+}
+
+// reserveBody waits a short time for the memory of a large body. Meanwhile nothing is read from its caller.
+func (current *exchange) reserveBody(bytes int64) error {
+	ctx, cancel := context.WithDeadline(current.incoming.Context(), current.service.Clock.Now().Add(memoryTimeout))
+	defer cancel()
+	reserved, found := current.service.Memory.Reserve(ctx, bytes)
+	if !found {
+		return errNoMemory
+	}
+	current.bodyMemory = reserved
+	return nil
+}
+
 // discardBody reads and drops a body that is not needed, so that the caller does not receive the answer while it is
 // still sending.
 func (current *exchange) discardBody() {
@@ -87,10 +136,11 @@
 // bodyBuffers pools the buffers for request bodies.
 var bodyBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
-// releaseBody returns the body's buffer to the pool. It may be called only when the request will not be sent to a
-// target again.
+// releaseBody returns the body's buffer to the pool and its memory to the budget. It may be called only when the request will
+// not be sent to a target again.
 func (current *exchange) releaseBody() {
-	if current.bodyBuffer != nil && current.bodyBuffer.Cap() <= maxPreallocBytes {
+	current.bodyMemory.Release()
+	if current.bodyBuffer != nil && current.bodyBuffer.Cap() <= maxPooledBytes {
 		current.bodyBuffer.Reset()
 		bodyBuffers.Put(current.bodyBuffer)
 	}
--- a/ingress/endless_test.go
+++ b/ingress/endless_test.go
@@ -18,7 +18,8 @@
 )
 
 // startFlood starts a target that answers each request with a text and then repeats another one until the connection is closed.
-func startFlood(t *testing.T, begin, repeated string) *fakeTarget {
+// After a number of bytes it stalls; zero for never.
+func startFlood(t *testing.T, begin, repeated string, stallAfter int) *fakeTarget {
 	t.Helper()
 	block := []byte(strings.Repeat(repeated, 1+(32<<10)/len(repeated)))
 	address, err := loopback.Serve(t.Context(), func(conn net.Conn) {
@@ -31,11 +32,12 @@
 		if _, err := io.WriteString(conn, begin); err != nil {
 			return
 		}
-		for {
+		for sent := 0; stallAfter == 0 || sent < stallAfter; sent += len(block) {
 			if _, err := conn.Write(block); err != nil {
 				return
 			}
 		}
+		_, _ = io.Copy(io.Discard, conn)
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -56,7 +58,7 @@
 	const callers, pace, timeout = 4, 1 << 20, time.Second
 	for name, test := range endlessBodies {
 		Convey(name, t, func() {
-			service := newService(t, &fakeDispatcher{targets: []*fakeTarget{startFlood(t, test.begin, test.repeated)}}, true)
+			service := newService(t, &fakeDispatcher{targets: []*fakeTarget{startFlood(t, test.begin, test.repeated, 0)}}, true)
 			service.LongAnswers = rate.NewLimiter(pace, freeAnswerBytes)
 			server := httptest.NewServer(service)
 			defer server.Close()
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -12,6 +12,7 @@
 
 	"coltsfootlink"
 	"coltsfootlink/mailbox"
+	"coltsfootlink/memory"
 	"coltsfootlink/platform"
 	"coltsfootlink/upstream"
 	"coltsfootlink/web"
@@ -46,6 +47,8 @@
 	// MaxWaiting limits the requests that wait for a target. A fraction of these slots is reserved for requests within
 	// their teams' shares.
 	MaxWaiting int64
+	// Memory is what large bodies of requests, answers and events share.
+	Memory *memory.Budget
 	// LongAnswers is the pace, in bytes per second, at which all long answers together are passed on.
 	LongAnswers *rate.Limiter
 	// WouldForward reports whether a new connection would be forwarded to another instance, so that a refused caller
@@ -82,8 +85,10 @@
 	maxWaitFraction float64
 	deadline        time.Time
 	body            []byte
-	// bodyBuffer is the pooled buffer that holds the body; nil until reading starts.
+	// bodyBuffer is the pooled buffer that holds the body; nil until reading starts. bodyMemory is what is reserved for a body
+	// that is too large for a pooled buffer.
 	bodyBuffer *bytes.Buffer
+	bodyMemory memory.Reservation
 	// maxBodyBytes is the size limit of the body; bodyReadStarted indicates that reading the body has started.
 	maxBodyBytes    int64
 	bodyReadStarted bool
--- a/ingress/service_test.go
+++ b/ingress/service_test.go
@@ -23,6 +23,7 @@
 	"coltsfootlink/dispatch"
 	"coltsfootlink/loopback"
 	"coltsfootlink/mailbox"
+	"coltsfootlink/memory"
 	"coltsfootlink/pressure"
 	"coltsfootlink/share"
 	"coltsfootlink/upstream"
@@ -88,6 +89,8 @@
 	pressure pressure.State
 	// wouldForward reports whether new connections would be forwarded.
 	wouldForward func() bool
+	// memoryBytes is the budget for large bodies; zero for one that suffices.
+	memoryBytes int64
 	// shares is the announcement of the team shares.
 	shares coltsfootlink.Shares
 	// log is the service's logger; the zero value discards everything.
@@ -212,6 +215,7 @@
 		Gate: gate, Clock: coltsfootlink.SystemClock{}, Dispatch: dispatcher.inbox, Log: dispatcher.log,
 		Connections: new(atomic.Int64), MaxConnections: 100, MaxActive: int64(dispatcher.maxActive), MaxWaiting: cmp.Or(dispatcher.maxWaiting, 100),
 		WouldForward: dispatcher.wouldForward, LongAnswers: rate.NewLimiter(rate.Inf, freeAnswerBytes),
+		Memory: memory.NewBudget(cmp.Or(dispatcher.memoryBytes, 64<<20)),
 		Client: &upstream.Client{Clock: coltsfootlink.SystemClock{}, ConnPool: pool.Inbox},
 	}
 	ctx := t.Context()
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -141,31 +141,34 @@
 // copyEvents forwards complete events as they arrive and records the last event ID, so that another target can resume
 // the stream after it. It returns an error if the stream does not end completely.
 func (current *exchange) copyEvents(answer upstream.Answer, reader *bufio.Reader) error {
-	var event []byte
+	event := eventBuffer{budget: current.service.Memory}
+	defer event.release()
 	// lineStart is the offset of the newest line in the event.
 	lineStart := 0
 	remaining := maxAnswerBytes
 	for {
 		part, err := reader.ReadSlice('\n')
-		event = append(event, part...)
+		if err := event.add(part); err != nil {
+			return err
+		}
 		remaining -= len(part)
 		switch {
-		case len(event) > maxEventBytes, remaining < 0:
+		case remaining < 0:
 			return errAnswerTooLong
 		case err == bufio.ErrBufferFull:
 			continue
 		case err != nil:
-			current.partialEvent = current.partialEvent || len(event) > 0
+			current.partialEvent = current.partialEvent || len(event.text) > 0
 			return current.endOfEvents(err)
 		}
-		if len(bytes.TrimRight(event[lineStart:], "\r\n")) > 0 {
-			lineStart = len(event)
+		if len(bytes.TrimRight(event.text[lineStart:], "\r\n")) > 0 {
+			lineStart = len(event.text)
 			continue
 		}
-		if err := current.forwardEvent(answer, event); err != nil {
+		if err := current.forwardEvent(answer, event.text); err != nil {
 			return err
 		}
-		event, lineStart = event[:0], 0
+		event.text, lineStart = event.text[:0], 0
 		if hasBufferedEvent(reader) {
 			continue
 		}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -26,7 +26,7 @@
 	// maxSyncWriteBytes is the size up to which a request is written before the answer is read. Larger requests are
 	// written in a separate goroutine while the answer is read.
 	maxSyncWriteBytes = 8 << 10
-	// maxPooledBytes is the capacity up to which a request buffer is reused.
+	// maxPooledBytes is the capacity up to which a request buffer is reused. Longer bodies are not copied into one.
 	maxPooledBytes = 64 << 10
 	// maxAnswersRead is how many answers are read from a connection to find the one to the request.
 	maxAnswersRead = 3
@@ -63,7 +63,11 @@
 	}
 	buffer := buffers.Get().(*bytes.Buffer)
 	buffer.Reset()
-	if err := request.Encode(buffer, client.Clock.Now()); err != nil {
+	encode, rest := request.Encode, []byte(nil)
+	if len(request.Body) > maxPooledBytes {
+		encode, rest = request.EncodeHead, request.Body
+	}
+	if err := encode(buffer, client.Clock.Now()); err != nil {
 		_ = conn.Close()
 		return Answer{}, coltsfootlink.NewCallError(ctx, false, err)
 	}
@@ -73,7 +77,7 @@
 	}
 	// Aborting the connection when the context ends unblocks pending reads and writes.
 	stopAbort := context.AfterFunc(ctx, conn.abort)
-	written := write(conn, buffer)
+	written := write(conn, buffer, rest)
 	answer, err := client.receive(conn, id, request.Incoming.Method, written)
 	if err != nil {
 		stopAbort()
@@ -125,13 +129,16 @@
 // buffers holds reusable buffers for encoded requests.
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
-// write sends the encoded request in buffer, then returns the buffer to buffers. The channel receives the result, one
-// value. A request larger than maxSyncWriteBytes is sent in the background, because a target may answer before it has
+// write sends the encoded request in buffer and the rest of its body, if any, then returns the buffer to buffers. The channel
+// receives the result, one value. A request larger than maxSyncWriteBytes is sent in the background, because a target may answer before it has
 // read the whole body.
-func write(conn *conn, buffer *bytes.Buffer) <-chan error {
+func write(conn *conn, buffer *bytes.Buffer, rest []byte) <-chan error {
 	done := make(chan error, 1)
 	send := func() {
 		count, err := conn.Write(buffer.Bytes())
+		if err == nil && len(rest) > 0 {
+			_, err = conn.Write(rest)
+		}
 		if buffer.Cap() <= maxPooledBytes {
 			buffers.Put(buffer)
 		}
@@ -140,7 +147,7 @@
 		}
 		done <- err
 	}
-	if buffer.Len() > maxSyncWriteBytes {
+	if buffer.Len()+len(rest) > maxSyncWriteBytes {
 		go send()
 	} else {
 		send()
