Heads of callers' requests end after 32 KiB

Change: 32 KiB, twice what the configuration lets callers send; longer heads get 431. TestLongRequestHeadsAreRefused failed before (200 for a head of 64 KiB).

--- a/web/server.go
+++ b/web/server.go
@@ -20,6 +20,8 @@
 const (
 	// headerTimeout is how long a client may take to send its request headers.
 	headerTimeout = 10 * time.Second
+	// maxHeaderBytes limits the head of a request; net/http adds 4 KiB.
+	maxHeaderBytes = 32 << 10
 	// defaultIdleTimeout is how long a connection without requests stays open if the server sets no IdleTimeout.
 	defaultIdleTimeout = 2 * time.Minute
 )
@@ -60,6 +62,7 @@
 		Handler:           server.handler(),
 		ConnContext:       server.connContext,
 		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 		IdleTimeout:       cmp.Or(server.IdleTimeout, defaultIdleTimeout),
 		ConnState:         server.countOpen,
 		ErrorLog:          log.New(server.Log.With().Str("part", server.Part).Logger(), "", 0),
--- a/web/server_test.go
+++ b/web/server_test.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -133,3 +134,37 @@
 		Convey(name, t, func() { So(SameToken(BearerToken(test.header), "secret"), ShouldEqual, test.same) })
 	}
 }
+
+// TestLongRequestHeadsAreRefused guards against callers whose heads take the memory of an instance.
+func TestLongRequestHeadsAreRefused(t *testing.T) {
+	cases := map[string]struct{ bytes, status int }{
+		"as long as callers may send": {maxHeaderBytes / 2, http.StatusOK},
+		"too long":                    {2 * maxHeaderBytes, http.StatusRequestHeaderFieldsTooLarge},
+	}
+	for name, test := range cases {
+		Convey("the head of a request is "+name, t, func() {
+			address := freeAddress(t)
+			ctx, stop := context.WithCancel(t.Context())
+			ended := make(chan struct{})
+			server := &Server{Part: "web", Address: address, ShutdownTimeout: time.Second, Log: zerolog.Nop(), Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+			go func() {
+				defer close(ended)
+				_ = server.Run(ctx)
+			}()
+			defer func() {
+				stop()
+				<-ended
+			}()
+			var response *http.Response
+			for end := time.Now().Add(2 * time.Second); response == nil && time.Now().Before(end); time.Sleep(time.Millisecond) {
+				request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address, nil)
+				So(err, ShouldBeNil)
+				request.Header.Set("Long", strings.Repeat("x", test.bytes))
+				response, _ = new(http.Transport).RoundTrip(request)
+			}
+			So(response, ShouldNotBeNil)
+			defer func() { _ = response.Body.Close() }()
+			So(response.StatusCode, ShouldEqual, test.status)
+		})
+	}
+}
