--- a/move/task.go
+++ b/move/task.go
@@ -22,8 +22,8 @@
 	// recordRetryDelay is the time from a failed attempt to the next one.
 	recordRetryDelay = 500 * time.Millisecond
 	// stallTimeout is how long an instance may stand still and still trust what it knows of the recorded states. It is shorter
-	// than the time after which another instance takes over its moves.
-	stallTimeout = time.Second
+	// than the time after which an instance that does not reply to heartbeats loses its moves to another one.
+	stallTimeout = 750 * time.Millisecond
 )
 
 // errSuperseded is the error of recording a move after a later one of the pool has been recorded.
