--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -31,8 +31,8 @@
 	}
 }
 
-// hear takes an announcement, unless it is late: of an earlier move, or of a move that has ended since.
-func (moves moves) hear(now time.Time, word coltsfootlink.MoveWord) {
+// update takes an announcement, unless it is late: of an earlier move, or of a move that has ended since.
+func (moves moves) update(now time.Time, word coltsfootlink.MoveWord) {
 	if known, found := moves.announcements[word.Move.Pool]; found && !word.Replaces(known.MoveWord) {
 		return
 	}
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -190,7 +190,7 @@
 	case coltsfootlink.TargetNotice:
 		task.handleNotice(delivery.From, message)
 	case coltsfootlink.MoveWord:
-		task.moves.hear(task.Clock.Now(), message)
+		task.moves.update(task.Clock.Now(), message)
 	case pressure.Changed:
 		task.pressure = message.State
 	case coltsfootlink.Stopping:
--- a/ingress/memory_test.go
+++ b/ingress/memory_test.go
@@ -31,8 +31,7 @@
 	const (
 		callers = 80
 		budget  = 4 << 20
-		// perCaller bounds what an exchange holds without a reservation: its small buffer, which may be twice as large while it
-		// grows, and the connections on both sides.
+		// perCaller bounds what an exchange holds without a reservation: its buffer, and the connections on both sides.
 		perCaller = 4 * smallBytes
 	)
 	const withinBuffer, withinHead = bufferedAnswerBytes - 128<<10, 1
--- a/move/task.go
+++ b/move/task.go
@@ -21,7 +21,7 @@
 	recordTimeout = 3 * time.Second
 	// recordRetryDelay is the time from a failed attempt to the next one.
 	recordRetryDelay = 500 * time.Millisecond
-	// stallTimeout is how long an instance may stand still and still trust what it knows of the recorded states. It is shorter
+	// stallTimeout is how long an instance may be stalled and still trust what it knows of the recorded states. It is shorter
 	// than the time after which an instance that does not reply to heartbeats loses its moves to another one.
 	stallTimeout = 750 * time.Millisecond
 )
@@ -138,9 +138,9 @@
 	return coordination{tracker: current.tracker, attempt: current.attempt + 1}
 }
 
-// distrustAfterStall makes this instance read the recorded states again if it has stood still, since another one may have
+// recheckAfterStall makes this instance read the recorded states again if it was stalled, since another one may have
 // coordinated its moves in the meantime.
-func (task *Task) distrustAfterStall(now time.Time) {
+func (task *Task) recheckAfterStall(now time.Time) {
 	stall := coltsfootlink.Elapsed(task.ranAt, now)
 	stalled := !task.ranAt.IsZero() && stall >= stallTimeout
 	task.ranAt = now
@@ -149,14 +149,14 @@
 	}
 	for pool, current := range task.coordinated {
 		task.Log.Warn().Str("pool", string(pool)).Int64("stall-ms", stall.Milliseconds()).Str("recorded", string(current.recorded)).
-			Msg("move: instance stood still while it coordinated a version move; reading the recorded state again")
+			Msg("move: coordinator of a version move was stalled; reading the recorded state again")
 		task.coordinated[pool] = current.withUnknownRecord()
 	}
 }
 
 // coordinate advances the moves that this instance coordinates and drops the others.
 func (task *Task) coordinate(ctx context.Context) {
-	task.distrustAfterStall(task.Clock.Now())
+	task.recheckAfterStall(task.Clock.Now())
 	for pool := range task.coordinated {
 		if _, ordered := task.catalog.Moves[pool]; !ordered {
 			delete(task.coordinated, pool)
