A target whose process is just ending no longer counts as reachable

Cause: a crash counts only if the target accepts no new connection. The connections of a process that ends break before its listener is closed, so a target that had just crashed still took that connection. The crash did not count, the request went to a second target, and an uncounted probe was followed by the next one after five seconds instead of the back-off. By the same race the half of an answer without length and chunks was passed on as whole.

Change: Unreachable waits up to 30 ms for a reset of the connection that it has opened; a listener that closes resets what it has not accepted. A connection that is closed in order, or stays open, is a target that runs.

--- a/ingress/quarantine_test.go
+++ b/ingress/quarantine_test.go
@@ -22,6 +22,12 @@
 // startCrashing starts a target that answers its first request with the text and then closes the connection; if down is set, it
 // crashes and accepts no further connections.
 func startCrashing(t *testing.T, name coltsfootlink.TargetName, text string, down bool) *fakeTarget {
+	t.Helper()
+	return startExiting(t, name, text, down, 0)
+}
+
+// startExiting starts a target like startCrashing, whose listener is closed some time after the connection.
+func startExiting(t *testing.T, name coltsfootlink.TargetName, text string, down bool, listenerAfter time.Duration) *fakeTarget {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -42,10 +48,14 @@
 			_, _ = io.Copy(io.Discard, request.Body)
 			_, _ = io.WriteString(conn, text)
 			time.Sleep(20 * time.Millisecond)
-			if down {
+			if down && listenerAfter == 0 {
 				_ = listener.Close()
 			}
 			_ = conn.Close()
+			if down && listenerAfter > 0 {
+				time.Sleep(listenerAfter)
+				_ = listener.Close()
+			}
 		}
 	}()
 	return &fakeTarget{Target: coltsfootlink.Target{Name: name, Pool: "p", Incarnation: 7, Address: listener.Addr().String()}}
@@ -147,6 +157,33 @@
 	}
 }
 
+// TestCrashesCountThoughConnectionsBreakBeforeTheListener guards against taking a target whose process is just ending for one
+// that still runs.
+func TestCrashesCountThoughConnectionsBreakBeforeTheListener(t *testing.T) {
+	cases := map[string]struct {
+		path, text string
+		after      time.Duration
+		crashes    int
+	}{
+		"within the head":                    {"/stream/a", "HTTP/1.1 200 OK\r\n", 5 * time.Millisecond, 1},
+		"after the head":                     {"/resumable/a", streamHead, 5 * time.Millisecond, 1},
+		"without length and chunks":          {"/stream/a", strings.Replace(streamHead, "Transfer-Encoding: chunked\r\n", "", 1) + eventText(1), 5 * time.Millisecond, 1},
+		"and the listener stays much longer": {"/stream/a", streamHead, time.Second, 0},
+	}
+	for name, test := range cases {
+		Convey("a target crashes: "+name, t, func() {
+			service := newService(t, &fakeDispatcher{targets: []*fakeTarget{startExiting(t, "t", test.text, true, test.after)}}, true)
+			reported := startQuarantine(t, service, false)
+			server := httptest.NewServer(service)
+			defer server.Close()
+			status, _, _, err := requestWith(t, server.URL, test.path, "plan", promptHeader("c:10,d:10,own:10"))
+			So(err == nil && status == http.StatusOK, ShouldBeFalse)
+			crashes, _ := reported()
+			So(crashes, ShouldHaveLength, test.crashes)
+		})
+	}
+}
+
 func TestSuspectedRequestsAreNotSentToSecondTargets(t *testing.T) {
 	cases := map[string]struct {
 		parts     string
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -284,12 +284,17 @@
 // that of one that its target broke off.
 func (answer Answer) Framed() bool { return endsBeforeClose(answer.Response) }
 
-// Unreachable reports whether a target accepts no new connection. It is false if the context ends before that is known.
+// Unreachable reports whether a target accepts no new connection, or resets one that it has not accepted yet: the connections
+// of a process that ends may break before its listener. It is false if the context ends before that is known.
 func (client *Client) Unreachable(ctx context.Context, target coltsfootlink.Target) bool {
 	conn, err := dial(ctx, target)
 	if err != nil {
 		return ctx.Err() == nil
 	}
+	if conn.resetBefore(client.Clock.Now().Add(exitTimeout)) {
+		_ = conn.Close()
+		return true
+	}
 	client.returnUnused(conn)
 	return false
 }
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -26,6 +26,8 @@
 	keepAliveIdle     = time.Second
 	keepAliveInterval = 500 * time.Millisecond
 	keepAliveCount    = 3
+	// exitTimeout is how long the listener of a process that ends may stay open after its connections have broken.
+	exitTimeout = 30 * time.Millisecond
 	// readBytes is the size of the read buffer of a connection.
 	readBytes = 4 << 10
 	// maxHeadBytes is the largest head of an answer, and maxHeadLines the number of its lines after which no more is read; a
@@ -178,6 +180,15 @@
 	_ = conn.Close()
 }
 
+// resetBefore reports whether the target resets an unused connection before a deadline.
+func (conn *conn) resetBefore(deadline time.Time) bool {
+	// The calls fail only for a connection that is closed already, and then Peek fails, too.
+	_ = conn.SetReadDeadline(deadline)
+	_, err := conn.reader.Peek(1)
+	_ = conn.SetReadDeadline(time.Time{})
+	return errors.Is(err, unix.ECONNRESET)
+}
+
 // setUnackedTimeout makes the kernel break the connection if sent bytes are not acknowledged within unackedTimeout.
 func setUnackedTimeout(raw syscall.RawConn) error {
 	var failure error
