--- a/ingress/memory_test.go
+++ b/ingress/memory_test.go
@@ -87,12 +87,14 @@
 // TestLargeBodiesShareTheMemory guards against callers whose large bodies take all memory of the instance.
 func TestLargeBodiesShareTheMemory(t *testing.T) {
 	const callers, bodyBytes, budget = 12, 1 << 20, 3 << 20
+	// The target closes each connection after its answer, and says so, so that none is used again.
+	lastAnswer := strings.Replace(succeeded, "\r\n", "\r\nConnection: close\r\n", 1)
 	cases := map[string]bool{"with a length": true, "in chunks": false}
 	for name, declared := range cases {
 		Convey("large bodies beyond the memory are refused, and small requests go on: "+name, t, func() {
 			var held, most atomic.Int64
 			release := make(chan struct{})
-			dispatcher := &fakeDispatcher{targets: []*fakeTarget{startTarget(t, "t", succeeded)}, memoryBytes: budget}
+			dispatcher := &fakeDispatcher{targets: []*fakeTarget{startTarget(t, "t", lastAnswer)}, memoryBytes: budget}
 			dispatcher.beforeReply = func() { <-release }
 			service := newService(t, dispatcher, true)
 			table := coltsfootlink.RoutingTable{Version: 1, Limits: coltsfootlink.CallerLimits{BodyBytes: bodyBytes}}.WithRules(rules())
