--- a/upstream/client.go
+++ b/upstream/client.go
@@ -129,9 +129,9 @@
 // buffers holds reusable buffers for encoded requests.
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
-// write sends the encoded request in buffer and the rest of its body, if any, then returns the buffer to buffers. The channel
-// receives the result, one value. A request larger than maxSyncWriteBytes is sent in the background, because a target may answer before it has
-// read the whole body.
+// write sends the encoded request in buffer and the rest of its body, if any, then returns the buffer to buffers. The
+// channel receives the result, one value. A request larger than maxSyncWriteBytes is sent in the background, because a
+// target may answer before it has read the whole body.
 func write(conn *conn, buffer *bytes.Buffer, rest []byte) <-chan error {
 	done := make(chan error, 1)
 	send := func() {
