A lifted bar is not replaced by bars on the parts beside it

Cause: a bar explains its crashes, and only what is left counts against other parts. A lift cleared the barred part alone, so its crashes were held against the parts that stood beside it in their prompts: two crashes behind the same beginning barred that beginning.

Change: a lift clears all parts of the crashes that the bar rested on, but for those that another bar holds.

--- a/quarantine/bar.go
+++ b/quarantine/bar.go
@@ -83,6 +83,30 @@
 	}
 }
 
+// partsBeside returns the given parts and all parts of the crashes that the bars on them explain, but for those of other bars.
+func (state State) partsBeside(parts []coltsfootlink.PartID) []coltsfootlink.PartID {
+	found := slices.Clone(parts)
+	for _, bar := range state.bars {
+		if !bar.Holds(parts) {
+			continue
+		}
+		for _, crash := range state.crashes {
+			if bar.Holds(partsOf(crash)) {
+				found = append(found, state.partsWithoutBar(crash)...)
+			}
+		}
+	}
+	slices.Sort(found)
+	return slices.Compact(found)
+}
+
+// partsWithoutBar returns the suspects of a crash that no bar rests on.
+func (state State) partsWithoutBar(crash coltsfootlink.PromptCrash) []coltsfootlink.PartID {
+	return slices.DeleteFunc(partsOf(crash), func(part coltsfootlink.PartID) bool {
+		return slices.ContainsFunc(state.bars, func(bar Bar) bool { return slices.Contains(bar.Parts, part) })
+	})
+}
+
 // candidate is a part that may have caused crashes.
 type candidate struct {
 	part coltsfootlink.PartID
--- a/quarantine/task.go
+++ b/quarantine/task.go
@@ -118,12 +118,13 @@
 	}
 }
 
-// lift clears parts at an operator's order, on all instances.
+// lift clears parts at an operator's order, on all instances, and with them the other parts of the crashes that their bar
+// rested on: those crashes count against nothing else.
 func (task *Task) lift(order coltsfootlink.BarLift) {
 	task.Log.Warn().Str("pool", string(order.Pool)).Str("parts", join(order.Parts)).Msg("quarantine: an operator lifts the bar on prompts with these parts")
 	now := task.Clock.Now()
 	var news coltsfootlink.QuarantineNews
-	for _, part := range order.Parts {
+	for _, part := range task.state(order.Pool).partsBeside(order.Parts) {
 		news.Answered = append(news.Answered, coltsfootlink.PartAnswered{Pool: order.Pool, Part: part, At: now})
 	}
 	task.handleNews(news)
--- a/quarantine/task_test.go
+++ b/quarantine/task_test.go
@@ -158,3 +158,31 @@
 		So(fleet.sent, ShouldBeLessThanOrEqualTo, 3*syncPeers+1)
 	})
 }
+
+// Once a lifted bar no longer explained its crashes, they were held against the parts beside the lifted one.
+func TestLiftedBarsAreNotReplacedByBarsOnOtherParts(t *testing.T) {
+	cases := map[string]struct {
+		// crashes are the suspects of each crash, and kept the bars that stay when the bar on d is lifted.
+		crashes []string
+		kept    int
+	}{
+		"beginnings in common":           {[]string{"cd", "xd", "cd"}, 0},
+		"another part is barred, too":    {[]string{"cd", "xd", "cd", "ye", "ze"}, 1},
+		"the lifted parts stand in both": {[]string{"cd", "xd", "de", "ye", "ze"}, 1},
+	}
+	for name, test := range cases {
+		Convey("an operator's lift is not undone by the crashes that the bar rested on: "+name, t, func() {
+			fleet := newFleet(4)
+			for number, letters := range test.crashes {
+				fleet.crash(coltsfootlink.InstanceName(fmt.Sprint("i-", number%4)), fmt.Sprint(number), letters)
+				fleet.now = fleet.now.Add(time.Second)
+			}
+			So(fleet.barring("d"), ShouldEqual, 4)
+			fleet.tasks["i-2"].handle(coltsfootlink.Delivery{Message: coltsfootlink.BarLift{Pool: "p", Parts: prompt("d")}})
+			So(fleet.barring("cdx"), ShouldEqual, 0)
+			for _, task := range fleet.tasks {
+				So(task.states["p"].Bars(), ShouldHaveLength, test.kept)
+			}
+		})
+	}
+}
