show instances lists the instances as the other tasks see them

What operators and tests saw: an instance is shown as live by all others, and a moment later one of them still sends it nothing of what it announces to all.

Cause: membership hands a new view to the links at once and to the other tasks once in 100 ms, but answered `show instances` from the new one.

Change: the answer lists the view that the other tasks have. TestInstancesAreShownAsTheOtherTasksSeeThem failed before in one of its two cases (2 instances shown, 1 passed on).

--- a/membership/task.go
+++ b/membership/task.go
@@ -33,7 +33,8 @@
 	Subscribers []*mailbox.Deliveries
 
 	state State
-	view  coltsfootlink.View
+	// view is the newest view, which the links have, and published the one that the subscribers have.
+	view, published coltsfootlink.View
 	// viewChanges is the state's count of view changes when the view was last published.
 	viewChanges uint64
 	// unpublished indicates that the subscribers do not have the view yet; they get it at publishAt at the earliest.
@@ -128,7 +129,7 @@
 	if !task.unpublished || now.Before(task.publishAt) {
 		return
 	}
-	task.unpublished, task.publishAt = false, now.Add(publishInterval)
+	task.unpublished, task.publishAt, task.published = false, now.Add(publishInterval), task.view
 	for _, subscriber := range task.Subscribers {
 		subscriber.Put(coltsfootlink.Delivery{From: task.Self.Name, Message: coltsfootlink.ViewChanged{View: task.view}})
 	}
@@ -161,9 +162,10 @@
 	}
 }
 
+// answer lists the instances as the other tasks of this one see them.
 func (task *Task) answer() coltsfootlink.Table {
 	table := coltsfootlink.Table{Columns: []string{"instance", "zone", "seen-by", "state", "revision"}}
-	for _, member := range task.view.Members {
+	for _, member := range task.published.Members {
 		revision := task.peerRevisions[member.Name]
 		if member.Name == task.Self.Name {
 			revision = task.revision
