Tell instances that join of the requests that crash targets

What callers saw: a request that had crashed two targets, and was refused since, crashed two more when it was sent to an instance that had joined a moment before.

Cause: strikes went to the instances that were live in the sender's view at that moment, and to nobody later. Lines in the daemons showed it: all other instances received the strikes within 2 ms; the one that ran the request never did. Ruled out: that the caller overtakes the announcement.

View.JoinedSince serves the quarantine, too.

--- a/dispatch/owners.go
+++ b/dispatch/owners.go
@@ -7,18 +7,6 @@
 	"coltsfootlink/ownership"
 )
 
-// announceStrike announces to all live instances that a target may have crashed while it ran a request.
-func (task *Task) announceStrike(request running) {
-	strike := coltsfootlink.Strike{
-		Fingerprint: request.want.Fingerprint,
-		Target:      request.target,
-		Deadline:    task.Clock.Now().Add(strikeTTL),
-	}
-	for _, member := range task.view.Live() {
-		task.Sender.Send(member.Name, coltsfootlink.Strikes{Strikes: []coltsfootlink.Strike{strike}})
-	}
-}
-
 // ownerKey is the key of the owner cache: what a target's owner depends on besides the view.
 type ownerKey struct {
 	target coltsfootlink.TargetName
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -91,9 +91,11 @@
 	RetrySlack float64
 
 	strikes health.Strikes
-	loads   loads
-	moves   moves
-	waits   waitEstimates
+	// announced are the strikes that this instance has announced; instances that join later are told of them.
+	announced health.Strikes
+	loads     loads
+	moves     moves
+	waits     waitEstimates
 	// durations are how long answers take, and endsAt is when the instance ends; zero while it does not shut down.
 	durations durations
 	endsAt    time.Time
@@ -156,6 +158,7 @@
 	task.pending = make(map[uint64]pending)
 	task.running = make(map[uint64]running)
 	task.strikes = health.NewStrikes()
+	task.announced = health.NewStrikes()
 	task.loads = newLoads()
 	task.moves = newMoves()
 	task.waits = make(waitEstimates)
@@ -180,10 +183,7 @@
 	case coltsfootlink.Verdict:
 		task.handleVerdict(delivery.From, message)
 	case coltsfootlink.Strikes:
-		for _, strike := range message.Strikes {
-			task.strikes, _ = task.strikes.WithStrike(strike)
-		}
-		task.strikes = task.strikes.WithoutExpired(task.Clock.Now())
+		task.handleStrikes(delivery.From, message)
 	case Shed:
 		task.creditRetryBudget(message.Pool)
 		task.loads.countTeam(message.Pool, message.Team, tokensOf(message.Work), 0)
@@ -200,6 +200,7 @@
 		task.notices = task.notices.WithCatalog(task.Clock.Now(), message.Catalog)
 		task.updateOwners()
 	case coltsfootlink.ViewChanged:
+		task.announced.SendToJoined(task.Clock.Now(), task.Sender, task.view, message.View)
 		task.view = message.View
 		for pool, budget := range task.budgets {
 			task.budgets[pool] = budget.WithLimit(task.maxSavedRetries())
--- a/entry/task.go
+++ b/entry/task.go
@@ -35,10 +35,12 @@
 	Recorder  coltsfootlink.Recorder
 	Inbox     *mailbox.Deliveries
 
-	queue         queue.State
-	held          queue.PermitSet
-	served        queue.Served
-	strikes       health.Strikes
+	queue   queue.State
+	held    queue.PermitSet
+	served  queue.Served
+	strikes health.Strikes
+	// announced are the strikes that this instance has announced; instances that join later are told of them.
+	announced     health.Strikes
 	budget        retry.Budget
 	configuration coltsfootlink.Configuration
 	view          coltsfootlink.View
@@ -83,6 +85,7 @@
 	task.held = queue.NewPermitSet()
 	task.served = queue.NewServed()
 	task.strikes = health.NewStrikes()
+	task.announced = health.NewStrikes()
 	task.budget = retry.NewBudget(retryShare, maxRetries)
 	task.replies = make(map[coltsfootlink.RequestID]chan<- Decision)
 	task.reporter = newDemandReporter()
@@ -104,11 +107,12 @@
 	case coltsfootlink.NotOwner:
 		task.notOwner(delivery.From, message.Shard)
 	case coltsfootlink.Strikes:
-		task.addStrikes(message)
+		task.addStrikes(delivery.From, message)
 	case coltsfootlink.ConfigurationChanged:
 		task.configuration = message.Configuration
 		task.orderShards()
 	case coltsfootlink.ViewChanged:
+		task.announced.SendToJoined(task.Clock.Now(), task.Sender, task.view, message.View)
 		task.view = message.View
 		task.orderShards()
 	case coltsfootlink.ListChanged:
@@ -233,10 +237,13 @@
 	}
 }
 
-// addStrikes records strikes that another instance reports, against requests that crash targets.
-func (task *Task) addStrikes(strikes coltsfootlink.Strikes) {
+// addStrikes records strikes against requests that crash targets, which another instance reports or an owner task of this one.
+func (task *Task) addStrikes(from coltsfootlink.InstanceName, strikes coltsfootlink.Strikes) {
 	for _, strike := range strikes.Strikes {
 		task.strikes, _ = task.strikes.WithStrike(strike)
+		if from == task.Self {
+			task.announced, _ = task.announced.WithStrike(strike)
+		}
 	}
 }
 
@@ -247,6 +254,7 @@
 	if !fresh {
 		return
 	}
+	task.announced, _ = task.announced.WithStrike(strike)
 	task.Recorder.Record("entry", "connection to target "+string(strike.Target)+" broke while it ran a request")
 	for _, member := range task.view.Live() {
 		if member.Name != task.Self {
@@ -275,6 +283,7 @@
 	}
 	task.resyncAt = now.Add(resyncInterval)
 	task.strikes = task.strikes.WithoutExpired(now)
+	task.announced = task.announced.WithoutExpired(now)
 	task.served = task.served.WithoutOld(now)
 	task.resync()
 }
--- a/entry/task_test.go
+++ b/entry/task_test.go
@@ -1,12 +1,14 @@
 package entry
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"coltsfootlink"
+	"coltsfootlink/health"
 	"coltsfootlink/mailbox"
 	"coltsfootlink/ownership"
 	"coltsfootlink/queue"
@@ -208,3 +210,46 @@
 		So(refusal.RetryAt.After(start), ShouldBeTrue)
 	})
 }
+
+// Instances that joined after a crash, or were not yet in the view of the one that announced it, never heard of it.
+func TestInstancesThatJoinLearnOfCrashes(t *testing.T) {
+	crash := func(task *Task) {
+		usage := coltsfootlink.Usage{Result: coltsfootlink.Crashed, Fingerprint: 7}
+		task.handle(coltsfootlink.Delivery{Message: Finish{Permit: grantOf("a", "ta", 1).Permits[0], Usage: usage}})
+	}
+	confirm := func(from coltsfootlink.InstanceName) func(*Task) {
+		return func(task *Task) {
+			strike := coltsfootlink.Strike{Fingerprint: 7, Target: "ta", Deadline: start.Add(time.Hour)}
+			task.handle(coltsfootlink.Delivery{From: from, Message: coltsfootlink.Strikes{Strikes: []coltsfootlink.Strike{strike}}})
+		}
+	}
+	restarted := member("b-1", "b")
+	restarted.Incarnation = 1
+	cases := map[string]struct {
+		announce func(task *Task)
+		next     coltsfootlink.Member
+		after    time.Duration
+		told     bool
+	}{
+		"one joins":                             {crash, member("b-2", "b"), time.Second, true},
+		"one has restarted":                     {crash, restarted, time.Second, true},
+		"one was there before":                  {crash, member("b-1", "b"), time.Second, false},
+		"one joins when the strike has expired": {crash, member("b-2", "b"), health.SuspicionTTL, false},
+		"one joins after the own owner task has confirmed the crash": {confirm("a-1"), member("b-2", "b"), time.Minute, true},
+		"one joins, and another instance has announced the crash":    {confirm("b-1"), member("b-2", "b"), time.Second, false},
+	}
+	for name, test := range cases {
+		Convey("instances that join are told of the crashes that this one has announced: "+name, t, func() {
+			task, sent, clock := newTestTask()
+			test.announce(task)
+			sent.messages, clock.at = nil, start.Add(test.after)
+			view := coltsfootlink.View{Members: []coltsfootlink.Member{member("a-1", "a"), test.next}}
+			task.handle(coltsfootlink.Delivery{Message: coltsfootlink.ViewChanged{View: view}})
+			told := slices.ContainsFunc(sent.messages, func(item sentMessage) bool {
+				strikes, is := item.message.(coltsfootlink.Strikes)
+				return is && item.to == test.next.Name && strikes.Strikes[0].Fingerprint == 7
+			})
+			So(told, ShouldEqual, test.told)
+		})
+	}
+}
--- a/health/strikes.go
+++ b/health/strikes.go
@@ -61,6 +61,27 @@
 	return strikes
 }
 
+// SendToJoined sends the strikes to the instances that have joined since an earlier view.
+func (strikes Strikes) SendToJoined(now time.Time, sender coltsfootlink.Sender, before, after coltsfootlink.View) {
+	all := strikes.all(now)
+	if len(all) == 0 {
+		return
+	}
+	for _, member := range after.JoinedSince(before) {
+		sender.Send(member.Name, coltsfootlink.Strikes{Strikes: all})
+	}
+}
+
+// all returns the strikes that have not expired.
+func (strikes Strikes) all(now time.Time) []coltsfootlink.Strike {
+	var all []coltsfootlink.Strike
+	for iterator := strikes.byFingerprint.Iterator(); !iterator.Done(); {
+		_, held, _ := iterator.Next()
+		all = append(all, unexpired(held, now)...)
+	}
+	return all
+}
+
 // Barred reports whether requests with a fingerprint have crashed maxStrikes targets or more and must not be sent.
 func (strikes Strikes) Barred(now time.Time, fingerprint uint64) bool {
 	held, _ := strikes.byFingerprint.Get(fingerprint)
--- a/instance.go
+++ b/instance.go
@@ -78,6 +78,18 @@
 	return view.filter(func(member Member) bool { return member.Live })
 }
 
+// JoinedSince returns the live members that were not live in an earlier view, or have started again since.
+func (view View) JoinedSince(before View) []Member {
+	var joined []Member
+	for _, member := range view.Live() {
+		known, found := before.Member(member.Name)
+		if !found || !known.Live || known.Incarnation != member.Incarnation {
+			joined = append(joined, member)
+		}
+	}
+	return joined
+}
+
 // Candidates returns the live members of a zone that may take new roles.
 func (view View) Candidates(zone ZoneName) []Member {
 	if view.index != nil {
--- a/quarantine/fleet.go
+++ b/quarantine/fleet.go
@@ -23,9 +23,8 @@
 	before := task.fleet
 	task.fleet = fleet
 	joined, news := 0, task.news(maxCrashes)
-	for _, member := range fleet.Live() {
-		known, found := before.Member(member.Name)
-		if member.Name == task.Self || found && known.Live && known.Incarnation == member.Incarnation {
+	for _, member := range fleet.JoinedSince(before) {
+		if member.Name == task.Self {
 			continue
 		}
 		joined++
