--- a/permit/state.go
+++ b/permit/state.go
@@ -99,7 +99,7 @@
 	state.view = view
 	state = state.withLostHolders(now, previous)
 	state, envelopes := state.WithOwnership(now)
-	for _, member := range newlyLive(previous, view) {
+	for _, member := range view.JoinedSince(previous) {
 		var more []Envelope
 		state, more = state.withNewMember(now, member)
 		envelopes = append(envelopes, more...)
--- a/permit/takeover.go
+++ b/permit/takeover.go
@@ -110,7 +110,7 @@
 }
 
 func (state State) withLostHolders(now time.Time, previous coltsfootlink.View) State {
-	for _, member := range newlyLive(state.view, previous) {
+	for _, member := range previous.JoinedSince(state.view) {
 		state.agingUntil = state.agingUntil.Delete(member.Name)
 		for _, owned := range state.ownedShards() {
 			state = state.withShard(owned.withHolderLost(member.Name, now.Add(orphanTimeout)))
@@ -118,16 +118,3 @@
 	}
 	return state
 }
-
-// newlyLive returns the live members of the present view that were not live, or had another incarnation, in the
-// previous one.
-func newlyLive(previous, present coltsfootlink.View) []coltsfootlink.Member {
-	var members []coltsfootlink.Member
-	for _, member := range present.Live() {
-		before, found := previous.Member(member.Name)
-		if !found || !before.Live || before.Incarnation != member.Incarnation {
-			members = append(members, member)
-		}
-	}
-	return members
-}
