--- a/integration/crashing_test.go
+++ b/integration/crashing_test.go
@@ -189,6 +189,7 @@
 	}{
 		"one part":             {[]string{"d"}, func(number int) string { return fmt.Sprintf("c:10,d:10,own%d:10", number) }},
 		"behind another start": {[]string{"d"}, func(number int) string { return fmt.Sprintf("c%d:10,d:10,own%d:10", number%7, number) }},
+		"behind two starts":    {[]string{"d"}, func(number int) string { return fmt.Sprintf("c%d:10,d:10,own%d:10", number%2, number) }},
 		"two parts at once":    {[]string{"d", "e"}, func(number int) string { return fmt.Sprintf("c:10,%c:10,own%d:10", 'd'+rune(number%2), number) }},
 	}
 	for name, test := range cases {
