--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -215,14 +215,14 @@
 
 func TestCallerDisconnects(t *testing.T) {
 	Convey("the connection to the target is closed as soon as the caller disconnects", t, func() {
+		ctx, cancel := context.WithCancel(t.Context())
 		gone := make(chan struct{})
 		target, _ := startTarget(t, func(conn net.Conn, requests *bufio.Reader) {
 			readRequest(requests)
+			cancel()
 			_, _ = conn.Read(make([]byte, 1))
 			close(gone)
 		})
-		ctx, cancel := context.WithCancel(t.Context())
-		time.AfterFunc(20*time.Millisecond, cancel)
 		_, err := newClient(t).Call(ctx, "r-1", requestTo(target, "plan"), true)
 		var failure *coltsfootlink.CallError
 		So(errors.As(err, &failure), ShouldBeTrue)
