Interfaces of singleton duties, target speeds and ordered numbers of targets

Messages DutyReport, DutyHolder and TargetSpeeds with their encoding, the interfaces LeaseStore and DutyCaller, and the configuration's range of the number of targets.

Tests: the new messages are in peer's table of messages that decode to what was encoded.

--- /dev/null
+++ b/duty.go
@@ -0,0 +1,155 @@
+package coltsfootlink
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrDutyConflict indicates that another instance has appended a record of the singleton duties in the meantime.
+var ErrDutyConflict = errors.New("another instance has appended a duty record")
+
+// DutyReport is sent by every instance to the holder of the singleton duties, about once a second. It reports the requests
+// that have begun to run for the sender's callers, and the load of the targets that the sender owns.
+type DutyReport struct {
+	// Windows are the usage windows that are not recorded yet. Their counts are cumulative, so that lost or repeated
+	// reports do no harm.
+	Windows []UsageWindow
+	// Reached is the usage window that was in progress when the report was sent; the counts of earlier ones are final.
+	Reached uint64
+	// Incarnation is the incarnation of the sender, to which the counts belong.
+	Incarnation uint64
+	// Loads are the loads since the sender's previous report.
+	Loads []TargetsLoad
+}
+
+// UsageWindow holds the requests by team that began to run in one window of the platform's usage reports.
+type UsageWindow struct {
+	// Index is the number of the window; window 0 began at the Unix epoch.
+	Index uint64
+	Teams []TeamCount
+}
+
+// TeamCount is a number of requests of one team.
+type TeamCount struct {
+	Team     TeamName
+	Requests int
+}
+
+// TargetsLoad is the load of the targets of one pool in one availability zone that one instance owns, over an interval.
+type TargetsLoad struct {
+	Pool PoolName
+	Zone ZoneName
+	// Targets is the number of targets, and Slots the sum of their slots.
+	Targets, Slots int
+	// Running is the mean number of requests in progress on all these targets together.
+	Running float64
+	// ReadMillis is the reading time of the prompts that were granted, and IntervalMillis the length of the interval, both
+	// in milliseconds.
+	ReadMillis, IntervalMillis float64
+	// GrantedTokens is the work that was granted, and RefusedTokens the work within teams' shares that was refused because
+	// targets were full; both in tokens.
+	GrantedTokens, RefusedTokens float64
+}
+
+// DutyHolder is sent by the holder of the singleton duties to all instances about once a second.
+type DutyHolder struct {
+	// Token is the holder's fencing token. An announcement with a lower one than the highest known is outdated.
+	Token uint64
+	// NextWindow is the first usage window that is not recorded yet.
+	NextWindow uint64
+}
+
+// TargetSpeeds is sent by the owner of targets to all instances when the speed of a target differs from that of its pool.
+type TargetSpeeds struct {
+	Speeds []TargetSpeed
+}
+
+// TargetSpeed is the speed of a target.
+type TargetSpeed struct {
+	Target TargetName
+	// Incarnation is the incarnation of the target to which the speed belongs.
+	Incarnation uint64
+	// Speed is the rate at which the target works, as a multiple of the median of its pool; 1 for a target like the others.
+	Speed float64
+}
+
+func (DutyReport) isMessage()   {}
+func (DutyHolder) isMessage()   {}
+func (TargetSpeeds) isMessage() {}
+
+// FencedCall identifies the holder of a singleton duty in a call to the platform.
+type FencedCall struct {
+	// Holder is the name of the instance in its settings.
+	Holder string
+	// Token is the fencing token of the holder; it grows with each change of holder.
+	Token uint64
+}
+
+// DutyCaller makes the calls to the platform that are the duty of one instance at a time.
+type DutyCaller interface {
+	// ReportUsage reports how many requests of each team began to run in a usage window. Failures are *DutyError.
+	ReportUsage(ctx context.Context, fence FencedCall, window uint64, counts []TeamCount) error
+	// Scale orders a number of targets of a pool in a zone. Failures are *DutyError.
+	Scale(ctx context.Context, fence FencedCall, pool PoolName, zone ZoneName, count int) error
+}
+
+// DutyError describes a duty call that was not confirmed. Unless Throttled or Rejected is set, it may have been carried out.
+type DutyError struct {
+	// Throttled indicates that the platform accepts no more duty calls at the moment, and Rejected that it refused this one.
+	Throttled, Rejected bool
+	Cause               error
+}
+
+// Error returns the text of the cause.
+func (failure *DutyError) Error() string { return "duty call: " + failure.Cause.Error() }
+
+// Unwrap returns the cause.
+func (failure *DutyError) Unwrap() error { return failure.Cause }
+
+// LeaseRecord is the recorded state of the lease of the singleton duties.
+type LeaseRecord struct {
+	// Holder is the name of the instance that acquired the lease, and Incarnation its incarnation.
+	Holder      string
+	Incarnation uint64
+	// Token is the fencing token of the acquisition; zero in the record of the acquisition itself, whose token is its
+	// offset plus one.
+	Token uint64
+	// Renewal counts the renewals of the acquisition, so that each record differs from the one before.
+	Renewal uint64
+}
+
+// DutyRecords is the recorded state of the singleton duties.
+type DutyRecords struct {
+	// Lease is the newest lease record; LeaseFound is false if there is none. Its Token is never zero.
+	Lease      LeaseRecord
+	LeaseFound bool
+	// Windows are the recorded usage windows that the store still has, by index.
+	Windows map[uint64]UsageWindow
+	// End is the offset at which the next record has to be appended.
+	End uint64
+}
+
+// LeaseStore keeps the records of the singleton duties. Records are appended under the condition that nothing was appended
+// since the records were read, so that of two instances only one succeeds.
+type LeaseStore interface {
+	// Read returns the recorded state.
+	Read(ctx context.Context) (DutyRecords, error)
+	// AppendLease appends a lease record at an offset and returns the next offset; ErrDutyConflict if others have appended.
+	AppendLease(ctx context.Context, record LeaseRecord, at uint64) (uint64, error)
+	// AppendWindow appends the counts of a usage window at an offset and returns the next offset; ErrDutyConflict if
+	// others have appended.
+	AppendWindow(ctx context.Context, window UsageWindow, at uint64) (uint64, error)
+}
+
+// ScaleRange is the range within which the number of a pool's targets in each availability zone may be ordered.
+type ScaleRange struct {
+	// Min and Max are the least and the largest number of targets in a zone; both are zero if none may be ordered.
+	Min, Max int
+	// StartupTime is how long a new target takes until it serves.
+	StartupTime time.Duration
+}
+
+// Ordered reports whether the number of targets may be ordered.
+func (scale ScaleRange) Ordered() bool { return scale.Max > 0 }
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -72,6 +72,12 @@
 		return &peerpb.Message{Kind: &peerpb.Message_MoveWord{MoveWord: encoder.encodeMoveWord(message)}}, nil
 	case coltsfootlink.NewsRequest:
 		return &peerpb.Message{Kind: &peerpb.Message_NewsRequest{NewsRequest: &peerpb.NewsRequest{}}}, nil
+	case coltsfootlink.DutyReport:
+		return &peerpb.Message{Kind: &peerpb.Message_DutyReport{DutyReport: encoder.encodeDutyReport(message)}}, nil
+	case coltsfootlink.DutyHolder:
+		return &peerpb.Message{Kind: &peerpb.Message_DutyHolder{DutyHolder: &peerpb.DutyHolder{Token: message.Token, NextWindow: message.NextWindow}}}, nil
+	case coltsfootlink.TargetSpeeds:
+		return &peerpb.Message{Kind: &peerpb.Message_TargetSpeeds{TargetSpeeds: encoder.encodeTargetSpeeds(message)}}, nil
 	case coltsfootlink.QuarantineNews:
 		return &peerpb.Message{Kind: &peerpb.Message_QuarantineNews{QuarantineNews: encoder.encodeQuarantineNews(message)}}, nil
 	case coltsfootlink.QuarantineRequest:
@@ -156,6 +162,12 @@
 		return decoder.decodeShares(kind.Shares), nil
 	case *peerpb.Message_NewsRequest:
 		return coltsfootlink.NewsRequest{}, nil
+	case *peerpb.Message_DutyReport:
+		return decoder.decodeDutyReport(kind.DutyReport), nil
+	case *peerpb.Message_DutyHolder:
+		return coltsfootlink.DutyHolder{Token: kind.DutyHolder.GetToken(), NextWindow: kind.DutyHolder.GetNextWindow()}, nil
+	case *peerpb.Message_TargetSpeeds:
+		return decoder.decodeTargetSpeeds(kind.TargetSpeeds), nil
 	case *peerpb.Message_QuarantineNews:
 		return decoder.decodeQuarantineNews(kind.QuarantineNews), nil
 	case *peerpb.Message_QuarantineRequest:
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -72,7 +72,16 @@
 	"held": coltsfootlink.Held{Target: "t", Requests: []coltsfootlink.HeldRequest{
 		{Serial: 9, Team: "x", Work: coltsfootlink.Work{PromptTokens: 5}, FirstEventReceived: true}, {Serial: 10},
 	}},
-	"target notice":    coltsfootlink.TargetNotice{Target: "t", Incarnation: 7, Leaving: true},
+	"target notice": coltsfootlink.TargetNotice{Target: "t", Incarnation: 7, Leaving: true},
+	"target speeds": coltsfootlink.TargetSpeeds{Speeds: []coltsfootlink.TargetSpeed{{Target: "t", Incarnation: 7, Speed: 0.5}, {Target: "u", Speed: 1.25}}},
+	"duty holder":   coltsfootlink.DutyHolder{Token: 1 << 40, NextWindow: 353445120},
+	"duty report": coltsfootlink.DutyReport{
+		Windows: []coltsfootlink.UsageWindow{{Index: 353445120, Teams: []coltsfootlink.TeamCount{{Team: "x", Requests: 412}}}, {Index: 353445121}},
+		Reached: 353445121, Incarnation: 9,
+		Loads: []coltsfootlink.TargetsLoad{{
+			Pool: "p", Zone: "z", Targets: 2, Slots: 64, Running: 1.5, ReadMillis: 250, IntervalMillis: 1000, GrantedTokens: 8000, RefusedTokens: 512,
+		}},
+	},
 	"news request":     coltsfootlink.NewsRequest{},
 	"offered":          coltsfootlink.Offered{Pool: "p", Attempted: 128, RefusedFull: 64, Teams: []coltsfootlink.TeamLoad{{Team: "x", Tokens: 1000, Requests: 7, Granted: 250}}},
 	"shares":           coltsfootlink.Shares{Pool: "p", MaxWaitFraction: 0.25, Teams: []coltsfootlink.TeamShare{{Team: "x", Entitled: 0.25, Bearable: 0.5, Surplus: 1}}},
--- a/peer/router.go
+++ b/peer/router.go
@@ -24,6 +24,7 @@
 	Moves      *mailbox.Deliveries
 	Catalog    *mailbox.Deliveries
 	Quarantine *mailbox.Deliveries
+	Duties     *mailbox.Deliveries
 }
 
 // Outgoing is a message for another instance.
@@ -91,6 +92,10 @@
 		return []*mailbox.Deliveries{router.Catalog}
 	case coltsfootlink.QuarantineNews, coltsfootlink.QuarantineRequest, coltsfootlink.BarLift:
 		return []*mailbox.Deliveries{router.Quarantine}
+	case coltsfootlink.DutyReport, coltsfootlink.DutyHolder:
+		return []*mailbox.Deliveries{router.Duties}
+	case coltsfootlink.TargetSpeeds:
+		return []*mailbox.Deliveries{router.Dispatch}
 	case coltsfootlink.ClaimRequest, coltsfootlink.ClaimReply, coltsfootlink.ClaimOutcome:
 		return []*mailbox.Deliveries{router.Claims}
 	case coltsfootlink.RevisionRequest, coltsfootlink.RevisionReply:
--- a/routing.go
+++ b/routing.go
@@ -90,6 +90,8 @@
 	Engine bool
 	// MemoryTokens is the number of tokens that fit into an engine's memory.
 	MemoryTokens int
+	// Scale is the range of the number of targets; the zero value if it cannot be ordered.
+	Scale ScaleRange
 }
 
 // CallerLimits limits what callers may send.
