Half an answer of a crashed target is not forwarded as complete

Cause: a crashed process's connection ends like one that is closed on purpose. Streams were checked against that (is the target still reachable?), plain answers were not.

Change: checkEnd does it for all answers that end with their connection, before one is completed or its copy is ended. Repeatable requests go to another target, others get 502, a long answer under way is aborted.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -188,7 +188,7 @@
 	case current.rule.Kind == coltsfootlink.StreamRequest && status == http.StatusOK:
 		return current.forwardStream(choice, answer, sentAt)
 	default:
-		return current.forwardBuffered(answer)
+		return current.forwardBuffered(choice, answer)
 	}
 }
 
@@ -219,11 +219,24 @@
 	return buffered, len(buffered) < bufferedAnswerBytes, reserved, err
 }
 
+// checkEnd returns an error if the answer ended with its connection because its target crashed. The end of an answer without a
+// length or chunks looks the same in both cases, so the target is asked whether it is still there.
+func (current *exchange) checkEnd(choice dispatch.Choice, answer upstream.Answer) error {
+	hasBody := current.incoming.Method != http.MethodHead
+	if hasBody && !answer.Framed() && current.service.Client.Unreachable(current.incoming.Context(), choice.Target) {
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
+
 // forwardBuffered forwards an answer once it is complete, or streams it if it exceeds the buffer.
-func (current *exchange) forwardBuffered(answer upstream.Answer) (*coltsfootlink.Refusal, coltsfootlink.Result) {
+func (current *exchange) forwardBuffered(choice dispatch.Choice, answer upstream.Answer) (*coltsfootlink.Refusal, coltsfootlink.Result) {
 	length := answer.Response.ContentLength
 	buffered, complete, reserved, err := current.bufferAnswer(answer)
 	defer reserved.Release()
+	if err == nil && complete {
+		err = current.checkEnd(choice, answer)
+	}
 	switch {
 	case current.incoming.Method == http.MethodHead:
 		// An answer to HEAD keeps the length of the body that it leaves out.
@@ -245,6 +258,8 @@
 		_, _ = current.writer.Write(buffered)
 	} else if err := current.copyRest(buffered, answer.Body); err != nil {
 		return current.interruption(err)
+	} else if err := current.checkEnd(choice, answer); err != nil {
+		return current.interruption(err)
 	}
 	result := coltsfootlink.Succeeded
 	if answer.Response.StatusCode >= http.StatusInternalServerError {
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -63,9 +63,8 @@
 		err = copyBytes(current.writer, completeEvents(answer, reader), buffer[:], maxAnswerBytes)
 		copyBuffers.Put(buffer)
 	}
-	if err == nil && !answer.Framed() && current.service.Client.Unreachable(current.incoming.Context(), choice.Target) {
-		// A crash between two events ends an answer without a length or chunks as its end does.
-		err = io.ErrUnexpectedEOF
+	if err == nil {
+		err = current.checkEnd(choice, answer)
 	}
 	if err != nil {
 		if current.started {
