A request that crashes the same target again and again is held back

Cause: strikes were counted by the target's name, so that one target gave one strike for good, and they ended after 30 s.

A request that is held back is probed once in the fleet, 30 s after the newest crash and then with doubling delay; a complete answer clears its strikes everywhere.

--- a/dispatch/ask.go
+++ b/dispatch/ask.go
@@ -96,7 +96,7 @@
 		task.loads.countAttempt(waiting.want, nil)
 		task.loads.countTeam(waiting.want.Pool, waiting.want.Team, 0, tokensOf(waiting.want.Work))
 		task.running[verdict.Serial] = running{
-			want: waiting.want, target: target.Name, version: target.Version, owner: from, expectedMillis: verdict.ExpectedMillis,
+			want: waiting.want, target: target.Name, version: target.Version, incarnation: target.Incarnation, owner: from, expectedMillis: verdict.ExpectedMillis,
 		}
 		waiting.want.Reply <- Choice{Serial: verdict.Serial, Owner: from, Target: target, ExpectedMillis: verdict.ExpectedMillis}
 		return
--- a/dispatch/strikes_test.go
+++ b/dispatch/strikes_test.go
@@ -7,6 +7,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"coltsfootlink"
+	"coltsfootlink/health"
 )
 
 // Gateways that joined after a crash sent the request that had crashed targets to two more.
@@ -19,7 +20,7 @@
 	}{
 		"one joins":                             {"i-c", time.Second, true},
 		"one was there before":                  {"i-b", time.Second, false},
-		"one joins when the strike has expired": {"i-c", strikeTTL, false},
+		"one joins when the strike has expired": {"i-c", health.StrikeTTL, false},
 	}
 	for name, test := range cases {
 		Convey("gateways that join are told of the crashes that this one has announced: "+name, t, func() {
@@ -35,6 +36,55 @@
 	}
 }
 
+// A request that crashed the same target each time was never held back, and one that was held back came through again as
+// soon as its strikes had expired (review/5).
+func TestRequestsThatCrashOneTargetAreHeldBack(t *testing.T) {
+	cases := map[string]struct {
+		// incarnations are those of the target t-1 at its crashes.
+		incarnations []uint64
+		after        time.Duration
+		reason       coltsfootlink.Reason
+		probe        bool
+	}{
+		"one crash":                               {[]uint64{1}, 0, "", false},
+		"one crash seen on two connections":       {[]uint64{1, 1}, 0, "", false},
+		"two crashes":                             {[]uint64{1, 2}, 0, coltsfootlink.CrashingRequest, false},
+		"two crashes, half a minute later":        {[]uint64{1, 2}, 30 * time.Second, "", true},
+		"a probe crashed it again, half a minute": {[]uint64{1, 2, 3}, 30 * time.Second, coltsfootlink.CrashingRequest, false},
+		"a probe crashed it again, a minute":      {[]uint64{1, 2, 3}, time.Minute, "", true},
+	}
+	for name, test := range cases {
+		Convey("a request that crashes one target is held back, and probed now and then: "+name, t, func() {
+			task, sender, clock := newTask()
+			for _, incarnation := range test.incarnations {
+				task.running[1] = running{want: Want{Fingerprint: 7}, target: "t-1", incarnation: incarnation, owner: "i-a"}
+				task.handle(coltsfootlink.Delivery{Message: Report{Serial: 1, Stage: coltsfootlink.Ended, Result: coltsfootlink.Crashed}})
+				task.handle(coltsfootlink.Delivery{From: "i-a", Message: strikesTo(sender, "i-a")})
+			}
+			clock.now = clock.now.Add(test.after)
+			sender.sent = nil
+			reply := make(chan Choice, 1)
+			want := newWant(clock, reply)
+			want.Fingerprint = 7
+			task.handle(coltsfootlink.Delivery{Message: want})
+			if test.reason != "" {
+				So((<-reply).Refusal.Reason, ShouldEqual, test.reason)
+				return
+			}
+			asks := sender.takeAsks()
+			So(asks, ShouldHaveLength, 1)
+			So(asks[0].Trial != 0, ShouldEqual, test.probe)
+		})
+	}
+	Convey("an answer clears the strikes against a request on all instances", t, func() {
+		task, sender, _ := newTask()
+		task.handle(coltsfootlink.Delivery{From: "i-b", Message: coltsfootlink.Strikes{Strikes: []coltsfootlink.Strike{{Fingerprint: 7, Target: "t-1", Deadline: task.Clock.Now().Add(time.Minute)}}}})
+		task.running[1] = running{want: Want{Fingerprint: 7}, target: "t-1", owner: "i-a"}
+		task.handle(coltsfootlink.Delivery{Message: Report{Serial: 1, Stage: coltsfootlink.Ended, Result: coltsfootlink.Succeeded}})
+		So(strikesTo(sender, "i-b").Strikes, ShouldResemble, []coltsfootlink.Strike{{Fingerprint: 7, Cleared: true}})
+	})
+}
+
 // strikesTo returns the last strikes that were sent to an instance; none if there are none.
 func strikesTo(sender *recorder, to coltsfootlink.InstanceName) coltsfootlink.Strikes {
 	var last coltsfootlink.Strikes
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -23,9 +23,6 @@
 	slowAskTimeout = 400 * time.Millisecond
 	// ownerBackoff is how long the targets of an owner that did not reply are skipped.
 	ownerBackoff = 500 * time.Millisecond
-	// strikeTTL is how long a broken connection counts against requests with the same fingerprint as the one that it
-	// carried.
-	strikeTTL = 30 * time.Second
 	// defaultRetryDelay is the retry delay for callers if it is not known when there will be capacity.
 	defaultRetryDelay = 500 * time.Millisecond
 )
@@ -68,6 +65,7 @@
 	want               Want
 	target             coltsfootlink.TargetName
 	version            coltsfootlink.Version
+	incarnation        uint64
 	owner              coltsfootlink.InstanceName
 	firstEventReceived bool
 	// expectedMillis is the expected time to the first event, in milliseconds; zero if the target is not an engine.
@@ -214,9 +212,9 @@
 }
 
 func (task *Task) handleWant(want Want) {
-	if task.strikes.Barred(task.Clock.Now(), want.Fingerprint) {
-		refusal := coltsfootlink.Refuse(coltsfootlink.CrashingRequest, "targets crashed while they ran requests like this one")
-		want.Reply <- Choice{Refusal: refusal.WithRetryAt(task.Clock.Now().Add(strikeTTL))}
+	want, refusal := task.withProbe(task.Clock.Now(), want)
+	if refusal != nil {
+		want.Reply <- Choice{Refusal: refusal}
 		return
 	}
 	if refusal := task.refuseUnfinishable(want); refusal != nil {
@@ -292,6 +290,7 @@
 		task.recordUsage(request, report)
 		if report.Result == coltsfootlink.Succeeded {
 			task.durations.record(request, report.Millis)
+			task.clearStrikes(request)
 		}
 		if !request.firstEventReceived && report.Result != coltsfootlink.Succeeded {
 			task.loads.countTeam(request.want.Pool, request.want.Team, 0, -tokensOf(request.want.Work))
--- a/message.go
+++ b/message.go
@@ -147,8 +147,13 @@
 	// Fingerprint identifies the request.
 	Fingerprint uint64
 	Target      TargetName
+	// Incarnation is the incarnation of the target that crashed; zero if it is not known.
+	Incarnation uint64
 	// Deadline is when the strike expires.
 	Deadline time.Time
+	// Cleared indicates that a target has answered such a request, so that all strikes against it are void. The other
+	// fields but Fingerprint are then empty.
+	Cleared bool
 }
 
 // ClaimRequest is sent to the owner of a claim partition, before a request that may run at most once is started. It
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -46,7 +46,7 @@
 		Parts: []coltsfootlink.CounterPart{{Team: "x", Instance: "a", Incarnation: 3, Charged: 1.5, Refunded: 0.25}},
 		Lifts: []coltsfootlink.CounterLift{{Team: "y", Lift: 2.5}},
 	},
-	"strikes": coltsfootlink.Strikes{Strikes: []coltsfootlink.Strike{{Fingerprint: 1 << 63, Target: "t", Deadline: at}}},
+	"strikes": coltsfootlink.Strikes{Strikes: []coltsfootlink.Strike{{Fingerprint: 1 << 63, Target: "t", Incarnation: 7, Deadline: at}, {Fingerprint: 5, Cleared: true}}},
 	"quarantine news": coltsfootlink.QuarantineNews{
 		Crashes:  []coltsfootlink.PromptCrash{{Pool: "p", Request: "r", Target: "t", Incarnation: 3, Suspects: []coltsfootlink.Suspect{{Part: 1 << 63}}}},
 		Answered: []coltsfootlink.PartAnswered{{Pool: "p", Part: 7}},
--- a/peer/decode.go
+++ b/peer/decode.go
@@ -138,7 +138,9 @@
 	return coltsfootlink.Strike{
 		Fingerprint: strike.GetFingerprint(),
 		Target:      coltsfootlink.TargetName(decoder.name(strike.GetTargetRef())),
+		Incarnation: decoder.number(strike.GetIncarnationRef()),
 		Deadline:    fromUnixMillis(strike.GetDeadlineUnixMillis()),
+		Cleared:     strike.GetCleared(),
 	}
 }
 
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -166,7 +166,9 @@
 	return &peerpb.Strike{
 		Fingerprint:        strike.Fingerprint,
 		TargetRef:          encoder.ref(string(strike.Target)),
+		IncarnationRef:     encoder.number(strike.Incarnation),
 		DeadlineUnixMillis: toUnixMillis(strike.Deadline),
+		Cleared:            strike.Cleared,
 	}
 }
 
--- a/permit/slot.go
+++ b/permit/slot.go
@@ -134,7 +134,7 @@
 func (slot Slot) withoutSuspects(deadline time.Time) (Slot, []coltsfootlink.Strike) {
 	var strikes []coltsfootlink.Strike
 	for _, fingerprint := range slot.suspects {
-		strikes = append(strikes, coltsfootlink.Strike{Fingerprint: fingerprint, Target: slot.Target.Name, Deadline: deadline})
+		strikes = append(strikes, coltsfootlink.Strike{Fingerprint: fingerprint, Target: slot.Target.Name, Incarnation: slot.suspectIncarnation, Deadline: deadline})
 	}
 	slot.suspects = nil
 	return slot, strikes
