Readers of the store wait at different times, so that silent connections are noticed soon

Cause: all readers began and ended their waits of 3 s together, and a silent connection shows only after the wait and a timeout of 1 s.

Change: the waits of the fleet's readers end evenly spread over the period, and the first failed read is retried at once.

--- a/catalog/reader.go
+++ b/catalog/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,11 +13,14 @@
 )
 
 const (
-	// maxFollowWait is how long a read waits on the platform if there are no new records.
+	// maxFollowWait is how long a read waits on the platform if there are no new records. Waits end at fixed times, which
+	// differ between readers; one that would be shorter than minFollowWait ends a period later.
 	maxFollowWait = 3 * time.Second
+	minFollowWait = 100 * time.Millisecond
 	// followDelay is the delay after a read that returned records, so that the next read returns several at once.
 	followDelay = 300 * time.Millisecond
-	// retryDelay is the delay before a failed read is retried.
+	// retryDelay is the delay before a failed read is retried. The first one after a successful read is retried at once, as
+	// its connection may have been the only fault.
 	retryDelay = 400 * time.Millisecond
 	// reregistrationGrace is how long targets may take to register again after an outage of the store, during which their
 	// records may have expired.
@@ -30,6 +34,8 @@
 	clock  coltsfootlink.Clock
 	log    zerolog.Logger
 	inbox  *mailbox.Deliveries
+	// phase is when the reader's waits end within each period of maxFollowWait, as a time.Duration. The catalog's task sets it.
+	phase *atomic.Int64
 
 	// next is the offset at which the next read starts. nextKnown is false while all keys have to be read with Newest first.
 	next      uint64
@@ -69,8 +75,11 @@
 			reader.nextKnown = false
 			delay = 0
 		case err != nil:
-			reader.markDown(err)
 			delay = retryDelay
+			if !reader.down {
+				delay = 0
+			}
+			reader.markDown(err)
 		default:
 			reader.markUp()
 			if count == 0 {
@@ -124,7 +133,22 @@
 	if len(reader.postponed) > 0 || reader.rereadAfterGrace {
 		return followDelay
 	}
-	return maxFollowWait
+	return reader.untilPhase(reader.clock.Now())
+}
+
+// untilPhase returns the time until the reader's next wait is to end. All connections to the store may go silent at once, and
+// a reader notices only when its wait is over: if the waits of all readers of the fleet end evenly spread over the period, one
+// of them notices soon, whenever that happens.
+func (reader *reader) untilPhase(now time.Time) time.Duration {
+	if reader.phase == nil {
+		return maxFollowWait
+	}
+	sinceStart := time.Duration(now.UnixNano() % int64(maxFollowWait))
+	wait := (time.Duration(reader.phase.Load()) - sinceStart + maxFollowWait) % maxFollowWait
+	if wait < minFollowWait {
+		wait += maxFollowWait
+	}
+	return wait
 }
 
 // postpone defers removals of targets during the grace period after an outage, and returns the other records.
--- a/catalog/task.go
+++ b/catalog/task.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -53,6 +54,8 @@
 
 	state State
 	view  coltsfootlink.View
+	// phase is when the waits of this instance's readers end within each period of maxFollowWait; the readers load it.
+	phase atomic.Int64
 	// stopFuncs stop the readers; nil if the instance does not read.
 	stopFuncs []func()
 	// loaded are the streams that have been read completely since the task started.
@@ -107,9 +110,28 @@
 		task.Sender.Send(delivery.From, coltsfootlink.News{Records: task.state.Records(), Ends: task.state.Ends(), Signature: task.signature})
 	case coltsfootlink.ViewChanged:
 		task.view = message.View
+		task.phase.Store(int64(task.followPhase()))
 	}
 }
 
+// followPhase returns when the waits of this instance's readers end within each period of maxFollowWait. The regular readers
+// of all zones divide the period evenly, those of the same zone as far from each other as possible.
+func (task *Task) followPhase() time.Duration {
+	var zones []coltsfootlink.ZoneName
+	for _, member := range task.view.Live() {
+		if !slices.Contains(zones, member.Zone) {
+			zones = append(zones, member.Zone)
+		}
+	}
+	slices.Sort(zones)
+	rank := slices.Index(task.readers(task.Self.Zone), task.Self.Name)
+	zone := slices.Index(zones, task.Self.Zone)
+	if rank < 0 || zone < 0 {
+		return 0
+	}
+	return maxFollowWait * time.Duration(rank*len(zones)+zone) / time.Duration(readersPerZone*len(zones))
+}
+
 // handleNews applies the records that a peer has sent. If these are all of the peer's, keys that the peer knows to be
 // removed are removed here, too. A reader of the zone passes on what is new and comes from another zone.
 func (task *Task) handleNews(from coltsfootlink.InstanceName, news coltsfootlink.News) {
@@ -295,6 +317,7 @@
 				clock:  task.Clock,
 				log:    task.Log,
 				inbox:  task.Inbox,
+				phase:  &task.phase,
 			}))
 		}
 	case !shouldRead && reading:
--- a/rig/proxy.go
+++ b/rig/proxy.go
@@ -47,6 +47,8 @@
 
 	mode  atomic.Int32
 	inbox chan any
+	// opened is the number of connections so far. Those up to the number silenced forward no more bytes.
+	opened, silenced atomic.Int64
 	// done is closed when the proxy ends.
 	done <-chan struct{}
 }
@@ -80,6 +82,9 @@
 	proxy.send(mode)
 }
 
+// SilenceOpen makes the connections that are open now forward no more bytes for good, without closing them. Later ones work.
+func (proxy *Proxy) SilenceOpen() { proxy.silenced.Store(proxy.opened.Load()) }
+
 // run is the task that owns the set of open connections.
 func (proxy *Proxy) run(ctx context.Context) {
 	open := make(map[net.Conn]net.Conn)
@@ -132,19 +137,21 @@
 		return
 	}
 	defer func() { _ = server.Close() }()
+	number := proxy.opened.Add(1)
 	proxy.send(connectionPair{client: client, server: server, open: true})
 	defer proxy.send(connectionPair{client: client})
 	answersDone := make(chan struct{})
 	go func() {
-		proxy.forward(client, server, HoldAnswers)
+		proxy.forward(client, server, number, HoldAnswers)
 		close(answersDone)
 	}()
-	proxy.forward(server, client, HoldRequests)
+	proxy.forward(server, client, number, HoldRequests)
 	<-answersDone
 }
 
-// forward copies bytes in one direction until one side closes; blocking is the mode that holds this direction only.
-func (proxy *Proxy) forward(to, from net.Conn, blocking Mode) {
+// forward copies bytes of the connection with a number in one direction until one side closes; blocking is the mode that holds
+// this direction only.
+func (proxy *Proxy) forward(to, from net.Conn, number int64, blocking Mode) {
 	defer func() { _ = to.Close() }()
 	buffer := make([]byte, bufferBytes)
 	for {
@@ -158,7 +165,7 @@
 		if mode := Mode(proxy.mode.Load()); mode == Close || mode == Abort {
 			return
 		}
-		if count > 0 {
+		if count > 0 && number > proxy.silenced.Load() {
 			if _, writeErr := to.Write(buffer[:count]); writeErr != nil {
 				return
 			}
