Count the requests that targets begin, by usage window and team

Package usage: each instance's cumulative counts, and the holder's ledger that merges them. dispatch tells the duty task of each request once, at its first event or at a successful end without one. Without a duty task nothing is counted.

--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -85,6 +85,8 @@
 	Sender coltsfootlink.Sender
 	Log    zerolog.Logger
 	Inbox  *mailbox.Deliveries
+	// Duties is the inbox of the duty task, which receives the requests that have begun; nil if there are no duties.
+	Duties *mailbox.Deliveries
 	// RetryShare is the fraction of a retry that each first attempt adds to its pool's retry budget; RetrySlack is
 	// the maximum number of retries that the whole fleet saves up for a pool.
 	RetryShare float64
@@ -116,6 +118,7 @@
 	serial    uint64
 	pending   map[uint64]pending
 	running   map[uint64]running
+	begun     begunRequests
 	// backoffUntil is when the targets of an owner that did not reply are offered requests again.
 	backoffUntil map[coltsfootlink.InstanceName]time.Time
 	// lastVerdictAt is when the newest verdict of each owner was handled.
@@ -157,6 +160,7 @@
 func (task *Task) reset() {
 	task.pending = make(map[uint64]pending)
 	task.running = make(map[uint64]running)
+	task.begun = make(begunRequests)
 	task.strikes = health.NewStrikes()
 	task.announced = health.NewStrikes()
 	task.loads = newLoads()
@@ -287,6 +291,7 @@
 	if !found {
 		return
 	}
+	task.countBegun(request, report)
 	if report.Stage == coltsfootlink.Ended {
 		delete(task.running, report.Serial)
 		task.recordUsage(request, report)
