Sample the loads of targets whose number can be ordered

About once a second admission tells the duty task, by pool and zone, of the requests in progress, the work that it granted and the work within teams' shares that it refused. Surplus requests count for nothing, so that a team's flood orders no targets. Without a duty task nothing is sampled.

--- a/admission/ledger.go
+++ b/admission/ledger.go
@@ -104,6 +104,8 @@
 	firstInQueue bool
 	// firstEventReceived indicates that the request's holder has received the first event.
 	firstEventReceived bool
+	// surplus indicates that the request is beyond its team's shares.
+	surplus bool
 }
 
 // Ledger holds the permitted requests of one target, and what its owner has observed and predicts of the target; it is
@@ -203,7 +205,7 @@
 
 // withRequest records a permitted request and, for an engine, appends its prompt to the reading queue.
 func (ledger Ledger) withRequest(now time.Time, id requestID, ask coltsfootlink.Ask) Ledger {
-	added := request{team: ask.Team, work: ask.Work, deadline: ask.Deadline, grantedAt: now, expectedAt: now}
+	added := request{team: ask.Team, work: ask.Work, deadline: ask.Deadline, grantedAt: now, expectedAt: now, surplus: ask.Standing == coltsfootlink.Surplus}
 	if ledger.traits.Engine {
 		added.readMillis = ledger.readMillis(ask.Work)
 		if ledger.queueEndsAt.Before(now) {
--- a/admission/task.go
+++ b/admission/task.go
@@ -33,10 +33,13 @@
 	Inbox  *mailbox.Deliveries
 	// Prober is the inbox of the prober, which receives the probe requests.
 	Prober *mailbox.Deliveries
+	// Duties is the inbox of the duty task, which receives the loads of the owned targets; nil if there are no duties.
+	Duties *mailbox.Deliveries
 
 	ledgers map[coltsfootlink.TargetName]Ledger
 	// trials are until when no further trial of the same barred parts is permitted.
 	trials  map[uint64]time.Time
+	loads   loadSampler
 	catalog coltsfootlink.Catalog
 	view    coltsfootlink.View
 	// activeUntil is the time after which the task counts as having been suspended.
@@ -73,6 +76,7 @@
 		task.Log.Warn().Time("since", task.activeUntil.Add(-suspensionLimit)).
 			Msg("admission: process was suspended; starting over with empty ledgers for the owned targets")
 		clear(task.ledgers)
+		task.loads = loadSampler{}
 		task.updateOwnership()
 	}
 	task.activeUntil = now.Add(suspensionLimit)
@@ -153,6 +157,9 @@
 		task.beginTrial(now, from, ask)
 	}
 	task.ledgers[ask.Target] = updated
+	if task.Duties != nil {
+		task.loads = task.loads.withAsk(updated, from, ask, verdict.Reason)
+	}
 	task.Sender.Send(from, verdict)
 	line := task.Log.Debug()
 	if verdict.Reason != "" {
@@ -217,7 +224,7 @@
 	}
 }
 
-// tick removes expired requests and requests the reports that are due.
+// tick removes expired requests, requests the reports that are due, and samples the loads.
 func (task *Task) tick() {
 	now := task.Clock.Now()
 	for name, ledger := range task.ledgers {
@@ -227,6 +234,7 @@
 			task.Prober.Put(coltsfootlink.Delivery{Message: probeRequest{target: ledger.target}})
 		}
 	}
+	task.sampleLoads(now)
 }
 
 // logFailure logs the results after which a target may count as down or cold.
