--- a/scaling/planner_test.go
+++ b/scaling/planner_test.go
@@ -166,6 +166,8 @@
 		"not enough is known yet":                {steady(85), lastingSamples - 1, nil},
 		"no loads are known":                     {steady(85), 60, func(fleet *fleet) { fleet.mute = map[coltsfootlink.ZoneName]bool{"a": true, "b": true, "c": true} }},
 		"most targets are not reported":          {steady(85), 60, func(fleet *fleet) { fleet.mute = map[coltsfootlink.ZoneName]bool{"a": true, "b": true} }},
+		"owners stop to report during a rise":    {step(70), 60, func(fleet *fleet) { fleet.before = muted(fleet, 22, 60) }},
+		"little demand, known for a moment only": {steady(20), 24, func(fleet *fleet) { fleet.before = muted(fleet, 3, 18) }},
 		"a zone's owners report nothing":         {steady(45), 60, func(fleet *fleet) { fleet.mute = map[coltsfootlink.ZoneName]bool{"a": true} }},
 		"less demand for a moment":               {between(45, 10, 30, 45), 60, nil},
 	}
@@ -180,6 +182,16 @@
 	}
 }
 
+// muted returns a change by which no loads are reported from a second on, until another.
+func muted(fleet *fleet, from, until int) func(int) {
+	return func(second int) {
+		fleet.mute = make(map[coltsfootlink.ZoneName]bool)
+		for _, zone := range zoneNames {
+			fleet.mute[zone] = second >= from && second < until
+		}
+	}
+}
+
 // step returns a demand of 45 that rises to another one after 20 s.
 func step(demand float64) func(int) float64 { return between(45, demand, 20, math.MaxInt) }
 
@@ -300,6 +312,68 @@
 	})
 }
 
+// TestZoneTargets checks which targets of a zone count, and whether the zone serves.
+func TestZoneTargets(t *testing.T) {
+	started := coltsfootlink.Target{Name: "t-1", Pool: "p", Zone: "a"}
+	leaving := coltsfootlink.Target{Name: "t-2", Pool: "p", Zone: "a", Leaving: true}
+	other := coltsfootlink.Target{Name: "t-3", Pool: "p", Zone: "b"}
+	member := func(zone coltsfootlink.ZoneName, live bool) coltsfootlink.Member {
+		return coltsfootlink.Member{Instance: coltsfootlink.Instance{Name: coltsfootlink.InstanceName("i-" + zone), Zone: zone}, Live: live}
+	}
+	cases := map[string]struct {
+		targets  []coltsfootlink.Target
+		members  []coltsfootlink.Member
+		out      bool
+		expected zoneTargets
+	}{
+		"in service":                         {[]coltsfootlink.Target{started, leaving, other}, []coltsfootlink.Member{member("a", true)}, false, zoneTargets{count: 1, serving: true}},
+		"out of service":                     {[]coltsfootlink.Target{started, other}, []coltsfootlink.Member{member("a", true)}, true, zoneTargets{count: 1, out: true}},
+		"only a leaving target":              {[]coltsfootlink.Target{leaving}, []coltsfootlink.Member{member("a", true)}, false, zoneTargets{}},
+		"cut off":                            {[]coltsfootlink.Target{started, other}, []coltsfootlink.Member{member("a", false), member("b", true)}, false, zoneTargets{count: 1}},
+		"instances in zones without targets": {[]coltsfootlink.Target{started, other}, []coltsfootlink.Member{member("c", true)}, false, zoneTargets{count: 1, serving: true}},
+	}
+	for name, test := range cases {
+		Convey("the load of a zone would be ordered twice or nowhere: "+name, t, func() {
+			catalog := coltsfootlink.Catalog{}.WithZoneOut("a", test.out)
+			for _, target := range test.targets {
+				catalog = catalog.WithTarget(target)
+			}
+			planner := NewPlanner().WithCatalog(start, catalog, coltsfootlink.View{Members: test.members})
+			So(planner.targets("p")["a"], ShouldResemble, test.expected)
+		})
+	}
+}
+
+// TestUnreportedTargets checks the demand that is assumed for targets without loads, of 30 or more in a zone.
+func TestUnreportedTargets(t *testing.T) {
+	cases := map[string]struct {
+		// before is the number of targets at the previous sample, and reported the number in each owner's report.
+		before, now int
+		reported    []int
+		demand      float64
+	}{
+		"all are reported":            {30, 30, []int{15, 15}, 15},
+		"one owner is silent":         {30, 30, []int{15}, 15},
+		"two owners report the same":  {30, 30, []int{30, 30}, 15},
+		"new targets, not reported":   {30, 45, []int{30}, 15},
+		"new targets, reported":       {30, 45, []int{45}, 22.5},
+		"targets that ended meantime": {30, 20, []int{30}, 10},
+	}
+	for name, test := range cases {
+		Convey("demand would jump when targets or their owners change: "+name, t, func() {
+			planner := NewPlanner()
+			planner.pools = map[coltsfootlink.PoolName]plan{"p": {zones: map[coltsfootlink.ZoneName]zonePlan{"a": {targets: zoneTargets{count: test.before}}}}}
+			for owner, count := range test.reported {
+				load := coltsfootlink.TargetsLoad{Pool: "p", Zone: "a", Targets: count, ReadMillis: 500 * float64(count), IntervalMillis: 1000}
+				planner = planner.WithLoads(start, coltsfootlink.InstanceName(rune('a'+owner)), []coltsfootlink.TargetsLoad{load})
+			}
+			works, known := planner.works(start, "p", map[coltsfootlink.ZoneName]zoneTargets{"a": {count: test.now, serving: true}})
+			So(known, ShouldBeTrue)
+			So(works["a"].demand(), ShouldAlmostEqual, test.demand, 0.001)
+		})
+	}
+}
+
 // TestDemand checks what full targets and successive samples count for.
 func TestDemand(t *testing.T) {
 	busy := coltsfootlink.TargetsLoad{Pool: "p", Zone: "a", Targets: 10, Slots: 320, Running: 64, ReadMillis: 4000, IntervalMillis: 1000, GrantedTokens: 100}
