--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -1,6 +1,8 @@
 package usage
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/benbjohnson/immutable"
@@ -46,8 +48,8 @@
 // progress is how far an instance has reported.
 type progress struct{ incarnation, reached uint64 }
 
-// bySource holds the counts of one window by their source.
-type bySource = *immutable.Map[source, teamCounts]
+// bySource holds the counts of one window by their source, sorted by team.
+type bySource = *immutable.Map[source, []coltsfootlink.TeamCount]
 
 // Ledger holds the counts that the holder of the duty has received and that are not recorded yet; it is immutable. A new
 // holder begins with a new ledger. Times are those of a clock that does not step.
@@ -108,18 +110,10 @@
 func (ledger Ledger) merged(from source, reported coltsfootlink.UsageWindow) bySource {
 	sources, found := ledger.windows.Get(reported.Index)
 	if !found {
-		sources = immutable.NewMap[source, teamCounts](sourceHasher{})
+		sources = immutable.NewMap[source, []coltsfootlink.TeamCount](sourceHasher{})
 	}
-	teams, found := sources.Get(from)
-	if !found {
-		teams = newTeamCounts()
-	}
-	for _, count := range reported.Teams {
-		if known, _ := teams.Get(count.Team); count.Requests > known {
-			teams = teams.Set(count.Team, count.Requests)
-		}
-	}
-	return sources.Set(from, teams)
+	known, _ := sources.Get(from)
+	return sources.Set(from, joined(known, sortedByTeam(reported.Teams), func(one, other int) int { return max(one, other) }))
 }
 
 // WithRecorded drops a window that is recorded and all before it. Windows are recorded in order, so the counts of a
@@ -176,17 +170,43 @@
 
 // total returns the counts of a window, added up over all runs of all instances and sorted by team.
 func (ledger Ledger) total(index uint64) []coltsfootlink.TeamCount {
-	sum := newTeamCounts()
 	sources, found := ledger.windows.Get(index)
 	if !found {
 		return nil
 	}
+	var sum []coltsfootlink.TeamCount
 	for iterator := sources.Iterator(); !iterator.Done(); {
-		_, teams, _ := iterator.Next()
-		for _, count := range listOf(teams) {
-			requests, _ := sum.Get(count.Team)
-			sum = sum.Set(count.Team, requests+count.Requests)
+		_, counts, _ := iterator.Next()
+		sum = joined(sum, counts, func(one, other int) int { return one + other })
+	}
+	return sum
+}
+
+// sortedByTeam returns the counts sorted by team, as instances send them.
+func sortedByTeam(counts []coltsfootlink.TeamCount) []coltsfootlink.TeamCount {
+	compare := func(left, right coltsfootlink.TeamCount) int { return cmp.Compare(left.Team, right.Team) }
+	if slices.IsSortedFunc(counts, compare) {
+		return counts
+	}
+	return slices.SortedFunc(slices.Values(counts), compare)
+}
+
+// joined returns the counts of two lists sorted by team; those of teams in both are combined.
+func joined(left, right []coltsfootlink.TeamCount, combine func(one, other int) int) []coltsfootlink.TeamCount {
+	if len(left) == 0 {
+		return right
+	}
+	counts := make([]coltsfootlink.TeamCount, 0, max(len(left), len(right)))
+	for len(left) > 0 && len(right) > 0 {
+		switch order := cmp.Compare(left[0].Team, right[0].Team); {
+		case order < 0:
+			counts, left = append(counts, left[0]), left[1:]
+		case order > 0:
+			counts, right = append(counts, right[0]), right[1:]
+		default:
+			counts = append(counts, coltsfootlink.TeamCount{Team: left[0].Team, Requests: combine(left[0].Requests, right[0].Requests)})
+			left, right = left[1:], right[1:]
 		}
 	}
-	return listOf(sum)
+	return append(append(counts, left...), right...)
 }
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -119,6 +119,30 @@
 	})
 }
 
+// TestTeams checks that the counts of teams are kept apart when reports name different ones, in any order.
+func TestTeams(t *testing.T) {
+	type list = []coltsfootlink.TeamCount
+	cases := map[string]struct{ earlier, later, other, total list }{
+		"the same teams":              {list{{Team: "x", Requests: 2}, {Team: "y", Requests: 3}}, list{{Team: "x", Requests: 4}, {Team: "y", Requests: 3}}, list{{Team: "x", Requests: 1}, {Team: "y", Requests: 1}}, list{{Team: "x", Requests: 5}, {Team: "y", Requests: 4}}},
+		"a team begins later":         {list{{Team: "y", Requests: 3}}, list{{Team: "x", Requests: 4}, {Team: "y", Requests: 3}}, nil, list{{Team: "x", Requests: 4}, {Team: "y", Requests: 3}}},
+		"teams of one instance alone": {list{{Team: "x", Requests: 3}}, list{{Team: "x", Requests: 3}, {Team: "z", Requests: 1}}, list{{Team: "y", Requests: 7}}, list{{Team: "x", Requests: 3}, {Team: "y", Requests: 7}, {Team: "z", Requests: 1}}},
+		"not sorted":                  {nil, list{{Team: "z", Requests: 3}, {Team: "x", Requests: 1}}, list{{Team: "y", Requests: 7}}, list{{Team: "x", Requests: 1}, {Team: "y", Requests: 7}, {Team: "z", Requests: 3}}},
+	}
+	for name, test := range cases {
+		Convey("a team would get the counts of another: "+name, t, func() {
+			ledger := NewLedger(window, lateness)
+			for _, sent := range []struct {
+				from   coltsfootlink.InstanceName
+				counts list
+			}{{"a", test.later}, {"a", test.earlier}, {"b", test.other}} {
+				ledger = ledger.WithReport(at(6), sent.from, coltsfootlink.DutyReport{Reached: first + 1, Windows: []coltsfootlink.UsageWindow{{Index: first, Teams: sent.counts}}})
+			}
+			due, _ := ledger.Due(at(7), []coltsfootlink.InstanceName{"a", "b"})
+			So(due.Teams, ShouldResemble, test.total)
+		})
+	}
+}
+
 // TestOrderOfReports checks that counts don't depend on the order of reports, nor on repeated ones.
 func TestOrderOfReports(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
