--- a/duty.go
+++ b/duty.go
@@ -37,7 +37,8 @@
 	Requests int
 }
 
-// TargetsLoad is the load of the targets of one pool in one availability zone that one instance owns, over an interval.
+// TargetsLoad is the load of the targets of one pool in one availability zone that one instance owns, over an interval. Surplus
+// requests, which use only idle capacity, are left out.
 type TargetsLoad struct {
 	Pool PoolName
 	Zone ZoneName
--- a/scaling/planner.go
+++ b/scaling/planner.go
@@ -3,6 +3,7 @@
 
 import (
 	"maps"
+	"strconv"
 	"time"
 
 	"coltsfootlink"
@@ -198,3 +199,24 @@
 	}
 	return planner, orders
 }
+
+// Table returns what the planner knows and has ordered, for operators: demand is in targets that would be fully at work, now and
+// at its peak in the last calmTime, and ordered is empty where the number of targets was left as it was.
+func (planner Planner) Table() coltsfootlink.Table {
+	table := coltsfootlink.Table{Columns: []string{"pool", "zone", "targets", "ordered", "serving", "demand", "peak"}}
+	for _, pool := range sorted(planner.pools) {
+		zones := planner.pools[pool].zones
+		for _, name := range sorted(zones) {
+			zone, ordered, demand := zones[name], "", 0.0
+			if zone.ordered > 0 {
+				ordered = strconv.Itoa(zone.ordered)
+			}
+			if last := len(zone.demand) - 1; last >= 0 {
+				demand = zone.demand[last].demand
+			}
+			table = table.WithRow(string(pool), string(name), strconv.Itoa(zone.targets.count), ordered, strconv.FormatBool(zone.targets.serving),
+				strconv.FormatFloat(demand, 'f', 1, 64), strconv.FormatFloat(zone.demand.peak(), 'f', 1, 64))
+		}
+	}
+	return table
+}
--- a/scaling/planner_test.go
+++ b/scaling/planner_test.go
@@ -271,6 +271,19 @@
 	}
 }
 
+// TestTable checks the operators' table of a pool in which one zone was raised.
+func TestTable(t *testing.T) {
+	Convey("operators would not see what was ordered", t, func() {
+		fleet := newFleet(steady(40))
+		fleet.weights = map[coltsfootlink.ZoneName]float64{"a": 0.6, "b": 0.2, "c": 0.2}
+		table := fleet.run(20).planner.Table()
+		So(table.Columns, ShouldHaveLength, len(table.Rows[0]))
+		So(table.Rows, ShouldResemble, [][]string{
+			{"p", "a", "40", "40", "true", "24.0", "24.0"}, {"p", "b", "30", "", "true", "8.0", "8.0"}, {"p", "c", "30", "", "true", "8.0", "8.0"},
+		})
+	})
+}
+
 // TestRamp checks that targets are ordered ahead of a steady rise.
 func TestRamp(t *testing.T) {
 	Convey("callers would be refused while ordered targets start, or the trend would be overestimated", t, func() {
