--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -26,6 +26,9 @@
 	// startMargin is how much longer than the start-up time targets may take before their zone counts with the targets
 	// that it has.
 	startMargin = 4 * time.Second
+	// cutOffTime is how long a zone must have been cut off before its load is ordered in the others. Links that heal within it
+	// would leave targets behind that nobody needs.
+	cutOffTime = 3 * time.Second
 	// repeatInterval is the time after which an order whose targets have not appeared is repeated.
 	repeatInterval = 10 * time.Second
 	// downInterval is the time between two steps down, and maxDownPart the part of a zone's targets that a step may give up.
@@ -41,6 +44,22 @@
 	// repeatedAt.
 	ordered               int
 	orderedAt, repeatedAt time.Time
+	// cutOffAt is when the zone was cut off; zero if it is not.
+	cutOffAt time.Time
+}
+
+// withTargets records the targets of the zone. A zone that is cut off counts as serving for cutOffTime.
+func (zone zonePlan) withTargets(now time.Time, targets zoneTargets) zonePlan {
+	cutOff := targets.count > 0 && !targets.serving && !targets.out
+	switch {
+	case !cutOff:
+		zone.cutOffAt = time.Time{}
+	case zone.cutOffAt.IsZero():
+		zone.cutOffAt = now
+	}
+	targets.serving = targets.serving || cutOff && now.Before(zone.cutOffAt.Add(cutOffTime))
+	zone.targets = targets
+	return zone
 }
 
 // count is the number of targets that the zone is to have: what was ordered, otherwise what it has.
@@ -74,11 +93,11 @@
 	plan.total = plan.total.with(now, total.demand())
 	plan.zones = clone(plan.zones)
 	for name, targets := range zones {
-		zone, known := plan.zones[name]
-		if !known || zone.targets.serving != targets.serving {
+		earlier, known := plan.zones[name]
+		zone := earlier.withTargets(now, targets)
+		if !known || zone.targets.serving != earlier.targets.serving {
 			plan.changedAt = now
 		}
-		zone.targets = targets
 		zone.demand = zone.demand.with(now, works[name].demand())
 		plan.zones[name] = zone
 	}
--- a/scaling/planner_test.go
+++ b/scaling/planner_test.go
@@ -31,9 +31,9 @@
 	// weights are the parts of the demand that callers of each zone ask from their own zone; nil if it is even over all
 	// targets.
 	weights map[coltsfootlink.ZoneName]float64
-	// out are the zones without targets in service at a second; unfit are those in which new targets do not start, and
+	// out are the zones out of service at a second, and cut those that are cut off; nil for none. unfit are those in which new targets do not start, and
 	// mute those whose owners report nothing.
-	out         func(zone coltsfootlink.ZoneName, second int) bool
+	out, cut    func(zone coltsfootlink.ZoneName, second int) bool
 	unfit, mute map[coltsfootlink.ZoneName]bool
 	// before is called before each second; nil if nothing happens.
 	before func(second int)
@@ -46,9 +46,18 @@
 	refusedAt []int
 }
 
+func never(coltsfootlink.ZoneName, int) bool { return false }
+
+// zoneB returns a condition of zone b from a second on, until another.
+func zoneB(from, until int) func(coltsfootlink.ZoneName, int) bool {
+	return func(zone coltsfootlink.ZoneName, second int) bool {
+		return zone == "b" && second >= from && second < until
+	}
+}
+
 func newFleet(demand func(int) float64) *fleet {
 	return &fleet{
-		planner: NewPlanner(), demand: demand, out: func(coltsfootlink.ZoneName, int) bool { return false },
+		planner: NewPlanner(), demand: demand, out: never, cut: never,
 		targets: map[coltsfootlink.ZoneName]int{"a": 30, "b": 30, "c": 30},
 		ordered: make(map[coltsfootlink.ZoneName][]Order), dueAt: make(map[coltsfootlink.ZoneName][]int), orders: make(map[int][]Order),
 	}
@@ -65,7 +74,7 @@
 			targets[name] = coltsfootlink.Target{Name: name, Pool: "p", Zone: zone, Slots: slots}
 		}
 		catalog = catalog.WithZoneOut(zone, fleet.out(zone, second))
-		view.Members = append(view.Members, coltsfootlink.Member{Instance: coltsfootlink.Instance{Name: coltsfootlink.InstanceName("i-" + zone), Zone: zone}, Live: true})
+		view.Members = append(view.Members, coltsfootlink.Member{Instance: coltsfootlink.Instance{Name: coltsfootlink.InstanceName("i-" + zone), Zone: zone}, Live: !fleet.cut(zone, second)})
 	}
 	table := coltsfootlink.RoutingTable{}.WithPool(coltsfootlink.PoolTraits{Name: "p", Engine: true, Scale: scaleRange})
 	return catalog.WithTable(table).WithTargets(targets), view
@@ -83,7 +92,7 @@
 			fleet.targets[zone] = fleet.ordered[zone][0].Count
 			fleet.dueAt[zone], fleet.ordered[zone] = fleet.dueAt[zone][1:], fleet.ordered[zone][1:]
 		}
-		if !fleet.out(zone, second) {
+		if !fleet.out(zone, second) && !fleet.cut(zone, second) {
 			serving += fleet.targets[zone]
 		}
 	}
@@ -104,7 +113,7 @@
 				fleet.refusedAt = append(fleet.refusedAt, second)
 			}
 		}
-		if !fleet.mute[zone] {
+		if !fleet.mute[zone] && !fleet.cut(zone, second) {
 			fleet.planner = fleet.planner.WithLoads(now, coltsfootlink.InstanceName("i-"+zone), []coltsfootlink.TargetsLoad{load})
 		}
 	}
@@ -168,6 +177,7 @@
 		"most targets are not reported":          {steady(85), 60, func(fleet *fleet) { fleet.mute = map[coltsfootlink.ZoneName]bool{"a": true, "b": true} }},
 		"owners stop to report during a rise":    {step(70), 60, func(fleet *fleet) { fleet.before = muted(fleet, 22, 60) }},
 		"little demand, known for a moment only": {steady(20), 24, func(fleet *fleet) { fleet.before = muted(fleet, 3, 18) }},
+		"a zone is cut off for a moment":         {steady(45), 60, func(fleet *fleet) { fleet.cut = zoneB(30, 33) }},
 		"a zone's owners report nothing":         {steady(45), 60, func(fleet *fleet) { fleet.mute = map[coltsfootlink.ZoneName]bool{"a": true} }},
 		"less demand for a moment":               {between(45, 10, 30, 45), 60, nil},
 	}
@@ -218,11 +228,12 @@
 		"a single burst, at the fourth second of a new holder": {between(45, 1.7*45, 4, 9), 60, nil, 0, nil, 0, counts{"a": 30, "b": 30, "c": 30}, 8},
 		"little demand for long":                               {steady(20), 60, nil, 20, counts{"a": 28, "b": 28, "c": 28}, 3, counts{"a": 26, "b": 26, "c": 26}, 0},
 		"a zone goes and returns": {steady(45), 79, func(fleet *fleet) {
-			fleet.out = func(zone coltsfootlink.ZoneName, second int) bool { return zone == "b" && second >= 30 && second < 60 }
+			fleet.out = zoneB(30, 60)
 		}, 30, counts{"a": 45, "c": 45}, 1, counts{"a": 45, "b": 30, "c": 45}, 37},
 		"a zone has returned for long": {steady(45), 88, func(fleet *fleet) {
-			fleet.out = func(zone coltsfootlink.ZoneName, second int) bool { return zone == "b" && second >= 30 && second < 60 }
+			fleet.out = zoneB(30, 60)
 		}, 30, counts{"a": 45, "c": 45}, 3, counts{"a": 40, "b": 30, "c": 40}, 37},
+		"a zone is cut off": {steady(45), 60, func(fleet *fleet) { fleet.cut = zoneB(30, 100) }, 33, counts{"a": 45, "c": 45}, 1, counts{"a": 45, "b": 30, "c": 45}, 40},
 		"a zone loses its targets": {steady(45), 60, func(fleet *fleet) {
 			fleet.before = func(second int) {
 				if second == 30 {
