Owners pace targets that start or recover by their answers

Today a returning target gets a fixed rate for a fixed time and then everything at once, whatever it does; after a Retry-After it gets about 12 requests a second for its cold duration, however fast it answers. The ledger now keeps a pace.State: new reason target-paced, setting [admission] pace (true), columns pace and slowdown in show targets, log lines and counters. The limit of the rate of cold targets is unchanged; TestColdRateLimit runs with and without the pace.

TestRampAfterBackoff checks the rate limit after a backoff, which remains without the pace; it now sets pace to false.

Tests: pace, admission, dispatch, settings and gateway pass.

--- a/admission/announced.go
+++ b/admission/announced.go
@@ -4,10 +4,11 @@
 	"time"
 
 	"coltsfootlink"
+	"coltsfootlink/pace"
 )
 
-// rampDuration is how long requests to a target whose backoff is over are paced if its pool has no cold start.
-const rampDuration = 3 * time.Second
+// defaultRampDuration is how long requests to a target whose backoff is over are paced if its pool has no cold start.
+const defaultRampDuration = 3 * time.Second
 
 // announced is what a target has announced in its answers; it is immutable.
 type announced struct {
@@ -25,12 +26,9 @@
 	}
 	ledger.announced.leaving = ledger.announced.leaving || notice.Leaving
 	if notice.RetryAt.After(ledger.announced.backoffUntil) {
-		ramp := ledger.traits.ColdStartDuration
-		if ramp <= 0 {
-			ramp = rampDuration
-		}
 		ledger.announced.backoffUntil = notice.RetryAt
-		ledger.announced.rampUntil = notice.RetryAt.Add(ramp)
+		ledger.announced.rampUntil = notice.RetryAt.Add(ledger.rampDuration())
+		ledger = ledger.withReturn(notice.RetryAt, pace.BackoffEnded)
 	}
 	return ledger
 }
--- a/admission/announced_test.go
+++ b/admission/announced_test.go
@@ -54,8 +54,8 @@
 	})
 }
 
-// TestRampAfterBackoff checks how many requests a target gets in the first second after its backoff, if 195 instances have
-// waited for that moment.
+// TestRampAfterBackoff checks how many requests a target gets in the first second after its backoff without a pace, if 195
+// instances have waited for that moment.
 func TestRampAfterBackoff(t *testing.T) {
 	cases := map[string]struct {
 		traits coltsfootlink.PoolTraits
@@ -68,6 +68,7 @@
 	for name, test := range cases {
 		Convey("a target whose backoff is over is not flooded: "+name, t, func() {
 			ledger, now := settledLedger(test.traits, test.slots)
+			ledger.policy.Pace = false
 			retryAt := now.Add(time.Second)
 			ledger = ledger.WithNotice(coltsfootlink.TargetNotice{RetryAt: retryAt})
 			granted := 0
--- a/admission/ledger.go
+++ b/admission/ledger.go
@@ -45,7 +45,7 @@
 	// plainWaitFraction is the maximum wait of a request to a plain service as a fraction of its objective.
 	plainWaitFraction = 0.5
 	// maxPlainDepth is the maximum number of requests per slot of a plain service, running and waiting.
-	maxPlainDepth = 3.0
+	maxPlainDepth = 3
 	// smoothing is the weight of the newest sample in moving averages.
 	smoothing = 0.1
 	// correctionGain is the fraction of a prediction error by which the predictions for later prompts are corrected.
@@ -80,6 +80,8 @@
 	// ColdPerSecond x ColdOverage + ColdSlack. An owner grants half of that, see coldLimit.
 	ColdOverage float64
 	ColdSlack   float64
+	// Pace lets the target's answers set the pace at which it gets requests after it has started or recovered.
+	Pace bool
 }
 
 // requestID identifies a permitted request.
@@ -92,6 +94,7 @@
 type request struct {
 	team      coltsfootlink.TeamName
 	work      coltsfootlink.Work
+	objective time.Time
 	deadline  time.Time
 	grantedAt time.Time
 	// expectedAt is when the target is expected to have read the prompt, without the ledger's lag: the lag at the time of
@@ -143,6 +146,8 @@
 	crashTimes []time.Time
 	// meanDurationMillis is the moving average of request durations in milliseconds; it is used for plain services.
 	meanDurationMillis float64
+	// recovery is how the target starts or recovers.
+	recovery recovery
 }
 
 // requestHasher lets request identifiers be keys of persistent maps.
@@ -156,7 +161,7 @@
 
 // NewLedger returns an empty ledger for a target of which the instance has just become the owner.
 func NewLedger(now time.Time, target coltsfootlink.Target, traits coltsfootlink.PoolTraits, policy Policy) Ledger {
-	return Ledger{
+	ledger := Ledger{
 		target:         target,
 		traits:         traits,
 		policy:         policy,
@@ -169,6 +174,8 @@
 		slowdown:       1,
 		lastProgressAt: now,
 	}
+	ledger.recovery = ledger.newRecovery(now)
+	return ledger
 }
 
 // WithTarget applies a change of the target or of its pool's traits. A new incarnation has restarted: it has lost its
@@ -180,6 +187,7 @@
 		ledger.blockedUntil = time.Time{}
 		ledger.announced = announced{}
 		ledger.breaker = breaker{}
+		ledger = ledger.withRestart()
 	}
 	ledger.target = target
 	ledger.traits = traits
@@ -188,9 +196,13 @@
 
 // WithAsk decides whether a request may be sent; if so, the verdict's reason is empty and the request is recorded.
 func (ledger Ledger) WithAsk(now time.Time, from coltsfootlink.InstanceName, ask coltsfootlink.Ask) (Ledger, coltsfootlink.Verdict) {
+	ledger = ledger.withPaceAt(now)
 	verdict := coltsfootlink.Verdict{Serial: ask.Serial, WaitMillis: int(ledger.waitMillis(now))}
 	ledger.grantTimes = timesAfter(ledger.grantTimes, now.Add(-coldRateWindow))
 	verdict.Reason, verdict.RetryAt = ledger.refusal(now, ask)
+	if verdict.Reason == "" {
+		ledger, verdict = ledger.withPaceVerdict(now, verdict)
+	}
 	if verdict.Reason != "" {
 		return ledger, verdict
 	}
@@ -203,7 +215,7 @@
 
 // withRequest records a permitted request and, for an engine, appends its prompt to the reading queue.
 func (ledger Ledger) withRequest(now time.Time, id requestID, ask coltsfootlink.Ask) Ledger {
-	added := request{team: ask.Team, work: ask.Work, deadline: ask.Deadline, grantedAt: now, expectedAt: now}
+	added := request{team: ask.Team, work: ask.Work, objective: ask.Objective, deadline: ask.Deadline, grantedAt: now, expectedAt: now}
 	if ledger.traits.Engine {
 		added.readMillis = ledger.readMillis(ask.Work)
 		if ledger.queueEndsAt.Before(now) {
--- a/admission/ledger_test.go
+++ b/admission/ledger_test.go
@@ -16,7 +16,7 @@
 	rates  = engine.Rates{PromptTokensPerMilli: 100, StepMillis: 4, StepMillisPerRequest: 0.1, ChunkTokens: 1000, FirstEventMillis: 30}
 	policy = Policy{
 		Rates: rates, ObjectiveShare: 0.75, LargeShare: 0.25, BearableShare: 0.2, SurplusShare: 0.05,
-		MemoryShare: 0.9, ColdOverage: 1.5, ColdSlack: 5,
+		MemoryShare: 0.9, ColdOverage: 1.5, ColdSlack: 5, Pace: true,
 	}
 	engineTraits = coltsfootlink.PoolTraits{Name: "p", Engine: true, MemoryTokens: 500_000, ColdStartDuration: 3 * time.Second, ColdPerSecond: 14}
 	plainTraits  = coltsfootlink.PoolTraits{Name: "q"}
@@ -144,7 +144,9 @@
 func TestColdRateLimit(t *testing.T) {
 	limit := engineTraits.ColdPerSecond*policy.ColdOverage + policy.ColdSlack
 	rapid.Check(t, func(t *rapid.T) {
-		ledger := NewLedger(start, coltsfootlink.Target{Name: "t", Slots: 128, ColdUntil: start.Add(time.Hour)}, engineTraits, policy)
+		used := policy
+		used.Pace = rapid.Bool().Draw(t, "pace")
+		ledger := NewLedger(start, coltsfootlink.Target{Name: "t", Slots: 128, ColdUntil: start.Add(time.Hour)}, engineTraits, used)
 		now := start
 		var granted []time.Time
 		for serial := range uint64(rapid.IntRange(1, 200).Draw(t, "asks")) {
--- a/admission/progress.go
+++ b/admission/progress.go
@@ -6,8 +6,8 @@
 	"coltsfootlink"
 )
 
-// WithProgress applies a report from the request's holder: its first event has arrived, or it has ended with a result.
-func (ledger Ledger) WithProgress(now time.Time, from coltsfootlink.InstanceName, progress coltsfootlink.Progress) Ledger {
+// withProgress applies a report to all but the pace of the target.
+func (ledger Ledger) withProgress(now time.Time, from coltsfootlink.InstanceName, progress coltsfootlink.Progress) Ledger {
 	id := requestID{holder: from, serial: progress.Serial}
 	held, found := ledger.requests.Get(id)
 	if !found {
--- a/admission/refusal.go
+++ b/admission/refusal.go
@@ -42,16 +42,22 @@
 	}
 	for iterator := ledger.requests.Iterator(); !iterator.Done(); {
 		_, held, _ := iterator.Next()
-		if !held.firstEventReceived && now.After(held.expectedAt.Add(ledger.lag+unresponsiveTimeout)) {
+		if ledger.firstEventOverdue(now, held) {
 			return true
 		}
 	}
 	return false
 }
 
-// paced reports whether the rate of requests to the target is limited, because it is cold or its backoff has ended.
+// firstEventOverdue reports whether the first event of a request is overdue by more than unresponsiveTimeout.
+func (ledger Ledger) firstEventOverdue(now time.Time, held request) bool {
+	return !held.firstEventReceived && now.After(held.expectedAt.Add(ledger.lag+unresponsiveTimeout))
+}
+
+// paced reports whether the rate of requests to the target is limited, because it is cold or its backoff has ended. After a
+// backoff, the window of the pace takes the place of the rate limit.
 func (ledger Ledger) paced(now time.Time) bool {
-	return ledger.traits.ColdPerSecond > 0 && ledger.cold(now) || ledger.announced.ramping(now)
+	return ledger.traits.ColdPerSecond > 0 && ledger.cold(now) || !ledger.policy.Pace && ledger.announced.ramping(now)
 }
 
 // overPace reports whether a paced target has reached its rate limit. A new owner grants nothing to a cold target until
--- a/admission/takeover.go
+++ b/admission/takeover.go
@@ -21,7 +21,7 @@
 		ledger.cache = ledger.cache.WithPrompt(now, other.Work, ledger.traits.MemoryTokens)
 		ledger.requests = ledger.requests.Set(id, added)
 	}
-	return ledger
+	return ledger.withHeldEvidence(now, held)
 }
 
 // running is the number of requests on the target, including orphaned ones.
--- a/admission/task.go
+++ b/admission/task.go
@@ -85,22 +85,24 @@
 		task.answer(now, delivery.From, message)
 	case coltsfootlink.Progress:
 		if ledger, owned := task.ledgers[message.Target]; owned {
-			task.ledgers[message.Target] = ledger.WithProgress(now, delivery.From, message)
+			task.keep(message.Target, ledger.WithProgress(now, delivery.From, message))
 			task.logFailure(delivery.From, message)
 		}
 	case probeResult:
 		task.handleReport(now, message)
 	case coltsfootlink.Held:
 		if ledger, owned := task.ledgers[message.Target]; owned {
-			task.ledgers[message.Target] = ledger.WithHeld(now, delivery.From, message)
+			task.keep(message.Target, ledger.WithHeld(now, delivery.From, message))
 		}
 	case coltsfootlink.TargetNotice:
 		if ledger, owned := task.ledgers[message.Target]; owned {
 			task.ledgers[message.Target] = ledger.WithNotice(message)
 		}
 	case coltsfootlink.CatalogChanged:
+		previous := task.catalog
 		task.catalog = message.Catalog
 		task.updateOwnership()
+		task.beginReturnedZones(now, previous)
 	case coltsfootlink.ViewChanged:
 		task.dropFailedHolders(message.View)
 		task.view = message.View
@@ -152,7 +154,10 @@
 	if verdict.Reason == "" && ask.Trial != 0 {
 		task.beginTrial(now, from, ask)
 	}
-	task.ledgers[ask.Target] = updated
+	task.keep(ask.Target, updated)
+	if verdict.Reason == coltsfootlink.TargetPaced {
+		metrics.Count("pace-refusals")
+	}
 	task.Sender.Send(from, verdict)
 	line := task.Log.Debug()
 	if verdict.Reason != "" {
@@ -217,12 +222,12 @@
 	}
 }
 
-// tick removes expired requests and requests the reports that are due.
+// tick removes expired requests, ends paces, and requests the reports that are due.
 func (task *Task) tick() {
 	now := task.Clock.Now()
 	for name, ledger := range task.ledgers {
-		ledger, due := ledger.WithoutExpired(now).WithProbe(now)
-		task.ledgers[name] = ledger
+		ledger, due := ledger.WithoutExpired(now).withPaceTime(now).WithProbe(now)
+		task.keep(name, ledger)
 		if due {
 			task.Prober.Put(coltsfootlink.Delivery{Message: probeRequest{target: ledger.target}})
 		}
@@ -239,11 +244,12 @@
 
 // table returns the owned targets for the operators' query.
 func (task *Task) table(now time.Time) coltsfootlink.Table {
-	table := coltsfootlink.Table{Columns: []string{"target", "pool", "zone", "requests", "wait-ms", "owner"}}
+	table := coltsfootlink.Table{Columns: []string{"target", "pool", "zone", "requests", "wait-ms", "pace", "slowdown", "owner"}}
 	for name, ledger := range task.ledgers {
 		requests, wait := ledger.Load(now)
+		window, slowdown := ledger.Pace()
 		table = table.WithRow(string(name), string(ledger.target.Pool), string(ledger.target.Zone),
-			strconv.Itoa(requests), strconv.Itoa(wait), string(task.Self))
+			strconv.Itoa(requests), strconv.Itoa(wait), window, slowdown, string(task.Self))
 	}
 	return table
 }
--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -27,7 +27,7 @@
 	coldPool        = coltsfootlink.PoolTraits{Name: "p", Engine: true, MemoryTokens: 500_000, ColdStartDuration: 3 * time.Second, ColdPerSecond: 14}
 	admissionPolicy = admission.Policy{
 		Rates:          engine.Rates{PromptTokensPerMilli: 100, StepMillis: 4, ChunkTokens: 1000, FirstEventMillis: 30},
-		ObjectiveShare: 0.75, LargeShare: 0.25, BearableShare: 0.2, SurplusShare: 0.05, MemoryShare: 0.9, ColdOverage: 1.5, ColdSlack: 5,
+		ObjectiveShare: 0.75, LargeShare: 0.25, BearableShare: 0.2, SurplusShare: 0.05, MemoryShare: 0.9, ColdOverage: 1.5, ColdSlack: 5, Pace: true,
 	}
 )
 
--- a/dispatch/waits.go
+++ b/dispatch/waits.go
@@ -36,7 +36,7 @@
 
 // refusesAll reports whether a target takes no requests at all if its owner refuses one for this reason.
 func refusesAll(reason coltsfootlink.Reason) bool {
-	return reason != "" && reason != coltsfootlink.TargetFull && reason != coltsfootlink.PastDeadline
+	return reason != "" && reason != coltsfootlink.TargetFull && reason != coltsfootlink.TargetPaced && reason != coltsfootlink.PastDeadline
 }
 
 // shortest returns the usable target of a pool with the shortest estimated wait, without those that were tried; false
--- a/message_gateway.go
+++ b/message_gateway.go
@@ -150,6 +150,12 @@
 	Paced bool
 }
 
+// WithWait returns the verdict with an expected wait of at least a duration.
+func (verdict Verdict) WithWait(wait time.Duration) Verdict {
+	verdict.WaitMillis = max(verdict.WaitMillis, int(wait.Milliseconds()))
+	return verdict
+}
+
 // ProgressStage is the stage that a permitted request has reached.
 type ProgressStage uint32
 
--- a/outcome.go
+++ b/outcome.go
@@ -50,6 +50,7 @@
 	TargetSilent     Reason = "target-silent"
 	TargetFailing    Reason = "target-failing"
 	TargetCold       Reason = "target-cold"
+	TargetPaced      Reason = "target-paced"
 	TargetFull       Reason = "target-full"
 	TargetLeaving    Reason = "target-leaving"
 	TargetBackoff    Reason = "target-backoff"
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -84,6 +84,8 @@
 	BearableFactor float64 `toml:"bearable-factor"`
 	// MemoryShare is the fraction of an engine's memory that running requests may use.
 	MemoryShare float64 `toml:"memory-share"`
+	// Pace lets the answers of a target that has started or recovered set the pace at which it gets requests.
+	Pace bool `toml:"pace"`
 }
 
 // GatewayDefaults returns the default settings of a gateway.
@@ -97,7 +99,7 @@
 		ChunkTokens:          1024,
 		FirstEventMillis:     35,
 	}
-	gateway.Admission = Admission{ObjectiveShare: 0.75, LargeShare: 0.25, MemoryShare: 0.9, BearableShare: 0.1, SurplusShare: 0.02, BearableFactor: 1.8}
+	gateway.Admission = Admission{ObjectiveShare: 0.75, LargeShare: 0.25, MemoryShare: 0.9, BearableShare: 0.1, SurplusShare: 0.02, BearableFactor: 1.8, Pace: true}
 	gateway.Timing.HeartbeatInterval = Duration{250 * time.Millisecond}
 	gateway.Timing.HeartbeatTimeout = Duration{time.Second}
 	gateway.Timing.DrainDelay = Duration{2900 * time.Millisecond}
