Explain what an owner would answer to a request, with the figures behind it

Ledger.Explain gives WithAsk's verdict and what it follows from: requests, memory, wait, predicted answer, cold start, pace and breaker. The limit of plain services and the memory that requests may use have methods of their own, so that both give the same figures.

--- a/admission/ledger_test.go
+++ b/admission/ledger_test.go
@@ -107,6 +107,7 @@
 			}
 			_, verdict := ledger.WithAsk(now, "b", ask(now, 99, test.work, 400*time.Millisecond))
 			So(verdict.Reason, ShouldEqual, test.reason)
+			So(ledger.Explain(now, ask(now, 99, test.work, 400*time.Millisecond)).agrees(verdict), ShouldBeTrue)
 			if test.reason != "" {
 				So(verdict.RetryAt, ShouldHappenAfter, now)
 			}
--- a/admission/pace_test.go
+++ b/admission/pace_test.go
@@ -129,6 +129,7 @@
 			now = now.Add(test.after)
 			after, verdict := ledger.WithAsk(now, "b", ask(now, 99, prompt(0, 10, 99), time.Second))
 			So(verdict.Reason, ShouldEqual, test.reason)
+			So(ledger.Explain(now, ask(now, 99, prompt(0, 10, 99), time.Second)).agrees(verdict), ShouldBeTrue)
 			if test.reason == coltsfootlink.TargetPaced {
 				So(verdict.RetryAt, ShouldHappenOnOrAfter, later(now.Add(minRetryDelay), expectedAt))
 				So(verdict.RetryAt, ShouldHappenBefore, now.Add(test.after+100*time.Millisecond))
--- a/admission/refusal.go
+++ b/admission/refusal.go
@@ -85,18 +85,22 @@
 	return max(1, int(limit/2))
 }
 
-// plainRefusal refuses requests to a plain service beyond its concurrency limit. The limit per slot is the number of
-// requests that can be served one after another within the request's maximum wait, from 1 to maxPlainDepth.
+// plainRefusal refuses requests to a plain service beyond its concurrency limit.
 func (ledger Ledger) plainRefusal(now time.Time, ask coltsfootlink.Ask) (coltsfootlink.Reason, time.Time) {
+	if float64(ledger.requests.Len()) >= ledger.plainLimit(now, ask) {
+		return coltsfootlink.TargetFull, now.Add(minRetryDelay)
+	}
+	return "", time.Time{}
+}
+
+// plainLimit is the concurrency limit of a plain service. The limit per slot is the number of requests that can be served
+// one after another within the request's maximum wait, from 1 to maxPlainDepth.
+func (ledger Ledger) plainLimit(now time.Time, ask coltsfootlink.Ask) float64 {
 	depth := 1.0
 	if ledger.meanDurationMillis > 0 {
 		depth = ask.Objective.Sub(now).Seconds() * 1000 * plainWaitFraction / ledger.meanDurationMillis
 	}
-	limit := float64(ledger.target.Slots) * min(maxPlainDepth, max(1, depth))
-	if float64(ledger.requests.Len()) >= limit {
-		return coltsfootlink.TargetFull, now.Add(minRetryDelay)
-	}
-	return "", time.Time{}
+	return float64(ledger.target.Slots) * min(maxPlainDepth, max(1, depth))
 }
 
 // engineRefusal refuses requests to an engine whose slots or memory are used up, or where the prompt would wait too
@@ -105,7 +109,7 @@
 	if ledger.running() >= ledger.target.Slots {
 		return coltsfootlink.TargetFull, now.Add(minRetryDelay)
 	}
-	if ledger.usedTokens()+engine.OwnTokens(ask.Work) > int(ledger.policy.MemoryShare*float64(ledger.traits.MemoryTokens)) && ledger.requests.Len() > 0 {
+	if ledger.usedTokens()+engine.OwnTokens(ask.Work) > ledger.maxTokens() && ledger.requests.Len() > 0 {
 		return coltsfootlink.TargetFull, now.Add(minRetryDelay)
 	}
 	firstEventMillis := ledger.readMillis(ask.Work) + ledger.policy.Rates.FirstEventMillis
@@ -141,6 +145,11 @@
 	return max(0, float64(ledger.queueEndsAt.Sub(now))/float64(time.Millisecond))
 }
 
+// maxTokens is the memory in tokens that the permitted requests may use together.
+func (ledger Ledger) maxTokens() int {
+	return int(ledger.policy.MemoryShare * float64(ledger.traits.MemoryTokens))
+}
+
 // usedTokens is the memory in tokens that the permitted requests use, without the prefixes that they share.
 func (ledger Ledger) usedTokens() int {
 	sum := 0
