--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -41,3 +41,21 @@
 		})
 	}
 }
+
+// TestPaceSetting guards against a setting that does not reach the owners of targets.
+func TestPaceSetting(t *testing.T) {
+	cases := map[string]struct {
+		text string
+		pace bool
+	}{
+		"not set":    {"", true},
+		"turned off": {"[admission]\npace = false", false},
+	}
+	for name, test := range cases {
+		Convey(name, t, func() {
+			// The findings are about settings that have no defaults.
+			document, _ := settings.ParseGateway("gateway.toml", test.text)
+			So(policyOf(document).Pace, ShouldEqual, test.pace)
+		})
+	}
+}
