Lease of the singleton duties: who may acquire, renew and act

The record in the store is changed only by appends at the offset at which it was read. A holder may act from when its newest appended record was sent, a candidate acquires after it has known the record for longer than that. Attempts are numbered, so that a record that is read back after a lost answer tells when it was sent. DutyRecords gets NextWindow, LeaseRecord the first window that is not confirmed, LeaseStore the removal of old windows; show duties is a subject of queries.

--- a/duty.go
+++ b/duty.go
@@ -75,6 +75,22 @@
 	Speed float64
 }
 
+// UsageBegun tells the instance's duty task that a request of a team has begun to run: its first event or first byte was
+// received.
+type UsageBegun struct {
+	Local
+
+	At   time.Time
+	Team TeamName
+}
+
+// LoadsSampled tells the instance's duty task the loads of the targets that the instance owns since the previous sample.
+type LoadsSampled struct {
+	Local
+
+	Loads []TargetsLoad
+}
+
 func (DutyReport) isMessage()   {}
 func (DutyHolder) isMessage()   {}
 func (TargetSpeeds) isMessage() {}
@@ -116,8 +132,11 @@
 	// Token is the fencing token of the acquisition; zero in the record of the acquisition itself, whose token is its
 	// offset plus one.
 	Token uint64
-	// Renewal counts the renewals of the acquisition, so that each record differs from the one before.
+	// Renewal counts the lease records that the incarnation has tried to append, so that each record differs from the one
+	// before, and its writer knows when it sent the record.
 	Renewal uint64
+	// Reported is the first usage window that the platform has not confirmed yet.
+	Reported uint64
 }
 
 // DutyRecords is the recorded state of the singleton duties.
@@ -131,6 +150,16 @@
 	End uint64
 }
 
+// NextWindow returns the first usage window that is not recorded yet. Windows are recorded in order, so that no earlier one
+// may be recorded any more.
+func (records DutyRecords) NextWindow() uint64 {
+	next := records.Lease.Reported
+	for index := range records.Windows {
+		next = max(next, index+1)
+	}
+	return next
+}
+
 // LeaseStore keeps the records of the singleton duties. Records are appended under the condition that nothing was appended
 // since the records were read, so that of two instances only one succeeds.
 type LeaseStore interface {
@@ -141,6 +170,9 @@
 	// AppendWindow appends the counts of a usage window at an offset and returns the next offset; ErrDutyConflict if
 	// others have appended.
 	AppendWindow(ctx context.Context, window UsageWindow, at uint64) (uint64, error)
+	// RemoveWindows removes recorded usage windows, with records at an offset, and returns the next offset; ErrDutyConflict
+	// if others have appended.
+	RemoveWindows(ctx context.Context, indexes []uint64, at uint64) (uint64, error)
 }
 
 // ScaleRange is the range within which the number of a pool's targets in each availability zone may be ordered.
--- a/language/grammar.go
+++ b/language/grammar.go
@@ -24,6 +24,7 @@
 	coltsfootlink.TimelineSubject,
 	coltsfootlink.MovesSubject,
 	coltsfootlink.BarsSubject,
+	coltsfootlink.DutiesSubject,
 }
 
 // statementNode is the syntax tree of a statement. The parser names the node type that it expected in syntax errors, so
@@ -40,7 +41,7 @@
 
 type showNode struct {
 	Pos     lexer.Position
-	Subject string     `parser:"@( 'waiting' | 'served' | 'targets' | 'instances' | 'zones' | 'revision' | 'timeline' | 'moves' | 'bars' )"`
+	Subject string     `parser:"@( 'waiting' | 'served' | 'targets' | 'instances' | 'zones' | 'revision' | 'timeline' | 'moves' | 'bars' | 'duties' )"`
 	ByTeam  bool       `parser:"( @'by' 'team' )?"`
 	Pool    string     `parser:"( 'in' 'pool' @Word )?"`
 	Where   *whereNode `parser:"( 'where' @@ )?"`
--- a/language/grammar_test.go
+++ b/language/grammar_test.go
@@ -23,6 +23,7 @@
 		"take zone mazowsze-b out":                     {Zone: &Zone{Name: "mazowsze-b", Out: true}},
 		"bring zone mazowsze-b back":                   {Zone: &Zone{Name: "mazowsze-b"}},
 		"show bars in pool p":                          {Show: &Show{Subject: coltsfootlink.BarsSubject, Pool: "p"}},
+		"show duties":                                  {Show: &Show{Subject: coltsfootlink.DutiesSubject}},
 		"lift bar 1f in pool p":                        {Lift: &Lift{Pool: "p", Parts: []coltsfootlink.PartID{0x1f}}},
 		`lift bar "1f a" in pool p`:                    {Lift: &Lift{Pool: "p", Parts: []coltsfootlink.PartID{0x1f, 0xa}}},
 		"apply fleet.toml":                             {Apply: &Apply{File: "fleet.toml"}},
--- /dev/null
+++ b/lease/state.go
@@ -0,0 +1,212 @@
+// Package lease decides which instance holds the lease of the singleton duties, and until when its holder may act. It
+// answers the load of instances that are suspended, cut off from the store in one or both directions, or replaced while their
+// calls are in progress: at no time may two instances act.
+//
+// The lease is a record in the platform's store that is changed only by appends at the offset at which the record was read,
+// so that an append fails if another instance has appended in the meantime.
+package lease
+
+import (
+	"time"
+
+	"coltsfootlink"
+)
+
+const (
+	// renewalsPerLease is the number of renewals in the time of a lease: two may fail before the lease expires.
+	renewalsPerLease = 3
+	// marginsPerLease is the lease divided by the margin. By the margin a holder stops earlier, so that its last calls reach
+	// the platform within the lease, and a candidate waits longer, so that clocks may run at different speeds.
+	marginsPerLease = 10
+	// readInterval is the time between two reads of a candidate, and retryDelay the time after a failed call of the store.
+	readInterval = time.Second
+	retryDelay   = 200 * time.Millisecond
+)
+
+// Step is what an instance does next with the lease record.
+type Step string
+
+// The steps.
+const (
+	// Wait means that nothing is due.
+	Wait Step = "wait"
+	// Read means that the records have to be read.
+	Read Step = "read"
+	// Acquire and Renew mean that the lease record of Proposal has to be appended.
+	Acquire Step = "acquire"
+	Renew   Step = "renew"
+	// Use is a step that the holder takes on its own: it appends a record other than the lease.
+	Use Step = "use"
+)
+
+// State is what one instance knows of the lease. It is immutable.
+type State struct {
+	holder      string
+	incarnation uint64
+	length      time.Duration
+
+	// record is the newest lease record that is known; found is false if there is none. seenAt is when it was first known.
+	record coltsfootlink.LeaseRecord
+	found  bool
+	seenAt time.Time
+	// end is the offset at which the next record has to be appended. It is out of date unless settled is set: an append has
+	// failed, and it is unknown whether it has taken effect, or nothing has been read yet.
+	end     uint64
+	settled bool
+	// conflicted indicates that another instance has appended a record that has not been read yet.
+	conflicted bool
+	// step is the step in progress; Wait if there is none.
+	step Step
+	// attempt is the number of the newest lease record that this incarnation has tried to append, and attemptAt when it was
+	// sent.
+	attempt   uint64
+	attemptAt time.Time
+	// renewedAt is when the newest lease record was sent that is known to have been appended; zero if there is none.
+	renewedAt time.Time
+	// dueAt is when the records are read again.
+	dueAt time.Time
+}
+
+// New returns the state of an instance that knows nothing of the lease. The holder is the instance's name in the platform's
+// settings. The incarnation must differ from those of all earlier states of the instance.
+func New(holder string, incarnation uint64, length time.Duration) State {
+	return State{holder: holder, incarnation: incarnation, length: length, step: Wait}
+}
+
+// Holds reports whether the newest lease record that is known is this instance's own. Whether it may act is decided by
+// CallDeadline.
+func (state State) Holds() bool {
+	return state.found && state.record.Holder == state.holder && state.record.Incarnation == state.incarnation
+}
+
+// Record returns the newest lease record that is known, and false if there is none.
+func (state State) Record() (coltsfootlink.LeaseRecord, bool) { return state.record, state.found }
+
+// Token returns the fencing token of the newest lease record that is known; zero if there is none.
+func (state State) Token() uint64 { return state.record.Token }
+
+// CallDeadline returns until when calls may be made that begin now, and false if none may be made. The lease is valid from
+// when its newest record that was appended had been sent. No other instance can have known this record earlier, and none
+// acquires the lease before it has known it for longer than it is valid.
+func (state State) CallDeadline(now time.Time) (time.Time, bool) {
+	if !state.Holds() || state.conflicted || state.renewedAt.IsZero() {
+		return time.Time{}, false
+	}
+	left := state.length - state.margin() - coltsfootlink.Elapsed(state.renewedAt, now)
+	return now.Add(left), left > 0
+}
+
+func (state State) margin() time.Duration { return state.length / marginsPerLease }
+
+// Next returns the step that is due. The candidate is the instance that should hold the lease; others touch the records only
+// while they hold it.
+func (state State) Next(now time.Time, candidate bool) Step {
+	switch {
+	case state.step != Wait:
+		return Wait
+	case state.Holds():
+		return state.nextOfHolder(now)
+	case !candidate:
+		return Wait
+	case !now.Before(state.dueAt):
+		return Read
+	case !state.settled:
+		return Wait
+	case !state.found || !now.Before(state.expectedExpiry()):
+		return Acquire
+	default:
+		return Wait
+	}
+}
+
+func (state State) nextOfHolder(now time.Time) Step {
+	switch {
+	case !state.settled && now.Before(state.dueAt):
+		return Wait
+	case !state.settled:
+		return Read
+	case state.renewedAt.IsZero() || coltsfootlink.Elapsed(state.renewedAt, now) >= state.length/renewalsPerLease:
+		return Renew
+	default:
+		return Wait
+	}
+}
+
+// expectedExpiry returns when this instance may acquire the lease if the record does not change. Only the steady clock counts:
+// time for which this machine was suspended is no evidence that the holder has stopped.
+func (state State) expectedExpiry() time.Time { return state.seenAt.Add(state.length + state.margin()) }
+
+// MayUse reports whether the holder may append a record other than the lease now.
+func (state State) MayUse(now time.Time) bool {
+	_, valid := state.CallDeadline(now)
+	return valid && state.settled && state.step == Wait
+}
+
+// WithBegun returns the state after a step was begun. Until it has ended, no other step is due.
+func (state State) WithBegun(now time.Time, step Step) State {
+	state.step = step
+	if step == Acquire || step == Renew {
+		state.attempt++
+		state.attemptAt = now
+	}
+	return state
+}
+
+// Proposal returns the lease record that the step in progress appends, and the offset at which every step appends. The
+// fencing token of an acquisition is its offset plus one, so that it exceeds all earlier ones.
+func (state State) Proposal(reported uint64) (coltsfootlink.LeaseRecord, uint64) {
+	record := coltsfootlink.LeaseRecord{Holder: state.holder, Incarnation: state.incarnation, Renewal: state.attempt, Reported: reported}
+	if state.step == Renew {
+		record.Token = state.record.Token
+	}
+	return record, state.end
+}
+
+// WithRead returns the state after the records were read.
+func (state State) WithRead(now time.Time, records coltsfootlink.DutyRecords) State {
+	if state.found != records.LeaseFound || state.record != records.Lease || state.seenAt.IsZero() {
+		state.seenAt = now
+	}
+	state.record, state.found, state.end = records.Lease, records.LeaseFound, records.End
+	state.settled, state.conflicted, state.step = true, false, Wait
+	state.dueAt = now.Add(readInterval)
+	if expiry := state.expectedExpiry(); expiry.After(now) && expiry.Before(state.dueAt) {
+		state.dueAt = expiry
+	}
+	switch {
+	case !state.Holds():
+		state.renewedAt = time.Time{}
+	case state.record.Renewal == state.attempt:
+		// The append had no answer, but has taken effect. It is not known any more when a record of an earlier attempt was
+		// sent; such a record extends nothing.
+		state.renewedAt = state.attemptAt
+	}
+	return state
+}
+
+// WithAppended returns the state after the records of the step in progress were appended; next is the offset after them.
+func (state State) WithAppended(now time.Time, next, reported uint64) State {
+	record, _ := state.Proposal(reported)
+	if state.step == Acquire {
+		record.Token = next
+	}
+	if state.step == Acquire || state.step == Renew {
+		state.record, state.found, state.seenAt, state.renewedAt = record, true, now, state.attemptAt
+	}
+	state.end, state.step = next, Wait
+	return state
+}
+
+// WithConflict returns the state after an append failed because another instance has appended. The records are read at once,
+// and the holder makes no call until then.
+func (state State) WithConflict(now time.Time) State {
+	state.settled, state.conflicted, state.step, state.dueAt = false, true, Wait, now
+	return state
+}
+
+// WithFailure returns the state after the step in progress failed, or got no answer. It may have taken effect, or may yet, so
+// the records are read before anything else is appended.
+func (state State) WithFailure(now time.Time) State {
+	state.settled, state.step, state.dueAt = false, Wait, now.Add(retryDelay)
+	return state
+}
--- a/query.go
+++ b/query.go
@@ -16,6 +16,7 @@
 	TimelineSubject  Subject = "timeline"
 	ZonesSubject     Subject = "zones"
 	BarsSubject      Subject = "bars"
+	DutiesSubject    Subject = "duties"
 )
 
 // Table is the result of a query, or one instance's part of it.
