--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -45,6 +45,7 @@
 	} `toml:"cold"`
 	Engine    EngineRates `toml:"engine"`
 	Admission Admission   `toml:"admission"`
+	Duties    Duties      `toml:"duties"`
 	Timing    struct {
 		HeartbeatInterval Duration `toml:"heartbeat-interval"`
 		HeartbeatTimeout  Duration `toml:"silence-limit"`
@@ -58,6 +59,28 @@
 	} `toml:"timing"`
 }
 
+// The values of Duties.Names.
+const (
+	UsageReporting = "usage_reporting"
+	Scaling        = "scaling"
+)
+
+// Duties holds the settings of the calls to the platform that are the duty of one instance at a time. Without names there are
+// none.
+type Duties struct {
+	// Address is the host and port of the platform's control address.
+	Address string `toml:"address"`
+	// Names are the duties: UsageReporting and Scaling.
+	Names []string `toml:"names"`
+	// CallsPerSecond is how many calls the platform accepts from all instances together.
+	CallsPerSecond float64 `toml:"calls-per-second"`
+	// LeaseMillis is the time for which a holder may act after it has renewed its lease, in milliseconds.
+	LeaseMillis float64 `toml:"lease-ms"`
+	// WindowSeconds is the length of a usage window, and LatenessSeconds how long after its end its report is due.
+	WindowSeconds   float64 `toml:"window-seconds"`
+	LatenessSeconds float64 `toml:"lateness-seconds"`
+}
+
 // EngineRates holds the speed of an engine; engine.Rates, into which it is converted, describes the fields.
 type EngineRates struct {
 	PromptTokensPerMilli float64 `toml:"prompt-tokens-per-ms"`
@@ -98,6 +121,7 @@
 		FirstEventMillis:     35,
 	}
 	gateway.Admission = Admission{ObjectiveShare: 0.75, LargeShare: 0.25, MemoryShare: 0.9, BearableShare: 0.1, SurplusShare: 0.02, BearableFactor: 1.8}
+	gateway.Duties = Duties{CallsPerSecond: 50, LeaseMillis: 3000, WindowSeconds: 5, LatenessSeconds: 10}
 	gateway.Timing.HeartbeatInterval = Duration{250 * time.Millisecond}
 	gateway.Timing.HeartbeatTimeout = Duration{time.Second}
 	gateway.Timing.DrainDelay = Duration{2900 * time.Millisecond}
@@ -134,6 +158,9 @@
 	if gateway.Listen.Relay != "" {
 		addresses["listen.relay"] = gateway.Listen.Relay
 	}
+	if len(gateway.Duties.Names) > 0 {
+		addresses["duties.address"] = gateway.Duties.Address
+	}
 	for _, key := range sortedKeys(addresses) {
 		doc.check(isAddress(addresses[key]), key, "%q is not host:port", addresses[key])
 	}
@@ -142,6 +169,7 @@
 	}
 	stopTimeout := time.Duration(gateway.Timing.StopSeconds * float64(time.Second))
 	doc.check(gateway.Timing.DrainDelay.Duration < stopTimeout/2, "timing.drain-delay", "must be less than half of stop-seconds")
+	doc.checkDuties(gateway.Duties)
 	numbers := map[string]float64{
 		"processor-share":             gateway.ProcessorShare,
 		"cores":                       gateway.Cores,
@@ -158,6 +186,10 @@
 		"retry.slack":                 gateway.Retry.Slack,
 		"cold.overage":                gateway.Cold.Overage,
 		"cold.slack":                  gateway.Cold.Slack,
+		"duties.calls-per-second":     gateway.Duties.CallsPerSecond,
+		"duties.lease-ms":             gateway.Duties.LeaseMillis,
+		"duties.window-seconds":       gateway.Duties.WindowSeconds,
+		"duties.lateness-seconds":     gateway.Duties.LatenessSeconds,
 		"timing.stop-seconds":         gateway.Timing.StopSeconds,
 		"timing.heartbeat-fanout":     float64(gateway.Timing.HeartbeatFanout),
 		"timing.heartbeat-interval":   gateway.Timing.HeartbeatInterval.Seconds(),
@@ -170,3 +202,13 @@
 	}
 	return gateway, doc.err()
 }
+
+// minLeaseMillis is the shortest lease in milliseconds: the store takes up to a second for a renewal.
+const minLeaseMillis = 1000
+
+func (doc *document) checkDuties(duties Duties) {
+	for _, name := range duties.Names {
+		doc.check(name == UsageReporting || name == Scaling, "duties.names", "%q is neither %s nor %s", name, UsageReporting, Scaling)
+	}
+	doc.check(duties.LeaseMillis >= minLeaseMillis, "duties.lease-ms", "must be at least %d", minLeaseMillis)
+}
