Task of the singleton duties: lease, usage ledger, calls and announcements

Tested in virtual time with a fake store and platform that lose answers, throttle, slow down and stop.

--- /dev/null
+++ b/duty/holder.go
@@ -0,0 +1,368 @@
+package duty
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"coltsfootlink"
+	"coltsfootlink/lease"
+	"coltsfootlink/metrics"
+	"coltsfootlink/scaling"
+	"coltsfootlink/usage"
+)
+
+const (
+	// removeAfter is the number of confirmed windows in the store after which they are removed, and maxRemoved the largest
+	// number that is removed at once. A read by a candidate stays small, and few appends are made for it.
+	removeAfter = 12
+	maxRemoved  = 64
+)
+
+// errLeaseEnded is the error of a call that was not made because the lease had ended.
+var errLeaseEnded = errors.New("the lease ended before the call was made")
+
+// holding is the state of an instance that holds the lease.
+type holding struct {
+	token   uint64
+	ledger  usage.Ledger
+	planner scaling.Planner
+	calls   Calls
+	// stored are the usage windows in the store, and next the first one that may still be recorded.
+	stored map[uint64]bool
+	next   uint64
+	// reported is the first window that the store does not show as confirmed.
+	reported uint64
+	// valid indicates that calls may be made; it is false while the lease could not be renewed in time.
+	valid      bool
+	announceAt time.Time
+	// cancel ends the calls in progress.
+	cancel context.CancelFunc
+	ctx    context.Context
+}
+
+// storeResult is the result of a call of the store.
+type storeResult struct {
+	coltsfootlink.Local
+
+	incarnation uint64
+	step        lease.Step
+	// records are what was read.
+	records coltsfootlink.DutyRecords
+	// next is the offset after what was appended: a lease record with reported, or a window, or the removal of windows.
+	next     uint64
+	reported uint64
+	window   *coltsfootlink.UsageWindow
+	removed  []uint64
+	err      error
+}
+
+// callResult is the result of a call to the platform.
+type callResult struct {
+	coltsfootlink.Local
+
+	token uint64
+	call  Call
+	err   error
+}
+
+// useStore begins the call of the store that is due. One is in progress at a time, because each append needs the offset after
+// the one before.
+func (task *Task) useStore(ctx context.Context, now time.Time) {
+	step := task.lease.Next(now, task.candidate())
+	result := storeResult{step: step, incarnation: task.incarnation}
+	switch {
+	case step == lease.Read:
+	case step == lease.Acquire:
+		// What the earlier holders have reported stays on record.
+		result.reported = task.records.Lease.Reported
+	case step == lease.Renew:
+		result.reported = task.held.calls.FirstUnconfirmed(task.held.next)
+	case task.held == nil || !task.lease.MayUse(now):
+		return
+	default:
+		result.step = lease.Use
+		if window, due := task.dueWindow(now); due {
+			result.window = &window
+		} else if result.removed = task.held.removable(); len(result.removed) == 0 {
+			return
+		}
+	}
+	task.lease = task.lease.WithBegun(now, result.step)
+	record, at := task.lease.Proposal(result.reported)
+	ctx, cancel := context.WithDeadline(ctx, now.Add(storeCallTimeout))
+	go func() {
+		defer cancel()
+		switch {
+		case result.step == lease.Read:
+			result.records, result.err = task.Store.Read(ctx)
+		case result.window != nil:
+			result.next, result.err = task.Store.AppendWindow(ctx, *result.window, at)
+		case result.step == lease.Use:
+			result.next, result.err = task.Store.RemoveWindows(ctx, result.removed, at)
+		default:
+			result.next, result.err = task.Store.AppendLease(ctx, record, at)
+		}
+		task.Inbox.Put(coltsfootlink.Delivery{Message: result})
+	}()
+}
+
+// dueWindow returns the window that has to be recorded now. A window before a recorded one is never recorded, nor one that has
+// not ended.
+func (task *Task) dueWindow(now time.Time) (coltsfootlink.UsageWindow, bool) {
+	if !task.Usage {
+		return coltsfootlink.UsageWindow{}, false
+	}
+	var live []coltsfootlink.InstanceName
+	for _, member := range task.view.Live() {
+		live = append(live, member.Name)
+	}
+	for range maxCountedWindows {
+		window, due := task.held.ledger.Due(task.steady(now), live)
+		if !due || window.Index >= task.counter.Index(task.steady(now)) {
+			return coltsfootlink.UsageWindow{}, false
+		}
+		if window.Index >= task.held.next {
+			return window, true
+		}
+		task.held.ledger = task.held.ledger.WithRecorded(window.Index)
+	}
+	return coltsfootlink.UsageWindow{}, false
+}
+
+// removable returns the windows in the store that are confirmed, if they are many. The newest one is kept, because it tells
+// which windows are recorded.
+func (held *holding) removable() []uint64 {
+	var confirmed []uint64
+	for index := range held.stored {
+		if index < held.reported && index+1 < held.next {
+			confirmed = append(confirmed, index)
+		}
+	}
+	if len(confirmed) < removeAfter {
+		return nil
+	}
+	slices.Sort(confirmed)
+	return confirmed[:min(len(confirmed), maxRemoved)]
+}
+
+func (task *Task) handleStoreResult(result storeResult) {
+	if result.incarnation != task.incarnation {
+		return
+	}
+	now := task.Clock.Now()
+	switch {
+	case errors.Is(result.err, coltsfootlink.ErrDutyConflict):
+		metrics.Count("duty-conflicts")
+		task.Log.Warn().Str("step", string(result.step)).Msg("duty: another instance has appended a duty record, reading the records again")
+		task.lease = task.lease.WithConflict(now)
+	case result.err != nil:
+		metrics.Count("duty-store-failures")
+		task.Log.Warn().Err(result.err).Str("step", string(result.step)).Msg("duty: call of the store failed, reading the records again")
+		task.lease = task.lease.WithFailure(now)
+	case result.step == lease.Read:
+		task.records = result.records
+		task.lease = task.lease.WithRead(now, result.records)
+	default:
+		task.lease = task.lease.WithAppended(now, result.next, result.reported)
+	}
+	switch {
+	case !task.lease.Holds():
+		task.depose()
+		return
+	case task.held == nil || task.held.token != task.lease.Token():
+		task.hold(now)
+	case result.err == nil:
+		task.applyStored(now, result)
+	}
+}
+
+// hold begins the duties after the lease was acquired. Recorded windows that are not confirmed are reported again.
+func (task *Task) hold(now time.Time) {
+	task.drop()
+	held := &holding{token: task.lease.Token(), ledger: usage.NewLedger(task.Window, task.Lateness), planner: scaling.NewPlanner(), stored: make(map[uint64]bool)}
+	held.ctx, held.cancel = context.WithCancel(context.Background())
+	task.held = held
+	task.recordedUntil(task.records.NextWindow())
+	task.adopt(now, task.records)
+	task.tellPlanner()
+	metrics.Count("duty-acquisitions")
+	task.Log.Info().Uint64("token", held.token).Uint64("next-window", held.next).Int("unconfirmed-windows", len(held.calls.calls)).
+		Str("previous-holder", task.records.Lease.Holder).Msg("duty: this instance holds the lease of the singleton duties")
+}
+
+// adopt takes over the windows that are recorded in the store.
+func (task *Task) adopt(now time.Time, records coltsfootlink.DutyRecords) {
+	held := task.held
+	held.reported = max(held.reported, records.Lease.Reported)
+	for _, index := range slices.Sorted(maps.Keys(records.Windows)) {
+		task.recorded(now, records.Windows[index])
+	}
+}
+
+// recorded reports a window that is recorded in the store, if it is not confirmed.
+func (task *Task) recorded(now time.Time, window coltsfootlink.UsageWindow) {
+	held := task.held
+	held.stored[window.Index] = true
+	task.recordedUntil(window.Index + 1)
+	if window.Index >= held.reported && task.Usage {
+		held.calls = held.calls.WithWindow(now, window)
+	}
+}
+
+// recordedUntil notes that no window before an index may be recorded any more.
+func (task *Task) recordedUntil(next uint64) {
+	if next > task.held.next {
+		task.held.next = next
+		task.held.ledger = task.held.ledger.WithRecorded(next - 1)
+	}
+}
+
+// applyStored takes over what a successful call of the store has read or appended.
+func (task *Task) applyStored(now time.Time, result storeResult) {
+	held := task.held
+	switch {
+	case result.step == lease.Read:
+		task.adopt(now, result.records)
+	case result.window != nil:
+		metrics.Count("usage-windows-recorded")
+		task.recorded(now, *result.window)
+	case result.step == lease.Use:
+		for _, index := range result.removed {
+			delete(held.stored, index)
+		}
+	case result.step == lease.Renew:
+		held.reported = result.reported
+		held.calls = held.calls.WithoutBefore(held.reported)
+	}
+}
+
+// depose ends the duties after another instance has acquired the lease.
+func (task *Task) depose() {
+	if task.held == nil {
+		return
+	}
+	record, _ := task.lease.Record()
+	metrics.Count("duty-leases-lost")
+	task.Log.Warn().Uint64("token", task.held.token).Str("holder", record.Holder).Uint64("new-token", record.Token).
+		Msg("duty: another instance holds the lease, this one makes no more calls")
+	task.drop()
+}
+
+// drop forgets the state of the holder and ends its calls.
+func (task *Task) drop() {
+	if task.held != nil {
+		task.held.cancel()
+		task.held = nil
+	}
+}
+
+// checkValidity logs when the lease expires before it is renewed, and when it is valid again.
+func (task *Task) checkValidity(now time.Time) {
+	_, valid := task.lease.CallDeadline(now)
+	switch {
+	case task.held.valid && !valid:
+		metrics.Count("duty-lease-expiries")
+		task.Log.Warn().Uint64("token", task.held.token).Msg("duty: the lease could not be renewed in time, calls wait")
+	case !task.held.valid && valid:
+		task.Log.Info().Uint64("token", task.held.token).Msg("duty: the lease is valid, calls are made")
+	}
+	task.held.valid = valid
+}
+
+// announce tells all live instances who the holder is and which windows are recorded.
+func (task *Task) announce(now time.Time) {
+	if now.Before(task.held.announceAt) {
+		return
+	}
+	task.held.announceAt = now.Add(sendInterval)
+	for _, member := range task.view.Live() {
+		task.Sender.Send(member.Name, coltsfootlink.DutyHolder{Token: task.held.token, NextWindow: task.held.next})
+	}
+}
+
+func (task *Task) handleReport(from coltsfootlink.InstanceName, report coltsfootlink.DutyReport) {
+	if task.held == nil {
+		return
+	}
+	if task.Usage {
+		task.held.ledger = task.held.ledger.WithReport(task.steady(task.Clock.Now()), from, report)
+	}
+	if task.Scaling {
+		task.held.planner = task.held.planner.WithLoads(task.Clock.Now(), from, report.Loads)
+	}
+}
+
+func (task *Task) tellPlanner() {
+	if task.held != nil && task.Scaling {
+		task.held.planner = task.held.planner.WithCatalog(task.Clock.Now(), task.catalog, task.view)
+	}
+}
+
+// plan takes the planner's orders of targets.
+func (task *Task) plan(now time.Time) {
+	if !task.Scaling {
+		return
+	}
+	planner, orders := task.held.planner.Orders(now)
+	task.held.planner = planner
+	for _, order := range orders {
+		metrics.Count("scale-orders")
+		task.Log.Info().Str("pool", string(order.Pool)).Str("zone", string(order.Zone)).Int("count", order.Count).Str("reason", order.Reason).
+			Msg("duty: ordering targets")
+		task.held.calls = task.held.calls.WithOrder(now, order.Pool, order.Zone, order.Count)
+	}
+}
+
+// call makes the calls that are due, as far as the platform accepts them.
+func (task *Task) call(ctx context.Context, now time.Time) {
+	for call, due := task.held.calls.Due(now); due; call, due = task.held.calls.Due(now) {
+		if !task.limiter.AllowN(now, 1) {
+			return
+		}
+		task.held.calls = task.held.calls.WithBegun(call.Subject)
+		call.Attempts++
+		go task.send(ctx, task.held.ctx, task.lease, call)
+	}
+}
+
+// send makes a call within the lease, which it checks right before. It ends with the task or when the lease is lost.
+func (task *Task) send(ctx, held context.Context, state lease.State, call Call) {
+	result := callResult{token: state.Token(), call: call}
+	now := task.Clock.Now()
+	deadline, valid := state.CallDeadline(now)
+	if limit := now.Add(callTimeout); limit.Before(deadline) {
+		deadline = limit
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	defer context.AfterFunc(held, cancel)()
+	fence := coltsfootlink.FencedCall{Holder: task.Holder, Token: state.Token()}
+	switch {
+	case !valid || held.Err() != nil:
+		result.err = errLeaseEnded
+	case call.Pool != "":
+		result.err = task.Caller.Scale(ctx, fence, call.Pool, call.Zone, call.Count)
+	default:
+		result.err = task.Caller.ReportUsage(ctx, fence, call.Window, call.Teams)
+	}
+	task.Inbox.Put(coltsfootlink.Delivery{Message: result})
+}
+
+func (task *Task) handleCallResult(result callResult) {
+	if task.held == nil || task.held.token != result.token {
+		return
+	}
+	now, call := task.Clock.Now(), result.call
+	if result.err == nil {
+		task.held.calls = task.held.calls.WithConfirmed(call.Subject)
+		task.logConfirmed(now, call)
+		return
+	}
+	task.held.calls = task.held.calls.WithFailure(now, call.Subject, rand.Float64())
+	task.logFailure(result)
+}
--- /dev/null
+++ b/duty/task_test.go
@@ -0,0 +1,355 @@
+package duty
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"reflect"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"coltsfootlink"
+	"coltsfootlink/mailbox"
+)
+
+const (
+	windowLength = 5 * time.Second
+	lateness     = 10 * time.Second
+)
+
+// site is a fleet of duty tasks with a store and a platform that may fail.
+type site struct {
+	mutex sync.Mutex
+	tasks map[coltsfootlink.InstanceName]*running
+
+	// The store: what is recorded, whether it is down, and whether the answers to appends are lost.
+	records         coltsfootlink.DutyRecords
+	down, loseStore bool
+
+	// The platform: whether it throttles calls, loses their answers, or is slow.
+	throttle, loseAnswers bool
+	delay                 time.Duration
+	// received are the counts that it was sent for each window, and tokens the highest token and its holder.
+	received   map[uint64]map[coltsfootlink.TeamName]int
+	token      uint64
+	holder     string
+	answered   map[uint64]bool
+	violations []string
+	// truth are the requests that began, by window.
+	truth map[uint64]map[coltsfootlink.TeamName]int
+}
+
+// running is a duty task that runs; disagrees indicates that the view of its instance has no other live instance.
+type running struct {
+	*Task
+	cancel    context.CancelFunc
+	disagrees bool
+}
+
+func newSite() *site {
+	return &site{
+		tasks:    make(map[coltsfootlink.InstanceName]*running),
+		records:  coltsfootlink.DutyRecords{Windows: make(map[uint64]coltsfootlink.UsageWindow)},
+		received: make(map[uint64]map[coltsfootlink.TeamName]int), answered: make(map[uint64]bool),
+		truth: make(map[uint64]map[coltsfootlink.TeamName]int),
+	}
+}
+
+// endpoint is an instance's connection to the other instances, the store and the platform.
+type endpoint struct {
+	site *site
+	name coltsfootlink.InstanceName
+}
+
+// Send delivers a message to an instance that runs.
+func (endpoint endpoint) Send(to coltsfootlink.InstanceName, message coltsfootlink.Message) {
+	endpoint.site.mutex.Lock()
+	defer endpoint.site.mutex.Unlock()
+	if task, found := endpoint.site.tasks[to]; found {
+		task.Inbox.Put(coltsfootlink.Delivery{From: endpoint.name, Message: message})
+	}
+}
+
+// Read returns what is recorded.
+func (endpoint endpoint) Read(context.Context) (coltsfootlink.DutyRecords, error) {
+	endpoint.site.mutex.Lock()
+	defer endpoint.site.mutex.Unlock()
+	if endpoint.site.down {
+		return coltsfootlink.DutyRecords{}, errors.New("down")
+	}
+	records := endpoint.site.records
+	records.Windows = maps.Clone(records.Windows)
+	return records, nil
+}
+
+func (endpoint endpoint) append(at uint64, count int, change func(records *coltsfootlink.DutyRecords)) (uint64, error) {
+	site := endpoint.site
+	site.mutex.Lock()
+	defer site.mutex.Unlock()
+	switch {
+	case site.down:
+		return 0, errors.New("down")
+	case at != site.records.End:
+		return 0, coltsfootlink.ErrDutyConflict
+	}
+	site.records.End += uint64(count)
+	change(&site.records)
+	if site.loseStore {
+		return 0, errors.New("no answer")
+	}
+	return site.records.End, nil
+}
+
+// AppendLease records a lease.
+func (endpoint endpoint) AppendLease(_ context.Context, record coltsfootlink.LeaseRecord, at uint64) (uint64, error) {
+	return endpoint.append(at, 1, func(records *coltsfootlink.DutyRecords) {
+		if record.Token == 0 {
+			record.Token = at + 1
+		}
+		records.Lease, records.LeaseFound = record, true
+	})
+}
+
+// AppendWindow records a window.
+func (endpoint endpoint) AppendWindow(_ context.Context, window coltsfootlink.UsageWindow, at uint64) (uint64, error) {
+	return endpoint.append(at, 1, func(records *coltsfootlink.DutyRecords) { records.Windows[window.Index] = window })
+}
+
+// RemoveWindows removes windows.
+func (endpoint endpoint) RemoveWindows(_ context.Context, indexes []uint64, at uint64) (uint64, error) {
+	return endpoint.append(at, len(indexes), func(records *coltsfootlink.DutyRecords) {
+		for _, index := range indexes {
+			delete(records.Windows, index)
+		}
+	})
+}
+
+// ReportUsage is received by the platform, which checks it against what it has received before.
+func (endpoint endpoint) ReportUsage(ctx context.Context, fence coltsfootlink.FencedCall, window uint64, counts []coltsfootlink.TeamCount) error {
+	site := endpoint.site
+	site.mutex.Lock()
+	delay, throttle, lose := site.delay, site.throttle, site.loseAnswers
+	if !throttle {
+		site.receive(fence, window, counts)
+	}
+	site.mutex.Unlock()
+	switch {
+	case throttle:
+		return &coltsfootlink.DutyError{Throttled: true, Cause: errors.New("429")}
+	case lose || !coltsfootlink.Sleep(ctx, delay):
+		<-ctx.Done()
+		return &coltsfootlink.DutyError{Cause: ctx.Err()}
+	}
+	site.mutex.Lock()
+	defer site.mutex.Unlock()
+	site.answered[window] = true
+	return nil
+}
+
+func (site *site) receive(fence coltsfootlink.FencedCall, window uint64, teams []coltsfootlink.TeamCount) {
+	counts := make(map[coltsfootlink.TeamName]int)
+	for _, team := range teams {
+		counts[team.Team] = team.Requests
+	}
+	if before, found := site.received[window]; found && !reflect.DeepEqual(before, counts) {
+		site.violations = append(site.violations, fmt.Sprintf("window %d was sent with %v and %v", window, before, counts))
+	}
+	if _, recorded := site.records.Windows[window]; !recorded {
+		site.violations = append(site.violations, fmt.Sprintf("window %d was sent, but is not recorded", window))
+	}
+	if fence.Token < site.token || fence.Token == site.token && fence.Holder != site.holder {
+		site.violations = append(site.violations, fmt.Sprintf("%s sent token %d after %d of %s", fence.Holder, fence.Token, site.token, site.holder))
+	}
+	site.received[window], site.token, site.holder = counts, fence.Token, fence.Holder
+}
+
+// Scale is not called: no loads are known.
+func (endpoint endpoint) Scale(context.Context, coltsfootlink.FencedCall, coltsfootlink.PoolName, coltsfootlink.ZoneName, int) error {
+	return errors.New("not expected")
+}
+
+// start starts the tasks of instances.
+func (site *site) start(names ...coltsfootlink.InstanceName) {
+	for _, name := range names {
+		ctx, cancel := context.WithCancel(context.Background())
+		end := endpoint{site, name}
+		task := &Task{
+			Self: name, Holder: string(name), Usage: true, Lease: 3 * time.Second, Window: windowLength, Lateness: lateness, CallsPerSecond: 50,
+			Store: end, Caller: end, Clock: coltsfootlink.SystemClock{}, Sender: end, Log: zerolog.Nop(), Inbox: mailbox.NewDeliveries(),
+		}
+		site.tasks[name] = &running{Task: task, cancel: cancel}
+		go func() { _ = task.Run(ctx) }()
+	}
+	site.announceViews()
+}
+
+// stop ends the tasks of instances at once; their answers and messages are lost.
+func (site *site) stop(names ...coltsfootlink.InstanceName) {
+	site.mutex.Lock()
+	for _, name := range names {
+		site.tasks[name].cancel()
+		delete(site.tasks, name)
+	}
+	site.mutex.Unlock()
+	site.announceViews()
+}
+
+// announceViews tells each instance which ones are live.
+func (site *site) announceViews() {
+	for _, task := range site.tasks {
+		var view coltsfootlink.View
+		for name := range site.tasks {
+			if name == task.Self || !task.disagrees {
+				view.Members = append(view.Members, coltsfootlink.Member{Instance: coltsfootlink.Instance{Name: name}, Live: true})
+			}
+		}
+		task.Inbox.Put(coltsfootlink.Delivery{Message: coltsfootlink.ViewChanged{View: view}})
+	}
+}
+
+// set changes how the store and the platform behave.
+func (site *site) set(change func()) {
+	site.mutex.Lock()
+	defer site.mutex.Unlock()
+	change()
+}
+
+// play lets requests begin on all instances for a time.
+func (site *site) play(duration time.Duration) {
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for _, task := range site.tasks {
+			team := coltsfootlink.TeamName(fmt.Sprint("team-", rand.IntN(5)))
+			index := indexOf(time.Now())
+			if site.truth[index] == nil {
+				site.truth[index] = make(map[coltsfootlink.TeamName]int)
+			}
+			site.truth[index][team]++
+			task.Inbox.Put(coltsfootlink.Delivery{Message: coltsfootlink.UsageBegun{At: time.Now(), Team: team}})
+		}
+	}
+}
+
+func indexOf(at time.Time) uint64 { return uint64(at.UnixNano()) / uint64(windowLength) }
+
+// holderName returns the instance that has made the newest call.
+func (site *site) holderName() coltsfootlink.InstanceName {
+	site.mutex.Lock()
+	defer site.mutex.Unlock()
+	return coltsfootlink.InstanceName(site.holder)
+}
+
+// TestUsageReports guards against windows that are sent with two counts, with falling or shared tokens, unrecorded, wrong or
+// not at all, while instances, the store and the platform fail.
+func TestUsageReports(t *testing.T) {
+	cases := map[string]struct {
+		play func(site *site)
+		// wrong is the number of windows that may be missing or wrong: those whose counts died with an instance.
+		wrong int
+	}{
+		"calm": {func(site *site) { site.play(time.Minute) }, 0},
+		"the platform throttles calls": {func(site *site) {
+			site.set(func() { site.throttle = true })
+			site.play(30 * time.Second)
+			site.set(func() { site.throttle = false })
+		}, 0},
+		"answers of the platform are lost": {func(site *site) {
+			site.set(func() { site.loseAnswers = true })
+			site.play(30 * time.Second)
+			site.set(func() { site.loseAnswers = false })
+		}, 0},
+		"the platform is slow": {func(site *site) {
+			site.set(func() { site.delay = 1500 * time.Millisecond })
+			site.play(30 * time.Second)
+		}, 0},
+		"the store is down": {func(site *site) {
+			site.play(10 * time.Second)
+			site.set(func() { site.down = true })
+			site.play(3 * time.Minute)
+			site.set(func() { site.down = false })
+			site.play(10 * time.Second)
+		}, 0},
+		"answers of the store are lost": {func(site *site) {
+			site.set(func() { site.loseStore = true })
+			site.play(30 * time.Second)
+			site.set(func() { site.loseStore = false })
+		}, 0},
+		"the holder dies after answers were lost: its successor repeats the recorded counts": {func(site *site) {
+			site.play(10 * time.Second)
+			site.set(func() { site.loseAnswers = true })
+			site.play(20 * time.Second)
+			site.stop(site.holderName())
+			site.set(func() { site.loseAnswers = false })
+			site.play(20 * time.Second)
+		}, 1},
+		"holders die one after the other": {func(site *site) {
+			for range 3 {
+				site.play(12 * time.Second)
+				dead := site.holderName()
+				site.stop(dead)
+				site.play(12 * time.Second)
+				site.start(dead)
+			}
+		}, 3},
+		"all instances lose power": {func(site *site) {
+			site.play(12 * time.Second)
+			site.set(func() { site.loseAnswers = true })
+			site.play(10 * time.Second)
+			site.stop("a", "b", "c")
+			site.set(func() { site.loseAnswers = false })
+			time.Sleep(3 * time.Second)
+			site.start("a", "b", "c")
+		}, 2},
+		"each instance sees itself as the candidate": {func(site *site) {
+			for _, task := range site.tasks {
+				task.disagrees = true
+			}
+			site.announceViews()
+			site.play(30 * time.Second)
+			for _, task := range site.tasks {
+				task.disagrees = false
+			}
+		}, 6},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				site := newSite()
+				site.start("a", "b", "c")
+				time.Sleep(5 * time.Second)
+				first := indexOf(time.Now()) + 1
+				test.play(site)
+				site.announceViews()
+				last := indexOf(time.Now())
+				site.play(30 * time.Second)
+				Convey(name, t, func() {
+					So(site.violations, ShouldBeEmpty)
+					wrong := 0
+					for index := first; index < last; index++ {
+						if !site.answered[index] || !reflect.DeepEqual(site.received[index], site.truth[index]) {
+							wrong++
+						}
+					}
+					So(last-first, ShouldBeGreaterThan, 3)
+					So(wrong, ShouldBeLessThanOrEqualTo, test.wrong)
+					So(len(site.records.Windows), ShouldBeLessThanOrEqualTo, removeAfter+3)
+				})
+				site.stop(slicesOf(site.tasks)...)
+			})
+		})
+	}
+}
+
+func slicesOf(tasks map[coltsfootlink.InstanceName]*running) []coltsfootlink.InstanceName {
+	var names []coltsfootlink.InstanceName
+	for name := range tasks {
+		names = append(names, name)
+	}
+	return names
+}
