--- a/duty/task_test.go
+++ b/duty/task_test.go
@@ -283,7 +283,7 @@
 		"the holder dies after answers were lost: its successor repeats the recorded counts": {func(site *site) {
 			site.play(10 * time.Second)
 			site.set(func() { site.loseAnswers = true })
-			site.play(20 * time.Second)
+			site.play(90 * time.Second)
 			site.stop(site.holderName())
 			site.set(func() { site.loseAnswers = false })
 			site.play(20 * time.Second)
@@ -346,6 +346,35 @@
 	}
 }
 
+// TestShowDuties guards against operators who cannot see who holds the lease and how far it has reported.
+func TestShowDuties(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newSite()
+		site.start("a", "b")
+		// The newest window ended four seconds ago, so that all know that it is recorded.
+		site.play(34 * time.Second)
+		tables := make(map[coltsfootlink.InstanceName]coltsfootlink.Table)
+		for name, task := range site.tasks {
+			reply := make(chan coltsfootlink.Table, 1)
+			task.Inbox.Put(coltsfootlink.Delivery{Message: coltsfootlink.Inquiry{Subject: coltsfootlink.DutiesSubject, Reply: reply}})
+			tables[name] = <-reply
+		}
+		holder := site.holderName()
+		site.stop("a", "b")
+		Convey("the holder and the instance that follows it tell the same", t, func() {
+			for name, table := range tables {
+				So(table.Rows, ShouldHaveLength, 1)
+				row := table.Rows[0]
+				So(row[table.Column("holder")], ShouldEqual, string(holder))
+				So(row[table.Column("token")], ShouldEqual, "1")
+				So(row[table.Column("state")], ShouldEqual, map[bool]string{true: "holds", false: "follows"}[name == holder])
+				So(row[table.Column("recorded")], ShouldEqual, fmt.Sprint(site.records.NextWindow()-1))
+			}
+			So(tables[holder].Rows[0][4], ShouldEqual, tables[holder].Rows[0][3])
+		})
+	})
+}
+
 func slicesOf(tasks map[coltsfootlink.InstanceName]*running) []coltsfootlink.InstanceName {
 	var names []coltsfootlink.InstanceName
 	for name := range tasks {
