--- a/admission/task.go
+++ b/admission/task.go
@@ -33,6 +33,8 @@
 	Inbox  *mailbox.Deliveries
 	// Prober is the inbox of the prober, which receives the probe requests.
 	Prober *mailbox.Deliveries
+	// Duties is the inbox of the duty task, which receives the targets' loads; nil unless numbers of targets are ordered.
+	Duties *mailbox.Deliveries
 
 	ledgers map[coltsfootlink.TargetName]Ledger
 	// trials are until when no further trial of the same barred parts is permitted.
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -89,6 +89,8 @@
 	// the maximum number of retries that the whole fleet saves up for a pool.
 	RetryShare float64
 	RetrySlack float64
+	// Duties is the inbox of the duty task, which counts the requests that begin to run; nil without usage reports.
+	Duties *mailbox.Deliveries
 
 	strikes health.Strikes
 	// announced are the strikes that this instance has announced; instances that join later are told of them.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -102,7 +102,8 @@
 
 // mailboxes holds the inboxes of the tasks.
 type mailboxes struct {
-	admission, catalog, collector, dispatch, gate, connPool, links, membership, moves, prober, quarantine, relay, shares, timeline *mailbox.Deliveries
+	// duties is nil without duties.
+	admission, catalog, collector, dispatch, duties, gate, connPool, links, membership, moves, prober, quarantine, relay, shares, timeline *mailbox.Deliveries
 }
 
 // Run runs the daemon until the context ends, and then shuts it down gracefully: requests in progress are finished first.
@@ -200,6 +201,9 @@
 		shares:     mailbox.NewCounted("share"),
 		timeline:   mailbox.NewCounted("timeline"),
 	}
+	if gateway.hasDuties() {
+		gateway.mailboxes.duties = mailbox.NewCounted("duties")
+	}
 	gateway.hybrid = &timeline.HybridClock{Clock: gateway.clock}
 	gateway.recorder = timeline.Recorder{Stamper: gateway.hybrid, Inbox: gateway.mailboxes.timeline}
 	gateway.router = &peer.Router{
@@ -213,6 +217,7 @@
 		Moves:      gateway.mailboxes.moves,
 		Catalog:    gateway.mailboxes.catalog,
 		Quarantine: gateway.mailboxes.quarantine,
+		Duties:     gateway.mailboxes.duties,
 	}
 	gateway.store = platform.NewStore("http://" + gateway.Settings.Store.Address)
 	gateway.gate = &ingress.Gate{Inbox: gateway.mailboxes.gate, Clock: gateway.clock, Log: gateway.Log}
@@ -265,18 +270,27 @@
 }
 
 func (gateway *Gateway) addPeers(branch *supervisor.Branch) {
+	subjects := map[coltsfootlink.Subject]*mailbox.Deliveries{
+		coltsfootlink.TargetsSubject:   gateway.mailboxes.admission,
+		coltsfootlink.InstancesSubject: gateway.mailboxes.membership,
+		coltsfootlink.TimelineSubject:  gateway.mailboxes.timeline,
+		coltsfootlink.BarsSubject:      gateway.mailboxes.quarantine,
+	}
+	subscribers := []*mailbox.Deliveries{
+		gateway.mailboxes.catalog, gateway.mailboxes.admission, gateway.mailboxes.dispatch, gateway.mailboxes.shares,
+		gateway.mailboxes.connPool, gateway.mailboxes.moves, gateway.mailboxes.relay, gateway.mailboxes.quarantine,
+	}
+	if gateway.hasDuties() {
+		subjects[coltsfootlink.DutiesSubject] = gateway.mailboxes.duties
+		subscribers = append(subscribers, gateway.mailboxes.duties)
+	}
 	branch.Add("server", &peer.Server{
-		Address: gateway.Settings.Listen.Peers,
-		Secure:  insecure.NewCredentials(),
-		Stamper: gateway.hybrid,
-		Router:  gateway.router,
-		Answerer: &operator.Answerer{Tasks: map[coltsfootlink.Subject]*mailbox.Deliveries{
-			coltsfootlink.TargetsSubject:   gateway.mailboxes.admission,
-			coltsfootlink.InstancesSubject: gateway.mailboxes.membership,
-			coltsfootlink.TimelineSubject:  gateway.mailboxes.timeline,
-			coltsfootlink.BarsSubject:      gateway.mailboxes.quarantine,
-		}},
-		Log: gateway.Log,
+		Address:  gateway.Settings.Listen.Peers,
+		Secure:   insecure.NewCredentials(),
+		Stamper:  gateway.hybrid,
+		Router:   gateway.router,
+		Answerer: &operator.Answerer{Tasks: subjects},
+		Log:      gateway.Log,
 	})
 	branch.Add("links", &peer.Links{
 		Self:    gateway.self.Name,
@@ -300,10 +314,7 @@
 		Recorder:          gateway.recorder,
 		Inbox:             gateway.mailboxes.membership,
 		Links:             gateway.mailboxes.links,
-		Subscribers: []*mailbox.Deliveries{
-			gateway.mailboxes.catalog, gateway.mailboxes.admission, gateway.mailboxes.dispatch, gateway.mailboxes.shares,
-			gateway.mailboxes.connPool, gateway.mailboxes.moves, gateway.mailboxes.relay, gateway.mailboxes.quarantine,
-		},
+		Subscribers:       subscribers,
 	})
 	branch.Add("timeline", &timeline.Task{
 		Self:      gateway.self.Name,
@@ -314,19 +325,24 @@
 }
 
 func (gateway *Gateway) addRoles(branch *supervisor.Branch) {
+	catalogSubscribers := []*mailbox.Deliveries{
+		gateway.mailboxes.admission, gateway.mailboxes.dispatch, gateway.mailboxes.gate, gateway.mailboxes.connPool,
+		gateway.mailboxes.moves, gateway.mailboxes.shares,
+	}
+	if gateway.hasDuties() {
+		catalogSubscribers = append(catalogSubscribers, gateway.mailboxes.duties)
+		branch.Add("duties", gateway.dutyTask())
+	}
 	branch.Add("catalog", &catalog.Task{
-		Self:    gateway.self,
-		Source:  platform.Catalog{Store: gateway.store},
-		Decoder: platform.Decoder{},
-		Clock:   gateway.clock,
-		Sender:  gateway.router,
-		Log:     gateway.Log,
-		Branch:  branch.Branch("reader"),
-		Inbox:   gateway.mailboxes.catalog,
-		Subscribers: []*mailbox.Deliveries{
-			gateway.mailboxes.admission, gateway.mailboxes.dispatch, gateway.mailboxes.gate, gateway.mailboxes.connPool,
-			gateway.mailboxes.moves, gateway.mailboxes.shares,
-		},
+		Self:        gateway.self,
+		Source:      platform.Catalog{Store: gateway.store},
+		Decoder:     platform.Decoder{},
+		Clock:       gateway.clock,
+		Sender:      gateway.router,
+		Log:         gateway.Log,
+		Branch:      branch.Branch("reader"),
+		Inbox:       gateway.mailboxes.catalog,
+		Subscribers: catalogSubscribers,
 	})
 	branch.Add("admission", &admission.Task{
 		Self:   gateway.self.Name,
@@ -336,6 +352,7 @@
 		Log:    gateway.Log,
 		Inbox:  gateway.mailboxes.admission,
 		Prober: gateway.mailboxes.prober,
+		Duties: gateway.dutiesFor(settings.Scaling),
 	})
 	branch.Add("prober", &admission.Prober{
 		Reporter: platform.NewEngineReporter(),
@@ -351,6 +368,7 @@
 		Inbox:      gateway.mailboxes.dispatch,
 		RetryShare: gateway.Settings.Retry.Share * retryBudgetFraction,
 		RetrySlack: gateway.Settings.Retry.Slack * retryBudgetFraction,
+		Duties:     gateway.dutiesFor(settings.UsageReporting),
 	})
 	branch.Add("share", &share.Task{
 		Self:            gateway.self.Name,
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -41,3 +41,27 @@
 		})
 	}
 }
+
+// TestDutiesNeedSettings guards against a task, messages or calls of the singleton duties in deployments without them.
+func TestDutiesNeedSettings(t *testing.T) {
+	cases := map[string]struct {
+		names                []string
+		task, usage, scaling bool
+	}{
+		"no duties":       {nil, false, false, false},
+		"usage reporting": {[]string{settings.UsageReporting}, true, true, false},
+		"scaling":         {[]string{settings.Scaling}, true, false, true},
+	}
+	for name, test := range cases {
+		Convey(name, t, func() {
+			document := settings.GatewayDefaults()
+			document.Duties.Names = test.names
+			gateway := &Gateway{Settings: document, Log: zerolog.Nop()}
+			gateway.prepare()
+			So(gateway.hasDuties(), ShouldEqual, test.task)
+			So(gateway.router.Duties != nil, ShouldEqual, test.task)
+			So(gateway.dutiesFor(settings.UsageReporting) != nil, ShouldEqual, test.usage)
+			So(gateway.dutiesFor(settings.Scaling) != nil, ShouldEqual, test.scaling)
+		})
+	}
+}
