Stand-in of the control address, a checker of duty calls, and the soak's rules on them

The soak's gateways report usage. Faults of the control address are drawn apart from the plan, so that the plans of earlier seeds stay the same. A store that forgets its records also forgets those of the duties.

--- a/cmd/soak/checker.go
+++ b/cmd/soak/checker.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"coltsfootlink/mailbox"
+	"coltsfootlink/standin"
 )
 
 const (
@@ -71,6 +72,8 @@
 		checker.seen = checker.seen.WithOrder(message)
 	case disruption:
 		checker.seen = checker.seen.WithDisruption(message)
+	case standin.DutyCall:
+		checker.seen = checker.seen.WithDutyCall(message)
 	case unexpectedExit:
 		checker.seen = checker.seen.WithExit(message.text)
 	case faultsOver:
--- a/cmd/soak/history.go
+++ b/cmd/soak/history.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"coltsfootlink/standin"
 )
 
 // attempt is one request of a caller and its result.
@@ -104,6 +106,8 @@
 	arrivals    []arrival
 	orders      []order
 	disruptions []disruption
+	// dutyCalls are the calls that the platform's control address has accepted, and those that it has answered.
+	dutyCalls []standin.DutyCall
 	// exits describe instances that exited unexpectedly and targets that could not start.
 	exits []string
 	// faultsOverAt is when all faults of the plan had ended and all instances were ready; zero before.
@@ -129,6 +133,11 @@
 	return seen
 }
 
+func (seen history) WithDutyCall(added standin.DutyCall) history {
+	seen.dutyCalls = append(seen.dutyCalls, added)
+	return seen
+}
+
 // WithOrder returns the history with an order added. An earlier order of the same kind and name ends when the new one
 // was acknowledged. An order with an end only ends the earlier one.
 func (seen history) WithOrder(given order) history {
--- a/cmd/soak/rules.go
+++ b/cmd/soak/rules.go
@@ -93,6 +93,8 @@
 		"lost":     lossesInStops,
 		"recover":  unservedAfterRecovery,
 		"prompts":  crashingPrompts,
+		"duties":   dutyCalls,
+		"usage":    usageWindows,
 		"running":  func(seen history) []string { return seen.exits },
 	}
 }
--- a/cmd/soak/site.go
+++ b/cmd/soak/site.go
@@ -55,6 +55,10 @@
 	replicas     []*replica
 	storeAddress string
 	activeFloods atomic.Int32
+	// control is the platform's control address; its faults are drawn from the seed, and end when faultsOver is set.
+	control    *standin.Control
+	seed       uint64
+	faultsOver atomic.Bool
 	// crashingPrompts indicates that some prompts crash targets.
 	crashingPrompts atomic.Bool
 	// stopped is closed when all tasks have ended; nil before they start.
@@ -87,8 +91,16 @@
 	for zone := range site.size.Zones {
 		zones = append(zones, zoneName(zone))
 	}
+	control, err := loopback.FreeAddress()
+	if err != nil {
+		return err
+	}
+	site.control = &standin.Control{Address: control, CallsPerSecond: dutyCallsPerSecond, OnCall: func(call standin.DutyCall) { site.record(call) }}
+	site.branch.Add("control", site.control)
+	site.branch.Add("control-faults", &controlFaults{control: site.control, random: rand.New(rand.NewPCG(site.seed, site.seed)), over: &site.faultsOver})
 	fleet := rig.GatewayFleet{
 		Daemon: site.daemon, Folder: site.folder, Store: address, Zones: zones, Count: site.size.Instances, Proxied: true, DrainDelay: drainDelay,
+		ExtraSettings: dutySettings(control),
 	}
 	site.gateways, err = fleet.Start(ctx)
 	return err
@@ -188,7 +200,7 @@
 	}
 	if transition.step.Kind == storeForgetsKind {
 		site.operator.inbox.Put(func(ctx context.Context) {
-			for _, topic := range []string{platform.OperatorTopic, platform.TargetTopic} {
+			for _, topic := range []string{platform.OperatorTopic, platform.TargetTopic, platform.DutyTopic} {
 				// This fails only if the store has stopped at the end of the run.
 				_ = site.platform.Store.Forget(ctx, topic)
 			}
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -74,7 +74,7 @@
 	branch := supervisor.New("soak", zerolog.Nop())
 	branch.Add("judge", checker)
 	branch.Add("stalls", stallDetector{record: inbox.Put})
-	site := &site{size: soak.size, folder: soak.folder, daemon: soak.daemon, record: inbox.Put, branch: branch}
+	site := &site{seed: soak.seed, size: soak.size, folder: soak.folder, daemon: soak.daemon, record: inbox.Put, branch: branch}
 	defer func() {
 		cancel()
 		site.stop()
@@ -99,6 +99,7 @@
 func (soak soak) runPlan(ctx context.Context, site *site, plan []step, record func(any)) {
 	coltsfootlink.Sleep(ctx, warmUpDuration)
 	soak.inject(ctx, site, plan)
+	site.faultsOver.Store(true)
 	for !site.ready() && coltsfootlink.Sleep(ctx, readyPollInterval) {
 	}
 	record(faultsOver{at: time.Now()})
--- a/usage/stub.go
+++ b/usage/stub.go
@@ -78,6 +78,8 @@
 	counts           map[uint64]map[sender]map[coltsfootlink.TeamName]int
 	reached          map[coltsfootlink.InstanceName]uint64
 	next             uint64
+	// first is the first window of which anything was heard.
+	first uint64
 }
 
 // NewLedger returns a ledger without counts.
@@ -107,6 +109,12 @@
 		ledger.reached = make(map[coltsfootlink.InstanceName]uint64)
 	}
 	ledger.reached[from] = report.Reached
+	if ledger.first == 0 {
+		ledger.first = report.Reached
+	}
+	for _, window := range report.Windows {
+		ledger.first = min(ledger.first, window.Index)
+	}
 	return ledger
 }
 
@@ -116,24 +124,25 @@
 	return ledger
 }
 
-// Due returns the oldest window that is to be recorded now.
+// Due returns the oldest window that is to be recorded now, also if no request began in it.
 func (ledger Ledger) Due(now time.Time, live []coltsfootlink.InstanceName) (coltsfootlink.UsageWindow, bool) {
-	for _, index := range slices.Sorted(maps.Keys(ledger.counts)) {
-		if index < ledger.next {
-			continue
-		}
-		closed := now.UnixNano() >= int64(index+1)*int64(ledger.window)+int64(ledger.lateness-4*time.Second)
-		complete := !slices.ContainsFunc(live, func(name coltsfootlink.InstanceName) bool { return ledger.reached[name] <= index })
-		if !closed && !complete {
-			return coltsfootlink.UsageWindow{}, false
-		}
-		sum := make(map[coltsfootlink.TeamName]int)
-		for _, teams := range ledger.counts[index] {
-			for team, requests := range teams {
-				sum[team] += requests
-			}
+	if len(ledger.reached) == 0 {
+		return coltsfootlink.UsageWindow{}, false
+	}
+	index := ledger.next
+	if index == 0 {
+		index = ledger.first
+	}
+	closed := now.UnixNano() >= int64(index+1)*int64(ledger.window)+int64(ledger.lateness-4*time.Second)
+	complete := !slices.ContainsFunc(live, func(name coltsfootlink.InstanceName) bool { return ledger.reached[name] <= index })
+	if !closed && !complete {
+		return coltsfootlink.UsageWindow{}, false
+	}
+	sum := make(map[coltsfootlink.TeamName]int)
+	for _, teams := range ledger.counts[index] {
+		for team, requests := range teams {
+			sum[team] += requests
 		}
-		return windowOf(index, sum), true
 	}
-	return coltsfootlink.UsageWindow{}, false
+	return windowOf(index, sum), true
 }
