--- a/admission/task.go
+++ b/admission/task.go
@@ -33,7 +33,7 @@
 	Inbox  *mailbox.Deliveries
 	// Prober is the inbox of the prober, which receives the probe requests.
 	Prober *mailbox.Deliveries
-	// Duties is the inbox of the duty task, which receives the loads of the owned targets; nil if there are no duties.
+	// Duties is the inbox of the duty task, which receives the targets' loads; nil unless numbers of targets are ordered.
 	Duties *mailbox.Deliveries
 
 	ledgers map[coltsfootlink.TargetName]Ledger
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -83,12 +83,12 @@
 	Sender coltsfootlink.Sender
 	Log    zerolog.Logger
 	Inbox  *mailbox.Deliveries
-	// Duties is the inbox of the duty task, which receives the requests that have begun; nil if there are no duties.
-	Duties *mailbox.Deliveries
 	// RetryShare is the fraction of a retry that each first attempt adds to its pool's retry budget; RetrySlack is
 	// the maximum number of retries that the whole fleet saves up for a pool.
 	RetryShare float64
 	RetrySlack float64
+	// Duties is the inbox of the duty task, which counts the requests that begin to run; nil without usage reports.
+	Duties *mailbox.Deliveries
 
 	strikes health.Strikes
 	// announced are the strikes that this instance has announced; instances that join later are told of them.
