--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -1,3 +1,5 @@
+// Package dispatch chooses candidate targets for each request of an instance and asks the targets' owners for
+// permits.
 package dispatch
 
 import (
@@ -12,6 +14,7 @@
 	"coltsfootlink/health"
 	"coltsfootlink/mailbox"
 	"coltsfootlink/notice"
+	"coltsfootlink/placement"
 	"coltsfootlink/pressure"
 	"coltsfootlink/retry"
 )
@@ -96,6 +99,9 @@
 	loads     loads
 	moves     moves
 	waits     waitEstimates
+	// placement has the announced speeds of targets; weights are derived from them again at weightsDueAt.
+	placement    placement.State
+	weightsDueAt time.Time
 	// durations are how long answers take, and endsAt is when the instance ends; zero while it does not shut down.
 	durations durations
 	endsAt    time.Time
@@ -151,7 +157,11 @@
 		task.handle(delivery)
 	}
 	task.expire()
-	task.sendReports(task.Clock.Now())
+	now := task.Clock.Now()
+	task.sendReports(now)
+	if !now.Before(task.weightsDueAt) {
+		task.updateWeights(now)
+	}
 }
 
 func (task *Task) reset() {
@@ -162,6 +172,7 @@
 	task.loads = newLoads()
 	task.moves = newMoves()
 	task.waits = make(waitEstimates)
+	task.placement = placement.NewState(task.Self.Zone)
 	task.durations = make(durations)
 	task.notices = notice.State{}
 	task.withheldUntil = make(map[coltsfootlink.TargetName]time.Time)
@@ -191,12 +202,15 @@
 		task.handleNotice(delivery.From, message)
 	case coltsfootlink.MoveWord:
 		task.moves.update(task.Clock.Now(), message)
+	case coltsfootlink.TargetSpeeds:
+		task.placement = task.placement.WithSpeeds(task.Clock.Now(), message.Speeds)
 	case pressure.Changed:
 		task.pressure = message.State
 	case coltsfootlink.Stopping:
 		task.endsAt = message.EndsAt
 	case coltsfootlink.CatalogChanged:
 		task.catalog = message.Catalog
+		task.updateWeights(task.Clock.Now())
 		task.notices = task.notices.WithCatalog(task.Clock.Now(), message.Catalog)
 		task.updateOwners()
 	case coltsfootlink.ViewChanged:
@@ -241,9 +255,10 @@
 	}
 	waiting.refusal = task.avoidWithheld(now, catalog, waiting)
 	if want.Trial != 0 {
-		waiting.candidates, waiting.spilled = trialTarget(catalog, want), true
+		waiting.candidates, waiting.spilled = placement.TrialTarget(catalog, want.Pool, want.Trial), true
 	} else {
-		waiting.candidates = Candidates(catalog, task.liveZones, want.Pool, want.Work, task.Self.Zone, rand.Uint64(), waiting.tried)
+		request := placement.Request{Pool: want.Pool, Work: want.Work, Draw: rand.Uint64(), Avoid: waiting.tried}
+		waiting.candidates = task.placement.Candidates(catalog, task.liveZones, request)
 	}
 	task.askNext(waiting)
 }
--- a/dispatch/task_test.go
+++ b/dispatch/task_test.go
@@ -10,6 +10,7 @@
 
 	"coltsfootlink"
 	"coltsfootlink/mailbox"
+	"coltsfootlink/placement"
 	"coltsfootlink/pressure"
 )
 
@@ -122,6 +123,11 @@
 	}
 }
 
+// candidates returns the candidates of a request from one zone while no target has a weight.
+func candidates(catalog coltsfootlink.Catalog, live map[coltsfootlink.ZoneName]bool, pool coltsfootlink.PoolName, work coltsfootlink.Work, zone coltsfootlink.ZoneName, draw uint64, avoid map[coltsfootlink.TargetName]bool) []coltsfootlink.Target {
+	return placement.NewState(zone).Candidates(catalog, live, placement.Request{Pool: pool, Work: work, Draw: draw, Avoid: avoid})
+}
+
 func TestAffinity(t *testing.T) {
 	cases := map[string]struct {
 		change     func(catalog coltsfootlink.Catalog, home coltsfootlink.TargetName) coltsfootlink.Catalog
@@ -147,10 +153,10 @@
 		Convey(name, t, func() {
 			task, _, clock := newTask()
 			work := newWant(clock, nil).Work
-			first := Candidates(task.catalog, task.liveZones, "p", work, "a", 1, nil)
+			first := candidates(task.catalog, task.liveZones, "p", work, "a", 1, nil)
 			So(first, ShouldHaveLength, 3)
 			changed := test.change(task.catalog, first[0].Name)
-			second := Candidates(changed, task.liveZones, "p", work, "b", 2, nil)
+			second := candidates(changed, task.liveZones, "p", work, "b", 2, nil)
 			So(second[0].Name == first[0].Name, ShouldEqual, test.sameTarget)
 			for _, target := range second {
 				So(changed.Usable(target), ShouldBeTrue)
@@ -160,22 +166,22 @@
 	Convey("requests without a shared prefix prefer their own zone", t, func() {
 		task, _, _ := newTask()
 		for draw := range uint64(20) {
-			So(Candidates(task.catalog, task.liveZones, "p", coltsfootlink.Work{}, "a", draw, nil)[0].Name, ShouldEqual, coltsfootlink.TargetName("t-1"))
+			So(candidates(task.catalog, task.liveZones, "p", coltsfootlink.Work{}, "a", draw, nil)[0].Name, ShouldEqual, coltsfootlink.TargetName("t-1"))
 		}
 	})
 	Convey("targets of a zone without live instances are offered only if there are no others", t, func() {
 		task, _, clock := newTask()
 		work := newWant(clock, nil).Work
-		for _, target := range Candidates(task.catalog, map[coltsfootlink.ZoneName]bool{"b": true}, "p", work, "b", 1, nil) {
+		for _, target := range candidates(task.catalog, map[coltsfootlink.ZoneName]bool{"b": true}, "p", work, "b", 1, nil) {
 			So(target.Zone, ShouldEqual, coltsfootlink.ZoneName("b"))
 		}
-		So(Candidates(task.catalog, nil, "p", work, "b", 1, nil), ShouldHaveLength, 3)
+		So(candidates(task.catalog, nil, "p", work, "b", 1, nil), ShouldHaveLength, 3)
 	})
 	Convey("a target that the request was sent to before is not a candidate", t, func() {
 		task, _, clock := newTask()
 		work := newWant(clock, nil).Work
-		home := Candidates(task.catalog, task.liveZones, "p", work, "a", 1, nil)[0].Name
-		for _, target := range Candidates(task.catalog, task.liveZones, "p", work, "a", 1, map[coltsfootlink.TargetName]bool{home: true}) {
+		home := candidates(task.catalog, task.liveZones, "p", work, "a", 1, nil)[0].Name
+		for _, target := range candidates(task.catalog, task.liveZones, "p", work, "a", 1, map[coltsfootlink.TargetName]bool{home: true}) {
 			So(target.Name, ShouldNotEqual, home)
 		}
 	})
