--- a/dispatch/ask.go
+++ b/dispatch/ask.go
@@ -55,10 +55,10 @@
 // addSpillover adds the target with the shortest estimated wait to the candidates of a request within its team's share.
 // Some target can sustain the rate that operators guarantee, even if it has to read the shared prefix again.
 func (task *Task) addSpillover(now time.Time, waiting pending) pending {
-	if waiting.spilled || waiting.want.Standing != coltsfootlink.Entitled || waiting.want.Work.Affinity() == 0 {
+	if waiting.spills == 0 || waiting.want.Standing != coltsfootlink.Entitled || waiting.want.Work.Affinity() == 0 {
 		return waiting
 	}
-	waiting.spilled = true
+	waiting.spills--
 	if target, found := task.waits.shortest(now, task.eligibleCatalog(waiting.want), waiting.want.Pool, waiting.tried); found {
 		waiting.candidates = []coltsfootlink.Target{target}
 	}
@@ -93,6 +93,7 @@
 			waiting.refuse(refusal)
 			return
 		}
+		task.countPlacement(target)
 		task.loads.countAttempt(waiting.want, nil)
 		task.loads.countTeam(waiting.want.Pool, waiting.want.Team, 0, tokensOf(waiting.want.Work))
 		task.running[verdict.Serial] = running{
@@ -108,10 +109,10 @@
 		retryAt = task.Clock.Now().Add(defaultRetryDelay)
 	}
 	waiting.refusal = coltsfootlink.Refuse(verdict.Reason, "target "+string(target.Name)+" takes no more").WithRetryAt(retryAt)
-	waiting.candidates = waiting.candidates[1:]
-	if verdict.Reason == coltsfootlink.TargetFull && waiting.want.Standing != coltsfootlink.Entitled {
-		// For a request beyond its team's share it is not worth reading the shared prefix again on another target.
-		waiting.candidates = nil
+	if verdict.Reason == coltsfootlink.TargetFull {
+		waiting = task.withoutFull(task.Clock.Now(), waiting)
+	} else {
+		waiting.candidates = waiting.candidates[1:]
 	}
 	task.askNext(waiting)
 }
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"coltsfootlink"
+	"coltsfootlink/engine"
 	"coltsfootlink/health"
 	"coltsfootlink/mailbox"
 	"coltsfootlink/notice"
@@ -46,10 +47,12 @@
 	pacedDeadline time.Time
 	// refusal is the reply to the caller if no candidate is left.
 	refusal *coltsfootlink.Refusal
-	// tried are the targets that were considered, and those to avoid; spilled indicates that addSpillover has already
-	// been applied.
-	tried   map[coltsfootlink.TargetName]bool
-	spilled bool
+	// tried are the targets that were considered, and those to avoid; spills is how many targets addSpillover may still
+	// add.
+	tried  map[coltsfootlink.TargetName]bool
+	spills int
+	// preference is the request's preference for zones.
+	preference placement.Preference
 }
 
 // checkAt returns when the request is to be checked if its owner has not replied: at the deadline of the reply or at
@@ -92,6 +95,8 @@
 	// the maximum number of retries that the whole fleet saves up for a pool.
 	RetryShare float64
 	RetrySlack float64
+	// Rates tell which shared prefixes are cheap to read.
+	Rates engine.Rates
 
 	strikes health.Strikes
 	// announced are the strikes that this instance has announced; instances that join later are told of them.
@@ -99,9 +104,9 @@
 	loads     loads
 	moves     moves
 	waits     waitEstimates
-	// placement has the announced speeds of targets; weights are derived from them again at weightsDueAt.
-	placement    placement.State
-	weightsDueAt time.Time
+	// placement ranks targets for requests; announcements are put in force again at placementDueAt.
+	placement      placement.State
+	placementDueAt time.Time
 	// durations are how long answers take, and endsAt is when the instance ends; zero while it does not shut down.
 	durations durations
 	endsAt    time.Time
@@ -116,12 +121,10 @@
 	catalog  coltsfootlink.Catalog
 	view     coltsfootlink.View
 	// owners caches the owners of targets; it is cleared when the view or the catalog changes.
-	owners map[ownerKey]coltsfootlink.InstanceName
-	// liveZones are the zones with live instances.
-	liveZones map[coltsfootlink.ZoneName]bool
-	serial    uint64
-	pending   map[uint64]pending
-	running   map[uint64]running
+	owners  map[ownerKey]coltsfootlink.InstanceName
+	serial  uint64
+	pending map[uint64]pending
+	running map[uint64]running
 	// backoffUntil is when the targets of an owner that did not reply are offered requests again.
 	backoffUntil map[coltsfootlink.InstanceName]time.Time
 	// lastVerdictAt is when the newest verdict of each owner was handled.
@@ -159,8 +162,8 @@
 	task.expire()
 	now := task.Clock.Now()
 	task.sendReports(now)
-	if !now.Before(task.weightsDueAt) {
-		task.updateWeights(now)
+	if !now.Before(task.placementDueAt) {
+		task.updatePlacement(now)
 	}
 }
 
@@ -172,7 +175,7 @@
 	task.loads = newLoads()
 	task.moves = newMoves()
 	task.waits = make(waitEstimates)
-	task.placement = placement.NewState(task.Self.Zone)
+	task.placement = placement.NewState(task.Self.Zone, task.Rates)
 	task.durations = make(durations)
 	task.notices = notice.State{}
 	task.withheldUntil = make(map[coltsfootlink.TargetName]time.Time)
@@ -204,13 +207,15 @@
 		task.moves.update(task.Clock.Now(), message)
 	case coltsfootlink.TargetSpeeds:
 		task.placement = task.placement.WithSpeeds(task.Clock.Now(), message.Speeds)
+	case coltsfootlink.Shares:
+		task.placement = task.placement.WithZoneDemand(task.Clock.Now(), message.Pool, message.Zones)
 	case pressure.Changed:
 		task.pressure = message.State
 	case coltsfootlink.Stopping:
 		task.endsAt = message.EndsAt
 	case coltsfootlink.CatalogChanged:
 		task.catalog = message.Catalog
-		task.updateWeights(task.Clock.Now())
+		task.updatePlacement(task.Clock.Now())
 		task.notices = task.notices.WithCatalog(task.Clock.Now(), message.Catalog)
 		task.updateOwners()
 	case coltsfootlink.ViewChanged:
@@ -219,10 +224,11 @@
 		for pool, budget := range task.budgets {
 			task.budgets[pool] = budget.WithLimit(task.maxSavedRetries())
 		}
-		task.liveZones = make(map[coltsfootlink.ZoneName]bool)
+		liveZones := make(map[coltsfootlink.ZoneName]bool)
 		for _, member := range message.View.Live() {
-			task.liveZones[member.Zone] = true
+			liveZones[member.Zone] = true
 		}
+		task.placement = task.placement.WithLive(liveZones)
 		task.updateOwners()
 	}
 }
@@ -249,16 +255,15 @@
 		return
 	}
 	now, catalog := task.Clock.Now(), task.eligibleCatalog(want)
-	waiting := pending{want: want, tried: maps.Clone(want.Avoid)}
+	waiting := pending{want: want, tried: maps.Clone(want.Avoid), spills: 1}
 	if waiting.tried == nil {
 		waiting.tried = make(map[coltsfootlink.TargetName]bool)
 	}
 	waiting.refusal = task.avoidWithheld(now, catalog, waiting)
 	if want.Trial != 0 {
-		waiting.candidates, waiting.spilled = placement.TrialTarget(catalog, want.Pool, want.Trial), true
+		waiting.candidates, waiting.spills = placement.TrialTarget(catalog, want.Pool, want.Trial), 0
 	} else {
-		request := placement.Request{Pool: want.Pool, Work: want.Work, Draw: rand.Uint64(), Avoid: waiting.tried}
-		waiting.candidates = task.placement.Candidates(catalog, task.liveZones, request)
+		waiting.candidates, waiting.preference = task.candidates(now, catalog, want, rand.Uint64(), waiting.tried)
 	}
 	task.askNext(waiting)
 }
--- a/dispatch/task_test.go
+++ b/dispatch/task_test.go
@@ -9,6 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"coltsfootlink"
+	"coltsfootlink/engine"
 	"coltsfootlink/mailbox"
 	"coltsfootlink/placement"
 	"coltsfootlink/pressure"
@@ -56,6 +57,7 @@
 	task := &Task{
 		Self: coltsfootlink.Instance{Name: "i-a", Zone: "a"}, Clock: clock, Sender: sender, Log: zerolog.Nop(),
 		Inbox: mailbox.NewDeliveries(), RetryShare: 0.1, RetrySlack: 1,
+		Rates: admissionPolicy.Rates,
 	}
 	task.reset()
 	var catalog coltsfootlink.Catalog
@@ -123,9 +125,13 @@
 	}
 }
 
+// bothZones are the zones of newTask, both with a live instance.
+var bothZones = map[coltsfootlink.ZoneName]bool{"a": true, "b": true}
+
 // candidates returns the candidates of a request from one zone while no target has a weight.
 func candidates(catalog coltsfootlink.Catalog, live map[coltsfootlink.ZoneName]bool, pool coltsfootlink.PoolName, work coltsfootlink.Work, zone coltsfootlink.ZoneName, draw uint64, avoid map[coltsfootlink.TargetName]bool) []coltsfootlink.Target {
-	return placement.NewState(zone).Candidates(catalog, live, placement.Request{Pool: pool, Work: work, Draw: draw, Avoid: avoid})
+	state := placement.NewState(zone, engine.Rates{}).WithLive(live)
+	return state.Candidates(catalog, placement.Request{Pool: pool, Work: work, Draw: draw, Avoid: avoid})
 }
 
 func TestAffinity(t *testing.T) {
@@ -153,10 +159,10 @@
 		Convey(name, t, func() {
 			task, _, clock := newTask()
 			work := newWant(clock, nil).Work
-			first := candidates(task.catalog, task.liveZones, "p", work, "a", 1, nil)
+			first := candidates(task.catalog, bothZones, "p", work, "a", 1, nil)
 			So(first, ShouldHaveLength, 3)
 			changed := test.change(task.catalog, first[0].Name)
-			second := candidates(changed, task.liveZones, "p", work, "b", 2, nil)
+			second := candidates(changed, bothZones, "p", work, "b", 2, nil)
 			So(second[0].Name == first[0].Name, ShouldEqual, test.sameTarget)
 			for _, target := range second {
 				So(changed.Usable(target), ShouldBeTrue)
@@ -166,7 +172,7 @@
 	Convey("requests without a shared prefix prefer their own zone", t, func() {
 		task, _, _ := newTask()
 		for draw := range uint64(20) {
-			So(candidates(task.catalog, task.liveZones, "p", coltsfootlink.Work{}, "a", draw, nil)[0].Name, ShouldEqual, coltsfootlink.TargetName("t-1"))
+			So(candidates(task.catalog, bothZones, "p", coltsfootlink.Work{}, "a", draw, nil)[0].Name, ShouldEqual, coltsfootlink.TargetName("t-1"))
 		}
 	})
 	Convey("targets of a zone without live instances are offered only if there are no others", t, func() {
@@ -180,8 +186,8 @@
 	Convey("a target that the request was sent to before is not a candidate", t, func() {
 		task, _, clock := newTask()
 		work := newWant(clock, nil).Work
-		home := candidates(task.catalog, task.liveZones, "p", work, "a", 1, nil)[0].Name
-		for _, target := range candidates(task.catalog, task.liveZones, "p", work, "a", 1, map[coltsfootlink.TargetName]bool{home: true}) {
+		home := candidates(task.catalog, bothZones, "p", work, "a", 1, nil)[0].Name
+		for _, target := range candidates(task.catalog, bothZones, "p", work, "a", 1, map[coltsfootlink.TargetName]bool{home: true}) {
 			So(target.Name, ShouldNotEqual, home)
 		}
 	})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -351,6 +351,7 @@
 		Inbox:      gateway.mailboxes.dispatch,
 		RetryShare: gateway.Settings.Retry.Share * retryBudgetFraction,
 		RetrySlack: gateway.Settings.Retry.Slack * retryBudgetFraction,
+		Rates:      engine.Rates(gateway.Settings.Engine),
 	})
 	branch.Add("share", &share.Task{
 		Self:            gateway.self.Name,
--- a/message_gateway.go
+++ b/message_gateway.go
@@ -70,6 +70,16 @@
 	Teams []TeamShare
 	// MaxWaitFraction is the maximum wait of a Bearable request as a fraction of its objective.
 	MaxWaitFraction float64
+	// Zones are the parts that the callers of each availability zone have in the work of the pool; empty if there is too
+	// little work to tell.
+	Zones []ZoneDemand
+}
+
+// ZoneDemand is the part that the callers of one availability zone have in the work for which permits were granted.
+type ZoneDemand struct {
+	Zone ZoneName
+	// Fraction is from 0 to 1.
+	Fraction float64
 }
 
 // TeamShare divides the requests of one team by their standing; all fields are fractions from 0 to 1.
--- a/peer/router.go
+++ b/peer/router.go
@@ -81,7 +81,7 @@
 	case coltsfootlink.Offered:
 		return []*mailbox.Deliveries{router.Shares}
 	case coltsfootlink.Shares:
-		return []*mailbox.Deliveries{router.Gate}
+		return []*mailbox.Deliveries{router.Gate, router.Dispatch}
 	case coltsfootlink.MoveUsages:
 		return []*mailbox.Deliveries{router.Moves}
 	case coltsfootlink.MoveWord:
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -12,9 +12,13 @@
 	"pgregory.net/rapid"
 
 	"coltsfootlink"
+	"coltsfootlink/engine"
 )
 
-var start = time.UnixMilli(1_700_000_000_000)
+var (
+	start = time.UnixMilli(1_700_000_000_000)
+	rates = engine.Rates{PromptTokensPerMilli: 112, PairsMillis: 0.2, StepMillis: 3.41, StepMillisPerRequest: 0.1, ChunkTokens: 1024, FirstEventMillis: 35}
+)
 
 // poolOf returns a catalog with a number of targets of pool p, in turn in each of the zones.
 func poolOf(count int, zones ...coltsfootlink.ZoneName) coltsfootlink.Catalog {
@@ -26,12 +30,9 @@
 	return coltsfootlink.Catalog{}.WithTargets(targets)
 }
 
-func liveIn(zones ...coltsfootlink.ZoneName) map[coltsfootlink.ZoneName]bool {
-	live := make(map[coltsfootlink.ZoneName]bool)
-	for _, zone := range zones {
-		live[zone] = true
-	}
-	return live
+// newState returns the state of an instance while the zones a, b and c have live instances.
+func newState(zone coltsfootlink.ZoneName) State {
+	return NewState(zone, rates).WithLive(map[coltsfootlink.ZoneName]bool{"a": true, "b": true, "c": true})
 }
 
 // prefixed returns a request with a shared prefix.
@@ -45,7 +46,7 @@
 
 // home returns the first candidate of a prefix.
 func (state State) home(catalog coltsfootlink.Catalog, key uint64) coltsfootlink.TargetName {
-	return state.Candidates(catalog, liveIn("a", "b", "c"), prefixed(key))[0].Name
+	return state.Candidates(catalog, prefixed(key))[0].Name
 }
 
 // TestOrderWithoutWeights guards against another order of any candidate while nothing is announced, which would move all
@@ -72,7 +73,7 @@
 			return cmp.Compare(hash(other, key), hash(one, key))
 		})
 		var ranked []coltsfootlink.TargetName
-		for _, target := range NewState(zone).WithCatalog(start, catalog).Candidates(catalog, liveIn("a", "b", "c"), request) {
+		for _, target := range newState(zone).WithCatalog(start, catalog).Candidates(catalog, request) {
 			ranked = append(ranked, target.Name)
 		}
 		if !slices.Equal(ranked, expected[:min(3, len(expected))]) {
@@ -87,28 +88,28 @@
 	cases := map[string]struct {
 		announced []coltsfootlink.TargetSpeed
 		age       time.Duration
-		expected  Weights
+		expected  map[coltsfootlink.TargetName]float64
 	}{
 		"nothing announced":                           {nil, 0, nil},
-		"a slow target":                               {[]coltsfootlink.TargetSpeed{speedOf(0, 0.5)}, 0, Weights{"t-0": 0.5}},
-		"relative to the median of the pool":          {slowQuarter, 0, Weights{"t-0": 0.5}},
+		"a slow target":                               {[]coltsfootlink.TargetSpeed{speedOf(0, 0.5)}, 0, map[coltsfootlink.TargetName]float64{"t-0": 0.5}},
+		"relative to the median of the pool":          {slowQuarter, 0, map[coltsfootlink.TargetName]float64{"t-0": 0.5}},
 		"all faster than the settings":                {[]coltsfootlink.TargetSpeed{speedOf(0, 1.2), speedOf(1, 1.2), speedOf(2, 1.2), speedOf(3, 1.2)}, 0, nil},
 		"back at the speed of the others":             {[]coltsfootlink.TargetSpeed{speedOf(0, 0.5), speedOf(0, 1)}, 0, nil},
-		"after one lost repetition":                   {slowQuarter, 11 * time.Second, Weights{"t-0": 0.5}},
+		"after one lost repetition":                   {slowQuarter, 11 * time.Second, map[coltsfootlink.TargetName]float64{"t-0": 0.5}},
 		"not repeated any more":                       {slowQuarter, 12 * time.Second, nil},
 		"of an earlier incarnation":                   {[]coltsfootlink.TargetSpeed{{Target: "t-0", Incarnation: 6, Speed: 0.5}}, 0, nil},
 		"of an incarnation not yet in the catalog":    {[]coltsfootlink.TargetSpeed{{Target: "t-0", Incarnation: 8, Speed: 0.5}}, 0, nil},
-		"a late one of an earlier incarnation":        {[]coltsfootlink.TargetSpeed{speedOf(0, 0.5), {Target: "t-0", Incarnation: 6, Speed: 2}}, 0, Weights{"t-0": 0.5}},
+		"a late one of an earlier incarnation":        {[]coltsfootlink.TargetSpeed{speedOf(0, 0.5), {Target: "t-0", Incarnation: 6, Speed: 2}}, 0, map[coltsfootlink.TargetName]float64{"t-0": 0.5}},
 		"of a target that is not in the catalog":      {[]coltsfootlink.TargetSpeed{speedOf(99, 0.5)}, 0, nil},
 		"no number":                                   {[]coltsfootlink.TargetSpeed{speedOf(0, math.NaN()), speedOf(1, math.Inf(1)), speedOf(2, 0), speedOf(3, -1)}, 0, nil},
-		"beyond what owners measure":                  {[]coltsfootlink.TargetSpeed{speedOf(0, 1e-9), speedOf(1, 1e9)}, 0, Weights{"t-0": 0.25, "t-1": 2}},
-		"half of the targets are slow: relative to 1": {[]coltsfootlink.TargetSpeed{speedOf(0, 0.5), speedOf(1, 0.5)}, 0, Weights{"t-0": 0.5, "t-1": 0.5}},
+		"beyond what owners measure":                  {[]coltsfootlink.TargetSpeed{speedOf(0, 1e-9), speedOf(1, 1e9)}, 0, map[coltsfootlink.TargetName]float64{"t-0": 0.25, "t-1": 2}},
+		"half of the targets are slow: relative to 1": {[]coltsfootlink.TargetSpeed{speedOf(0, 0.5), speedOf(1, 0.5)}, 0, map[coltsfootlink.TargetName]float64{"t-0": 0.5, "t-1": 0.5}},
 	}
 	for name, test := range cases {
 		Convey(name, t, func() {
 			catalog := poolOf(4, "a", "b")
-			state := NewState("a").WithSpeeds(start, test.announced).WithCatalog(start.Add(test.age), catalog)
-			So(state.Weights()["p"], ShouldResemble, test.expected)
+			state := newState("a").WithSpeeds(start, test.announced).WithCatalog(start.Add(test.age), catalog)
+			So(state.Weights("p").byTarget, ShouldResemble, test.expected)
 		})
 	}
 }
@@ -131,7 +132,7 @@
 				announced = append(announced, speedOf(index, speedOfTarget(index)))
 				sum += speedOfTarget(index)
 			}
-			state := NewState("a").WithSpeeds(start, announced).WithCatalog(start, catalog)
+			state := newState("a").WithSpeeds(start, announced).WithCatalog(start, catalog)
 			homes := make(map[coltsfootlink.TargetName]int)
 			for key := range uint64(prefixes) {
 				homes[state.home(catalog, key+1)]++
@@ -152,11 +153,11 @@
 		catalog := poolOf(targets, "a", "b", "c")
 		steps := rapid.Custom(func(t *rapid.T) float64 { return float64(rapid.IntRange(5, 20).Draw(t, "tenths")) / 10 })
 		// Speeds of up to four targets leave the median at 1.
-		before := NewState("a").WithSpeeds(start, []coltsfootlink.TargetSpeed{speedOf(0, steps.Draw(t, "first")), speedOf(1, steps.Draw(t, "second"))})
+		before := newState("a").WithSpeeds(start, []coltsfootlink.TargetSpeed{speedOf(0, steps.Draw(t, "first")), speedOf(1, steps.Draw(t, "second"))})
 		changed := speedOf(rapid.IntRange(0, 3).Draw(t, "target"), steps.Draw(t, "changed"))
 		after := before.WithSpeeds(start, []coltsfootlink.TargetSpeed{changed}).WithCatalog(start, catalog)
 		before = before.WithCatalog(start, catalog)
-		weight := func(state State) float64 { return cmp.Or(state.Weights()["p"][changed.Target], 1) }
+		weight := func(state State) float64 { return cmp.Or(state.Weights("p").byTarget[changed.Target], 1) }
 		offset := rapid.Uint64Range(1, 1<<60).Draw(t, "offset")
 		for key := range uint64(prefixes) {
 			from, to := before.home(catalog, offset+key), after.home(catalog, offset+key)
@@ -177,18 +178,18 @@
 	for name, every := range cases {
 		b.Run(name, func(b *testing.B) {
 			catalog := poolOf(150, "a", "b", "c")
-			state := NewState("a")
+			state := newState("a")
 			for index := range 150 {
 				if every > 0 && index%every == 1 {
 					state = state.WithSpeeds(start, []coltsfootlink.TargetSpeed{speedOf(index, 0.5)})
 				}
 			}
 			state = state.WithCatalog(start, catalog)
-			live, request := liveIn("a", "b", "c"), prefixed(1)
+			request := prefixed(1)
 			b.ReportAllocs()
 			for b.Loop() {
 				request.Work.Prompt[0].Key++
-				state.Candidates(catalog, live, request)
+				state.Candidates(catalog, request)
 			}
 		})
 	}
--- a/placement/ranking.go
+++ b/placement/ranking.go
@@ -20,7 +20,7 @@
 	maxPlain = 3
 )
 
-// Request is what the placement of a request depends on.
+// Request is what the ranking of the targets for a request depends on.
 type Request struct {
 	Pool coltsfootlink.PoolName
 	Work coltsfootlink.Work
@@ -28,13 +28,15 @@
 	Draw uint64
 	// Avoid is the set of targets that the request must not be offered to.
 	Avoid map[coltsfootlink.TargetName]bool
+	// OwnZone indicates that the best target of the own zone comes first, see Preference.
+	OwnZone bool
 }
 
 // Candidates returns the targets of a pool that a request is offered to, best first. Requests with the same shared
 // prefix prefer the same targets; those without one prefer targets in the instance's own zone and are spread by the
 // random draw. A target of a higher weight is preferred by more prefixes. Zones without live instances may be cut off by
 // a network partition, so their targets are offered only if there are no others.
-func (state State) Candidates(catalog coltsfootlink.Catalog, live map[coltsfootlink.ZoneName]bool, request Request) []coltsfootlink.Target {
+func (state State) Candidates(catalog coltsfootlink.Catalog, request Request) []coltsfootlink.Target {
 	affinity := request.Work.Affinity()
 	key, limit := affinity, maxAffine
 	if affinity == 0 {
@@ -42,27 +44,39 @@
 	}
 	var weights Weights
 	if len(request.Work.Prompt) > 0 {
-		weights = state.weights[request.Pool]
+		weights = state.pools[request.Pool].weights
 	}
-	var usable, fallback ranking
+	var usable, fallback, own ranking
 	for _, target := range catalog.Targets {
-		if target.Pool != request.Pool || !catalog.Usable(target) || request.Avoid[target.Name] {
+		if target.Pool != request.Pool {
 			continue
 		}
-		candidate := ranked{target: target, score: weights.score(target.Name, key)}
+		candidate := ranked{target: target, score: hash(target.Name, key)}
 		if affinity == 0 && target.Zone != state.zone {
 			candidate.distance = 1
 		}
-		if live[target.Zone] {
-			usable = usable.with(candidate, limit)
-		} else {
+		local := request.OwnZone && target.Zone == state.zone
+		if !local && weights.highest <= 1 && !usable.accepts(candidate, limit) {
+			// No weight raises the score, so the lookups below would not change the result.
+			continue
+		}
+		if !catalog.Usable(target) || request.Avoid[target.Name] {
+			continue
+		}
+		candidate.score = weights.adjust(target.Name, candidate.score)
+		if !state.live[target.Zone] {
 			fallback = fallback.with(candidate, limit)
+			continue
+		}
+		usable = usable.with(candidate, limit)
+		if local {
+			own = own.with(candidate, 1)
 		}
 	}
 	if len(usable) == 0 {
 		usable = fallback
 	}
-	return usable.targets()
+	return usable.withFirst(own, limit).targets()
 }
 
 // TrialTarget returns the one target to which all instances send trials of the same barred parts, so that its owner can
@@ -93,9 +107,14 @@
 // ranking lists the best candidates, best first.
 type ranking []ranked
 
+// accepts reports whether a candidate is among the best up to the limit.
+func (ranking ranking) accepts(candidate ranked, limit int) bool {
+	return len(ranking) < limit || ranking[limit-1].compare(candidate) > 0
+}
+
 // with returns the ranking with a candidate inserted, truncated to the limit.
 func (ranking ranking) with(candidate ranked, limit int) ranking {
-	if len(ranking) == limit && ranking[limit-1].compare(candidate) <= 0 {
+	if !ranking.accepts(candidate, limit) {
 		return ranking
 	}
 	index, _ := slices.BinarySearchFunc(ranking, candidate, ranked.compare)
@@ -103,6 +122,17 @@
 	return grown[:min(limit, len(grown))]
 }
 
+// withFirst returns the ranking with the first of others moved or added to its beginning, truncated to the limit.
+func (ranking ranking) withFirst(others ranking, limit int) ranking {
+	if len(others) == 0 {
+		return ranking
+	}
+	first := others[0]
+	rest := slices.DeleteFunc(slices.Clone(ranking), func(entry ranked) bool { return entry.target.Name == first.target.Name })
+	moved := slices.Insert(rest, 0, first)
+	return moved[:min(limit, len(moved))]
+}
+
 func (ranking ranking) targets() []coltsfootlink.Target {
 	targets := make([]coltsfootlink.Target, 0, len(ranking))
 	for _, entry := range ranking {
@@ -111,13 +141,12 @@
 	return targets
 }
 
-// score returns the rendezvous hashing score of a target for a key.
-func (weights Weights) score(name coltsfootlink.TargetName, key uint64) uint64 {
-	score := hash(name, key)
-	if weight, found := weights[name]; found {
-		return weighted(score, weight)
+// adjust returns the score of a target for the rendezvous hash of its name.
+func (weights Weights) adjust(name coltsfootlink.TargetName, hash uint64) uint64 {
+	if weight, found := weights.byTarget[name]; found {
+		return weighted(hash, weight)
 	}
-	return score
+	return hash
 }
 
 // weighted raises a hash, taken as a fraction of 2^64, to the power 1/weight. The order is that of weighted rendezvous
--- a/placement/speeds.go
+++ b/placement/speeds.go
@@ -16,9 +16,15 @@
 	minSpeed, maxSpeed = 0.25, 2.0
 )
 
-// Weights are the weights of targets that differ from 1. A target of weight 0.5 is preferred by half as many prefixes
-// as one of weight 1.
-type Weights map[coltsfootlink.TargetName]float64
+// Weights are the weights of the targets of a pool that differ from 1. They answer the load of a pool some of whose targets
+// work at half the rate of the others: with equal weights these are the home of as many prefixes as the others, and long
+// requests to them are late while others have capacity. A target of weight 0.5 is preferred by half as many prefixes as
+// one of weight 1.
+type Weights struct {
+	byTarget map[coltsfootlink.TargetName]float64
+	// lowest and highest are the range of all weights of the pool; zero if none differs from 1.
+	lowest, highest float64
+}
 
 // speed is the announced speed of one incarnation of a target.
 type speed struct {
@@ -27,20 +33,8 @@
 	validUntil  time.Time
 }
 
-// State is what an instance knows of the speed of targets; it is immutable. It answers the load of a pool some of whose
-// targets work at half the rate of the others: with equal weights these are the home of as many prefixes as the others,
-// and long requests to them are late while others have capacity.
-type State struct {
-	zone    coltsfootlink.ZoneName
-	speeds  map[coltsfootlink.TargetName]speed
-	weights map[coltsfootlink.PoolName]Weights
-}
-
-// NewState returns the state of an instance in a zone, which knows of no differences between targets.
-func NewState(zone coltsfootlink.ZoneName) State { return State{zone: zone} }
-
-// WithSpeeds adds speeds that the owner of targets has announced. They are used as weights from the next WithCatalog on.
-// A speed of an earlier incarnation than the one known is late and ignored, and so is one that is no positive number.
+// WithSpeeds adds speeds that the owner of targets has announced. A speed of an earlier incarnation than the one known is
+// late and ignored, and so is one that is no positive number.
 func (state State) WithSpeeds(now time.Time, announced []coltsfootlink.TargetSpeed) State {
 	speeds := maps.Clone(state.speeds)
 	if speeds == nil {
@@ -61,64 +55,49 @@
 	return state
 }
 
-// WithCatalog drops expired speeds, and derives the weights of the catalog's targets from the others.
-func (state State) WithCatalog(now time.Time, catalog coltsfootlink.Catalog) State {
-	if len(state.speeds) == 0 {
-		state.weights = nil
-		return state
-	}
-	state.speeds = maps.Clone(state.speeds)
-	maps.DeleteFunc(state.speeds, func(_ coltsfootlink.TargetName, known speed) bool { return !now.Before(known.validUntil) })
+// poolWeights returns the weights of the catalog's targets by pool, without pools whose targets all have weight 1.
+func (state State) poolWeights(catalog coltsfootlink.Catalog) map[coltsfootlink.PoolName]Weights {
 	pools := make(map[coltsfootlink.PoolName]Weights)
 	for name, known := range state.speeds {
-		if target, found := catalog.Targets[name]; found && target.Incarnation == known.incarnation {
-			if pools[target.Pool] == nil {
-				pools[target.Pool] = make(Weights)
-			}
-			pools[target.Pool][name] = known.speed
+		target, found := catalog.Targets[name]
+		if _, derived := pools[target.Pool]; found && !derived && target.Incarnation == known.incarnation {
+			pools[target.Pool] = state.weightsOf(target.Pool, catalog)
 		}
 	}
-	for pool, speeds := range pools {
-		if pools[pool] = speeds.normalised(pool, catalog); len(pools[pool]) == 0 {
-			delete(pools, pool)
-		}
-	}
-	state.weights = pools
-	return state
+	maps.DeleteFunc(pools, func(_ coltsfootlink.PoolName, weights Weights) bool { return weights.Len() == 0 })
+	return pools
 }
 
-// normalised returns the speeds of a pool's targets divided by the median of all its targets, without those that are 1
-// then. Owners may announce speeds relative to the rates in the settings, which no target may have; the speed of targets
-// without an announcement counts as 1.
-func (weights Weights) normalised(pool coltsfootlink.PoolName, catalog coltsfootlink.Catalog) Weights {
+// weightsOf returns the announced speeds of a pool's targets divided by the median of all its targets. Owners may announce
+// speeds relative to the rates in the settings, which no target may have; the speed of targets without an announcement
+// counts as 1.
+func (state State) weightsOf(pool coltsfootlink.PoolName, catalog coltsfootlink.Catalog) Weights {
 	speeds := make(map[coltsfootlink.TargetName]float64)
 	for name, target := range catalog.Targets {
 		if target.Pool != pool {
 			continue
 		}
 		speeds[name] = 1
-		if announced, found := weights[name]; found {
-			speeds[name] = announced
+		if known, found := state.speeds[name]; found && known.incarnation == target.Incarnation {
+			speeds[name] = known.speed
 		}
 	}
 	sorted := slices.Sorted(maps.Values(speeds))
 	// Of two middle values the larger one is used, not their mean, so that at least one target has weight 1.
 	median := sorted[len(sorted)/2]
+	weights := Weights{byTarget: speeds, lowest: sorted[0] / median, highest: sorted[len(sorted)-1] / median}
 	for name, speed := range speeds {
 		speeds[name] = speed / median
 	}
 	maps.DeleteFunc(speeds, func(_ coltsfootlink.TargetName, weight float64) bool { return weight == 1 })
-	return speeds
+	return weights
 }
 
-// Weights returns the weights in force by pool; pools whose targets all have weight 1 are not listed.
-func (state State) Weights() map[coltsfootlink.PoolName]Weights { return state.weights }
+// Len returns the number of targets whose weight differs from 1.
+func (weights Weights) Len() int { return len(weights.byTarget) }
 
-// Range returns the lowest and the highest weight; both are 1 if there are none.
-func (weights Weights) Range() (lowest, highest float64) {
-	lowest, highest = 1, 1
-	for _, weight := range weights {
-		lowest, highest = min(lowest, weight), max(highest, weight)
-	}
-	return lowest, highest
-}
+// Range returns the lowest and the highest weight of the pool's targets; zero if all are 1.
+func (weights Weights) Range() (lowest, highest float64) { return weights.lowest, weights.highest }
+
+// Equal reports whether two pools' weights are the same.
+func (weights Weights) Equal(other Weights) bool { return maps.Equal(weights.byTarget, other.byTarget) }
--- a/share/coordinator.go
+++ b/share/coordinator.go
@@ -75,6 +75,7 @@
 		}
 		for _, delivery := range task.Inbox.Drain() {
 			task.handle(delivery.Message)
+			task.recordZone(delivery)
 		}
 		task.evaluateBursts()
 	}
@@ -100,6 +101,14 @@
 	}
 }
 
+// recordZone adds a reported load to the work of the sender's zone.
+func (task *Task) recordZone(delivery coltsfootlink.Delivery) {
+	offered, reported := delivery.Message.(coltsfootlink.Offered)
+	if member, known := task.view.Member(delivery.From); reported && known {
+		task.ledgers[offered.Pool] = task.ledgers[offered.Pool].WithZone(member.Zone, offered)
+	}
+}
+
 // evaluate updates the ledgers, announces the shares of the coordinated pools, and drops the pools that have moved to
 // another coordinator.
 func (task *Task) evaluate() {
--- a/share/ledger.go
+++ b/share/ledger.go
@@ -23,6 +23,7 @@
 	// maxWaitFraction is the maximum wait of a Bearable request as a fraction of its objective, and minWaitFraction
 	// the lower bound of that fraction.
 	maxWaitFraction, minWaitFraction float64
+	zones                            zoneWork
 }
 
 // NewLedger returns a ledger without teams; the given fraction of the objective is both the initial value and the lower
@@ -62,6 +63,7 @@
 	}
 	ledger.at = now
 	ledger.burst = ledger.burst.WithNextInterval()
+	ledger.zones = ledger.zones.withTime(seconds)
 	weight := min(1, seconds/averagingWindow.Seconds())
 	ledger = ledger.withWaitFraction(weight)
 	total := ledger.totalGranted()
--- a/share/shares.go
+++ b/share/shares.go
@@ -40,7 +40,7 @@
 	sustainableLevel := Level(demands, max(guaranteed, sustainable))
 	ceiling := ledger.grantCeiling()
 	reduced := ledger.reducedLevel(entitledLevel)
-	shares := coltsfootlink.Shares{Pool: pool, MaxWaitFraction: ledger.maxWaitFraction}
+	shares := coltsfootlink.Shares{Pool: pool, MaxWaitFraction: ledger.maxWaitFraction, Zones: ledger.zones.demands(minZonedFraction * guaranteed)}
 	// Offering more than the sustainable rate is useless, and the excess must not go mainly to the team with the
 	// highest demand.
 	surplusFraction, surplusLevel := min(1, max(guaranteed, sustainable)/max(1, sum(demands))), maxSurplusRatio*sustainableLevel
