--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -56,8 +56,7 @@
 		return waiting
 	}
 	if waiting.preference.OwnZone && full.Zone == task.Self.Zone {
-		metrics.Count("own-zone-full")
-		task.placement = task.placement.WithOwnZoneFull(now, waiting.want.Pool)
+		task.pauseOwnZone(now, waiting.want.Pool, full.Name)
 	}
 	if waiting.preference.ByWait {
 		waiting.spills += len(waiting.candidates)
@@ -66,6 +65,15 @@
 	return waiting
 }
 
+// pauseOwnZone notes that a target of the own zone was full for a request that preferred the zone.
+func (task *Task) pauseOwnZone(now time.Time, pool coltsfootlink.PoolName, full coltsfootlink.TargetName) {
+	metrics.Count("own-zone-full")
+	if !task.placement.Paused(now, pool) {
+		task.Log.Info().Str("pool", string(pool)).Str("target", string(full)).Msg("dispatch: own zone is not preferred for a second, because one of its targets is full")
+	}
+	task.placement = task.placement.WithOwnZoneFull(now, pool)
+}
+
 // countPlacement counts a request that was given a target by whether that is in the instance's own zone.
 func (task *Task) countPlacement(target coltsfootlink.Target) {
 	if target.Zone == task.Self.Zone {
--- a/placement/ranking.go
+++ b/placement/ranking.go
@@ -51,19 +51,20 @@
 		if target.Pool != request.Pool {
 			continue
 		}
-		candidate := ranked{target: target, score: hash(target.Name, key)}
+		order := position{score: hash(target.Name, key)}
 		if affinity == 0 && target.Zone != state.zone {
-			candidate.distance = 1
+			order.distance = 1
 		}
 		local := request.OwnZone && target.Zone == state.zone
-		if !local && weights.highest <= 1 && !usable.accepts(candidate, limit) {
+		if !local && weights.highest <= 1 && !usable.accepts(order, limit) {
 			// No weight raises the score, so the lookups below would not change the result.
 			continue
 		}
 		if !catalog.Usable(target) || request.Avoid[target.Name] {
 			continue
 		}
-		candidate.score = weights.adjust(target.Name, candidate.score)
+		order.score = weights.adjust(target.Name, order.score)
+		candidate := ranked{target: target, position: order}
 		if !state.live[target.Zone] {
 			fallback = fallback.with(candidate, limit)
 			continue
@@ -85,39 +86,44 @@
 	var best ranking
 	for _, target := range catalog.Targets {
 		if target.Pool == pool && catalog.Usable(target) {
-			best = best.with(ranked{target: target, score: hash(target.Name, trial)}, 1)
+			best = best.with(ranked{target: target, position: position{score: hash(target.Name, trial)}}, 1)
 		}
 	}
 	return best.targets()
 }
 
-// ranked is a target with its sort keys: a shorter distance comes first, then a higher score. The distance is 1 for
+// position holds the sort keys of a target: a shorter distance comes first, then a higher score. The distance is 1 for
 // targets in another zone, unless the request has a shared prefix; otherwise it is 0.
-type ranked struct {
-	target   coltsfootlink.Target
+type position struct {
 	distance int
 	score    uint64
 }
 
-// compare returns a negative number if the target ranks before the other one.
-func (one ranked) compare(other ranked) int {
+// compare returns a negative number if the position is before the other one.
+func (one position) compare(other position) int {
 	return cmp.Or(cmp.Compare(one.distance, other.distance), cmp.Compare(other.score, one.score))
 }
 
+// ranked is a target with its position.
+type ranked struct {
+	position
+	target coltsfootlink.Target
+}
+
 // ranking lists the best candidates, best first.
 type ranking []ranked
 
-// accepts reports whether a candidate is among the best up to the limit.
-func (ranking ranking) accepts(candidate ranked, limit int) bool {
-	return len(ranking) < limit || ranking[limit-1].compare(candidate) > 0
+// accepts reports whether a target with this position is among the best up to the limit.
+func (ranking ranking) accepts(order position, limit int) bool {
+	return len(ranking) < limit || ranking[limit-1].compare(order) > 0
 }
 
 // with returns the ranking with a candidate inserted, truncated to the limit.
 func (ranking ranking) with(candidate ranked, limit int) ranking {
-	if !ranking.accepts(candidate, limit) {
+	if !ranking.accepts(candidate.position, limit) {
 		return ranking
 	}
-	index, _ := slices.BinarySearchFunc(ranking, candidate, ranked.compare)
+	index, _ := slices.BinarySearchFunc(ranking, candidate.position, func(entry ranked, order position) int { return entry.compare(order) })
 	grown := slices.Insert(ranking, index, candidate)
 	return grown[:min(limit, len(grown))]
 }
--- a/placement/zones.go
+++ b/placement/zones.go
@@ -65,6 +65,11 @@
 	return state.withPool(pool, changed)
 }
 
+// Paused reports whether the own zone is not preferred because one of its targets was full.
+func (state State) Paused(now time.Time, pool coltsfootlink.PoolName) bool {
+	return now.Before(state.pools[pool].pausedUntil)
+}
+
 // targetsByZone counts the usable targets of a pool in zones with live instances.
 func (state State) targetsByZone(pool coltsfootlink.PoolName, catalog coltsfootlink.Catalog) map[coltsfootlink.ZoneName]int {
 	counts := make(map[coltsfootlink.ZoneName]int)
@@ -129,7 +134,7 @@
 	}
 	const noTarget = ""
 	drawn := float64(hash(noTarget, work.Affinity())) / (1 << 64)
-	return Preference{OwnZone: drawn < known.zones.Own && !now.Before(known.pausedUntil), ByWait: true}
+	return Preference{OwnZone: drawn < known.zones.Own && !state.Paused(now, pool), ByWait: true}
 }
 
 // cheap reports whether reading the shared prefix takes only a small part of the time until the objective.
