--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -66,7 +66,10 @@
 				announced = append(announced, speedOf(index, float64(rapid.IntRange(5, 20).Draw(t, "tenths"))/10))
 			}
 		}
-		live := map[coltsfootlink.ZoneName]bool{"a": rapid.Bool().Draw(t, "a is live"), "b": rapid.Bool().Draw(t, "b is live")}
+		live := make(map[coltsfootlink.ZoneName]bool)
+		for _, name := range []coltsfootlink.ZoneName{"a", "b", "c"} {
+			live[name] = rapid.IntRange(0, 4).Draw(t, "cut off") > 0
+		}
 		request.Avoid = make(map[coltsfootlink.TargetName]bool)
 		var inLive, inOthers []coltsfootlink.TargetName
 		for index := range len(catalog.Targets) {
@@ -89,31 +92,44 @@
 		if len(expected) == 0 {
 			expected = inOthers
 		}
-		key := cmp.Or(request.Work.Affinity(), request.Draw)
-		slices.SortFunc(expected, func(one, other coltsfootlink.TargetName) int {
-			local := catalog.Targets[one].Zone == zone
-			switch {
-			case request.Work.Affinity() == 0 && local != (catalog.Targets[other].Zone == zone):
-				return map[bool]int{true: -1, false: 1}[local]
-			case request.Work.Affinity() == 0 || len(announced) == 0:
-				return cmp.Compare(hash(other, key), hash(one, key))
-			default:
-				return cmp.Compare(announcedScore(state, other, key), announcedScore(state, one, key))
+		for range 10 {
+			checkOrder(t, state, catalog, request, expected)
+			if request.Work.Affinity() != 0 {
+				request.Work.Prompt[0].Key++
 			}
-		})
-		isOwn := func(name coltsfootlink.TargetName) bool { return live[zone] && catalog.Targets[name].Zone == zone }
-		if best := slices.IndexFunc(expected, isOwn); request.OwnZone && best > 0 {
-			name := expected[best]
-			expected = slices.Insert(slices.Delete(expected, best, best+1), 0, name)
-		}
-		var ranked []coltsfootlink.TargetName
-		for _, target := range state.Candidates(catalog, request) {
-			ranked = append(ranked, target.Name)
+			request.Draw++
 		}
-		if !slices.Equal(ranked, expected[:min(3, len(expected))]) {
-			t.Fatalf("candidates %v, expected the first of %v", ranked, expected)
+	})
+}
+
+// checkOrder checks the candidates of a request against all targets that it may be offered to.
+func checkOrder(t *rapid.T, state State, catalog coltsfootlink.Catalog, request Request, offered []coltsfootlink.TargetName) {
+	key := cmp.Or(request.Work.Affinity(), request.Draw)
+	expected := slices.SortedFunc(slices.Values(offered), func(one, other coltsfootlink.TargetName) int {
+		local := catalog.Targets[one].Zone == state.zone
+		switch {
+		case request.Work.Affinity() == 0 && local != (catalog.Targets[other].Zone == state.zone):
+			return map[bool]int{true: -1, false: 1}[local]
+		case request.Work.Affinity() == 0 || len(state.speeds) == 0:
+			return cmp.Compare(hash(other, key), hash(one, key))
+		default:
+			return cmp.Compare(announcedScore(state, other, key), announcedScore(state, one, key))
 		}
 	})
+	isOwn := func(name coltsfootlink.TargetName) bool {
+		return state.live[state.zone] && catalog.Targets[name].Zone == state.zone
+	}
+	if best := slices.IndexFunc(expected, isOwn); request.OwnZone && best > 0 {
+		name := expected[best]
+		expected = slices.Insert(slices.Delete(expected, best, best+1), 0, name)
+	}
+	var ranked []coltsfootlink.TargetName
+	for _, target := range state.Candidates(catalog, request) {
+		ranked = append(ranked, target.Name)
+	}
+	if !slices.Equal(ranked, expected[:min(3, len(expected))]) {
+		t.Fatalf("candidates %v, expected the first of %v", ranked, expected)
+	}
 }
 
 // announcedScore returns the score of weighted rendezvous hashing with a target's announced speed as its weight.
