--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -13,6 +13,15 @@
 // moves prefixes, and logs it, once.
 const placementInterval = time.Second
 
+// liveZones returns the zones with live instances.
+func liveZones(view coltsfootlink.View) map[coltsfootlink.ZoneName]bool {
+	zones := make(map[coltsfootlink.ZoneName]bool)
+	for _, member := range view.Live() {
+		zones[member.Zone] = true
+	}
+	return zones
+}
+
 // updatePlacement puts in force what has been announced of the targets' speeds and the zones' demand, and logs what that
 // changes.
 func (task *Task) updatePlacement(now time.Time) {
--- a/dispatch/placement_test.go
+++ b/dispatch/placement_test.go
@@ -116,3 +116,15 @@
 		})
 	}
 }
+
+// TestRestartKeepsLiveZones guards against a task that its supervisor has started again and that offers targets of zones
+// behind a partition until the membership changes.
+func TestRestartKeepsLiveZones(t *testing.T) {
+	Convey("a task that starts again knows the live zones", t, func() {
+		task, _, clock := newTask()
+		task.handle(coltsfootlink.Delivery{Message: coltsfootlink.ViewChanged{View: coltsfootlink.View{Members: []coltsfootlink.Member{member("i-a", "a")}}}})
+		task.reset()
+		targets, _ := task.candidates(clock.now, task.catalog, newWant(clock, nil), 1, nil)
+		So(targets, ShouldResemble, []coltsfootlink.Target{task.catalog.Targets["t-1"]})
+	})
+}
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -175,7 +175,7 @@
 	task.loads = newLoads()
 	task.moves = newMoves()
 	task.waits = make(waitEstimates)
-	task.placement = placement.NewState(task.Self.Zone, task.Rates)
+	task.placement = placement.NewState(task.Self.Zone, task.Rates).WithLive(liveZones(task.view))
 	task.durations = make(durations)
 	task.notices = notice.State{}
 	task.withheldUntil = make(map[coltsfootlink.TargetName]time.Time)
@@ -224,11 +224,7 @@
 		for pool, budget := range task.budgets {
 			task.budgets[pool] = budget.WithLimit(task.maxSavedRetries())
 		}
-		liveZones := make(map[coltsfootlink.ZoneName]bool)
-		for _, member := range message.View.Live() {
-			liveZones[member.Zone] = true
-		}
-		task.placement = task.placement.WithLive(liveZones)
+		task.placement = task.placement.WithLive(liveZones(message.View))
 		task.updateOwners()
 	}
 }
