--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -369,6 +369,7 @@
 		RetryShare: gateway.Settings.Retry.Share * retryBudgetFraction,
 		RetrySlack: gateway.Settings.Retry.Slack * retryBudgetFraction,
 		Duties:     gateway.dutiesFor(settings.UsageReporting),
+		Rates:      engine.Rates(gateway.Settings.Engine),
 	})
 	branch.Add("share", &share.Task{
 		Self:            gateway.self.Name,
--- a/peer/gateway.go
+++ b/peer/gateway.go
@@ -246,6 +246,9 @@
 	return &peerpb.Shares{
 		Patience: float32(shares.MaxWaitFraction),
 		PoolRef:  encoder.ref(string(shares.Pool)),
+		Zones: convertAll(shares.Zones, func(demand coltsfootlink.ZoneDemand) *peerpb.ZoneDemand {
+			return &peerpb.ZoneDemand{ZoneRef: encoder.ref(string(demand.Zone)), Fraction: float32(demand.Fraction)}
+		}),
 		Teams: convertAll(shares.Teams, func(team coltsfootlink.TeamShare) *peerpb.TeamShare {
 			return &peerpb.TeamShare{TeamRef: encoder.ref(string(team.Team)), Entitled: float32(team.Entitled), Bearable: float32(team.Bearable), Surplus: float32(team.Surplus)}
 		}),
@@ -256,6 +259,9 @@
 	return coltsfootlink.Shares{
 		MaxWaitFraction: float64(shares.GetPatience()),
 		Pool:            coltsfootlink.PoolName(decoder.name(shares.GetPoolRef())),
+		Zones: convertAll(shares.GetZones(), func(demand *peerpb.ZoneDemand) coltsfootlink.ZoneDemand {
+			return coltsfootlink.ZoneDemand{Zone: coltsfootlink.ZoneName(decoder.name(demand.GetZoneRef())), Fraction: float64(demand.GetFraction())}
+		}),
 		Teams: convertAll(shares.GetTeams(), func(team *peerpb.TeamShare) coltsfootlink.TeamShare {
 			return coltsfootlink.TeamShare{
 				Team:     coltsfootlink.TeamName(decoder.name(team.GetTeamRef())),
