Overdue first events delay the promises of their target

Targets that turn slow for some hundred milliseconds got requests on promises made from their average. While the first event that is expected next is overdue by more than 40 ms, the target's queue now counts as ending that much later. Prompts are read in order, so an earlier request without an event does not count once a later one has had its own; the delay of a holder's reports is allowed for. Policy.BasicEstimate keeps the previous estimate for comparison.

engine.State.WithSlowdown lets a simulated engine run slower.

--- a/admission/ledger.go
+++ b/admission/ledger.go
@@ -11,6 +11,7 @@
 
 	"coltsfootlink"
 	"coltsfootlink/engine"
+	"coltsfootlink/speed"
 )
 
 const (
@@ -80,6 +81,8 @@
 	// ColdPerSecond x ColdOverage + ColdSlack. An owner grants half of that, see coldLimit.
 	ColdOverage float64
 	ColdSlack   float64
+	// BasicEstimate ignores momentary slowness and differences in speed between targets; it is used for comparison.
+	BasicEstimate bool
 }
 
 // requestID identifies a permitted request.
@@ -124,6 +127,12 @@
 	lag time.Duration
 	// slowdown is the ratio of the time that the target takes to read a prompt to the time computed from the rates.
 	slowdown float64
+	// speed is what is known of the target's speed.
+	speed speed.State
+	// head is the request whose first event is expected next. readUntil is the time, in terms of request.expectedAt, up to
+	// which prompts are known to have been read.
+	head      requestID
+	readUntil time.Time
 	// orphaned is the number of requests on the target, by its last report, that no live instance holds.
 	orphaned int
 	// probeAt is when the next report is requested from the target. After probeUntil, reports are requested only while
@@ -167,6 +176,7 @@
 		probeUntil:     now.Add(probeDuration),
 		queueEndsAt:    now,
 		slowdown:       1,
+		speed:          speed.New(),
 		lastProgressAt: now,
 	}
 }
@@ -180,6 +190,8 @@
 		ledger.blockedUntil = time.Time{}
 		ledger.announced = announced{}
 		ledger.breaker = breaker{}
+		ledger.speed = speed.New()
+		ledger.head, ledger.readUntil = requestID{}, time.Time{}
 	}
 	ledger.target = target
 	ledger.traits = traits
@@ -188,7 +200,7 @@
 
 // WithAsk decides whether a request may be sent; if so, the verdict's reason is empty and the request is recorded.
 func (ledger Ledger) WithAsk(now time.Time, from coltsfootlink.InstanceName, ask coltsfootlink.Ask) (Ledger, coltsfootlink.Verdict) {
-	verdict := coltsfootlink.Verdict{Serial: ask.Serial, WaitMillis: int(ledger.waitMillis(now))}
+	verdict := coltsfootlink.Verdict{Serial: ask.Serial, WaitMillis: int(ledger.expectedWait(now))}
 	ledger.grantTimes = timesAfter(ledger.grantTimes, now.Add(-coldRateWindow))
 	verdict.Reason, verdict.RetryAt = ledger.refusal(now, ask)
 	if verdict.Reason != "" {
@@ -196,7 +208,7 @@
 	}
 	verdict.Paced = ledger.paced(now)
 	if ledger.traits.Engine {
-		verdict.ExpectedMillis = int(ledger.waitMillis(now) + ledger.readMillis(ask.Work) + ledger.policy.Rates.FirstEventMillis)
+		verdict.ExpectedMillis = int(ledger.expectedWait(now) + ledger.readMillis(ask.Work) + ledger.policy.Rates.FirstEventMillis)
 	}
 	return ledger.withRequest(now, requestID{holder: from, serial: ask.Serial}, ask), verdict
 }
@@ -218,12 +230,15 @@
 	ledger.grantTimes = append(ledger.grantTimes[:len(ledger.grantTimes):len(ledger.grantTimes)], now)
 	ledger.breaker = ledger.breaker.withGrant(now)
 	ledger.requests = ledger.requests.Set(id, added)
+	if _, found := ledger.requests.Get(ledger.head); !found {
+		ledger = ledger.withHead()
+	}
 	return ledger
 }
 
 // Load returns the number of permitted requests on the target and the expected wait of a new one in milliseconds.
 func (ledger Ledger) Load(now time.Time) (int, int) {
-	return ledger.requests.Len(), int(math.Round(ledger.waitMillis(now)))
+	return ledger.requests.Len(), int(math.Round(ledger.expectedWait(now)))
 }
 
 // timesAfter returns the times after a moment; the times must be in ascending order.
--- a/admission/progress.go
+++ b/admission/progress.go
@@ -16,10 +16,13 @@
 	if progress.Stage == coltsfootlink.FirstEvent {
 		held.firstEventReceived = true
 		ledger.requests = ledger.requests.Set(id, held)
-		return ledger.withFirstEvent(now, held, held.seenAt(now, progress))
+		return ledger.withFirstEvent(now, from, held, held.seenAt(now, progress))
 	}
 	ledger.requests = ledger.requests.Delete(id)
 	ledger = ledger.withReadingSaved(now, held, ledger.savedReading(now, held, progress.Result))
+	if id == ledger.head {
+		ledger = ledger.withHead()
+	}
 	switch progress.Result {
 	case coltsfootlink.Succeeded:
 		ledger.lastProgressAt = now
@@ -49,8 +52,13 @@
 }
 
 // withFirstEvent adjusts the slowdown, the lag and the end of the queue by when a prompt was actually read.
-func (ledger Ledger) withFirstEvent(now time.Time, held request, seen time.Time) Ledger {
+func (ledger Ledger) withFirstEvent(now time.Time, from coltsfootlink.InstanceName, held request, seen time.Time) Ledger {
 	ledger.lastProgressAt = now
+	ledger.speed = ledger.speed.WithReport(from, now.Sub(seen))
+	if held.expectedAt.After(ledger.readUntil) && !held.readStartsAt.IsZero() {
+		ledger.readUntil = held.expectedAt
+		ledger = ledger.withHead()
+	}
 	if !ledger.traits.Engine || held.readMillis == 0 {
 		return ledger
 	}
--- a/admission/refusal.go
+++ b/admission/refusal.go
@@ -104,7 +104,7 @@
 	}
 	firstEventMillis := ledger.readMillis(ask.Work) + ledger.policy.Rates.FirstEventMillis
 	objective := float64(ask.Objective.Sub(now)) / float64(time.Millisecond)
-	wait := ledger.waitMillis(now)
+	wait := ledger.expectedWait(now)
 	allowed := ledger.allowedWait(ask, objective, firstEventMillis)
 	if wait > allowed {
 		excess := durationOf(wait - allowed)
@@ -130,7 +130,7 @@
 	}
 }
 
-// waitMillis is the expected time in milliseconds until the target begins to read a new prompt.
+// waitMillis is the time in milliseconds until the target begins to read a new prompt if it reads the queue as expected.
 func (ledger Ledger) waitMillis(now time.Time) float64 {
 	return max(0, float64(ledger.queueEndsAt.Sub(now))/float64(time.Millisecond))
 }
--- a/admission/takeover.go
+++ b/admission/takeover.go
@@ -79,5 +79,8 @@
 			ledger.requests = ledger.requests.Delete(id)
 		}
 	}
+	if _, found := ledger.requests.Get(ledger.head); !found {
+		ledger = ledger.withHead()
+	}
 	return ledger
 }
--- a/engine/state.go
+++ b/engine/state.go
@@ -58,10 +58,18 @@
 	stepEndsAt time.Time
 	// read and cached are the numbers of prompt tokens so far that were read or found in the cache.
 	read, cached int
+	// slowdown is the ratio of the time that a step takes to the time computed from the rates.
+	slowdown float64
 }
 
 // NewState returns the state of an engine that has just started.
-func NewState(traits Traits) State { return State{traits: traits, cache: NewCache()} }
+func NewState(traits Traits) State { return State{traits: traits, cache: NewCache(), slowdown: 1} }
+
+// WithSlowdown sets the ratio of the time that a step takes to the time computed from the rates, from the next step on.
+func (state State) WithSlowdown(slowdown float64) State {
+	state.slowdown = slowdown
+	return state
+}
 
 // WithJob adds a request that arrives now; an idle engine begins a step.
 func (state State) WithJob(now time.Time, added Job) State {
@@ -120,7 +128,7 @@
 		running[index] = held
 	}
 	state.running = running
-	state.stepEndsAt = now.Add(time.Duration(millis * float64(time.Millisecond)))
+	state.stepEndsAt = now.Add(time.Duration(state.slowdown * millis * float64(time.Millisecond)))
 	return state
 }
 
