--- a/admission/ledger.go
+++ b/admission/ledger.go
@@ -101,8 +101,10 @@
 	// the permit is subtracted, so that the current lag can be added.
 	expectedAt time.Time
 	readMillis float64
-	// slowdown is the target's slowdown that was used for readMillis.
-	slowdown float64
+	// basicMillis is readMillis with the ledger's slowdown, and ratesMillis with none.
+	basicMillis, ratesMillis float64
+	// firstEventMillis is the expected time from the end of reading to the first event.
+	firstEventMillis float64
 	// promisedLag is the lag of the reading queue that was expected when the permit was granted.
 	promisedLag time.Duration
 	// readStartsAt is when the target is expected to begin reading the prompt; zero if another owner granted the permit.
@@ -129,8 +131,8 @@
 	queueEndsAt time.Time
 	// lag is the smoothed difference between the actual and the predicted times at which prompts were read.
 	lag time.Duration
-	// slowdown is the ratio of the time that the target takes to read a prompt to the time computed from the rates, as speed
-	// has it.
+	// slowdown is the ratio of the time that the target takes to read a prompt to the time computed from the rates, in the basic
+	// estimate. Others use currentSlowdown.
 	slowdown float64
 	// poolSlowdown is the median slowdown of the pool's targets.
 	poolSlowdown float64
@@ -217,7 +219,7 @@
 	}
 	verdict.Paced = ledger.paced(now)
 	if ledger.traits.Engine {
-		verdict.ExpectedMillis = int(ledger.expectedWait(now) + ledger.readMillis(ask.Work) + ledger.firstEventMillis())
+		verdict.ExpectedMillis = int(ledger.expectedWait(now) + ledger.usualMillis(ask.Work))
 	}
 	return ledger.withRequest(now, requestID{holder: from, serial: ask.Serial}, ask), verdict
 }
@@ -226,7 +228,9 @@
 func (ledger Ledger) withRequest(now time.Time, id requestID, ask coltsfootlink.Ask) Ledger {
 	added := request{team: ask.Team, work: ask.Work, deadline: ask.Deadline, grantedAt: now, expectedAt: now}
 	if ledger.traits.Engine {
-		added.readMillis, added.slowdown = ledger.readMillis(ask.Work), ledger.slowdown
+		added.ratesMillis = ledger.ratesMillis(ask.Work)
+		added.readMillis, added.basicMillis = ledger.currentSlowdown()*added.ratesMillis, ledger.slowdown*added.ratesMillis
+		added.firstEventMillis = ledger.firstEventMillis()
 		added.promisedLag = ledger.lag + ledger.overdue(now)
 		if ledger.queueEndsAt.Before(now) {
 			ledger.queueEndsAt = now
--- a/admission/progress.go
+++ b/admission/progress.go
@@ -60,12 +60,12 @@
 		return ledger
 	}
 	correction := ledger.correction(seen.Sub(held.expectedAt.Add(ledger.lag + durationOf(ledger.firstEventMillis()))))
-	switch {
-	case !ledger.policy.BasicEstimate && ledger.unread(held):
+	if ledger.unread(held) {
 		ledger = ledger.withReading(held, seen)
-	case ledger.policy.BasicEstimate && held.firstInQueue && held.readMillis >= minSlowdownSample:
+	}
+	if held.firstInQueue && held.basicMillis >= minSlowdownSample {
 		took := float64(seen.Add(-durationOf(ledger.policy.Rates.FirstEventMillis)).Sub(held.grantedAt)) / float64(time.Millisecond)
-		ratio := min(maxSlowdown, max(minSlowdown, took/held.readMillis)) * ledger.slowdown
+		ratio := min(maxSlowdown, max(minSlowdown, took/held.basicMillis)) * ledger.slowdown
 		ledger.slowdown = min(maxSlowdown, max(minSlowdown, ledger.slowdown+smoothing*(ratio-ledger.slowdown)))
 	}
 	ledger.lag += correction
--- a/admission/refusal.go
+++ b/admission/refusal.go
@@ -148,6 +148,11 @@
 // readMillis is the expected time in milliseconds to read the part of a prompt that is not in the target's prefix
 // cache.
 func (ledger Ledger) readMillis(work coltsfootlink.Work) float64 {
+	return ledger.currentSlowdown() * ledger.ratesMillis(work)
+}
+
+// ratesMillis is the time in milliseconds that reading the same part takes at the rates in the settings.
+func (ledger Ledger) ratesMillis(work coltsfootlink.Work) float64 {
 	cached := ledger.cache.CachedTokens(work)
-	return ledger.slowdown * ledger.policy.Rates.ReadMillis(cached, max(0, work.PromptTokens-cached), ledger.running())
+	return ledger.policy.Rates.ReadMillis(cached, max(0, work.PromptTokens-cached), ledger.running())
 }
--- a/admission/speed.go
+++ b/admission/speed.go
@@ -66,20 +66,35 @@
 	return ledger.waitMillis(now.Add(-ledger.overdue(now)))
 }
 
+// currentSlowdown is the ratio of the time that the target takes to read a prompt to the time computed from the rates.
+func (ledger Ledger) currentSlowdown() float64 {
+	if ledger.policy.BasicEstimate {
+		return ledger.slowdown
+	}
+	return ledger.speed.Slowdown()
+}
+
 // firstEventMillis is the expected time in milliseconds from the end of reading a prompt to the first event.
 func (ledger Ledger) firstEventMillis() float64 {
 	if ledger.policy.BasicEstimate {
 		return ledger.policy.Rates.FirstEventMillis
 	}
-	return ledger.slowdown * ledger.policy.Rates.FirstEventMillis
+	return ledger.speed.Slowdown() * ledger.policy.Rates.FirstEventMillis
+}
+
+// usualMillis is the time in milliseconds from the start of reading a prompt to the first event that holders are told to expect.
+// A version move detects a slow version by it, so it may not follow a slow target as fast as promises do: it is never above the
+// basic estimate, which learns from few prompts.
+func (ledger Ledger) usualMillis(work coltsfootlink.Work) float64 {
+	basic := ledger.slowdown*ledger.ratesMillis(work) + ledger.policy.Rates.FirstEventMillis
+	return min(basic, ledger.readMillis(work)+ledger.firstEventMillis())
 }
 
 // withReading learns from the time at which a prompt was read. The reading time of a prompt that was not first in the queue is
 // the time between the first event of the one before and its own.
 func (ledger Ledger) withReading(held request, seen time.Time) Ledger {
-	promisedAt := held.expectedAt.Add(held.promisedLag + durationOf(held.slowdown*ledger.policy.Rates.FirstEventMillis))
-	ledger.speed = ledger.speed.WithError(seen.Sub(promisedAt))
-	expected := durationOf(held.readMillis / held.slowdown)
+	ledger.speed = ledger.speed.WithError(seen.Sub(held.expectedAt.Add(held.promisedLag + durationOf(held.firstEventMillis))))
+	expected := durationOf(held.ratesMillis)
 	gap := held.expectedAt.Add(-durationOf(held.readMillis)).Sub(ledger.readUntil)
 	switch {
 	case held.firstInQueue:
@@ -87,7 +102,6 @@
 	case gap.Abs() < time.Millisecond:
 		ledger.speed = ledger.speed.WithReading(seen.Sub(ledger.readSeenAt), expected)
 	}
-	ledger.slowdown = ledger.speed.Slowdown()
 	ledger.readUntil, ledger.readSeenAt = held.expectedAt, seen
 	return ledger.withHead()
 }
@@ -107,12 +121,12 @@
 func (ledger Ledger) largeWait(now time.Time, objective, firstEventMillis float64) float64 {
 	wait := ledger.policy.LargeShare * objective
 	margin := ledger.marginMillis(objective)
-	slow := ledger.slowdown > slowRatio*ledger.poolSlowdown || ledger.overdue(now) > 0
+	slow := ledger.currentSlowdown() > slowRatio*ledger.poolSlowdown || ledger.overdue(now) > 0
 	if ledger.policy.BasicEstimate || !slow && margin == 0 {
 		return wait
 	}
 	left := objective - firstEventMillis - margin
-	if lateElsewhere := firstEventMillis/ledger.slowdown*ledger.poolSlowdown > objective; !slow || lateElsewhere {
+	if lateElsewhere := firstEventMillis/ledger.currentSlowdown()*ledger.poolSlowdown > objective; !slow || lateElsewhere {
 		left = max(0, left)
 	}
 	return min(wait, left)
@@ -173,5 +187,5 @@
 	if overdue > 0 && verdict.Reason == coltsfootlink.TargetFull {
 		metrics.Count("overdue-refusals")
 	}
-	return line.Float64("pace", ledger.slowdown).Int64("overdue-ms", overdue.Milliseconds()).Int("margin-ms", int(ledger.speed.MarginMillis()))
+	return line.Float64("pace", ledger.currentSlowdown()).Int64("overdue-ms", overdue.Milliseconds()).Int("margin-ms", int(ledger.speed.MarginMillis()))
 }
--- a/admission/speed_test.go
+++ b/admission/speed_test.go
@@ -274,9 +274,11 @@
 		Convey("a large prompt on an idle target: "+name, t, func() {
 			ledger, now := settledLedger(engineTraits, 128)
 			ledger = ledger.WithPoolSpeed(test.poolSpeed)
-			ledger.slowdown = test.slowdown
+			for range 100 {
+				ledger.speed = ledger.speed.WithReading(durationOf(100*test.slowdown), 100*time.Millisecond)
+			}
 			if test.uneven {
-				ledger.speed = ledger.speed.WithError(time.Second).WithError(time.Second)
+				ledger.speed = ledger.speed.WithError(time.Second).WithError(time.Second).WithError(time.Second)
 			}
 			_, verdict := ledger.WithAsk(now, "a", ask(now, 1, prompt(0, 16_000, 1), test.objective))
 			So(verdict.Reason, ShouldEqual, test.reason)
@@ -284,6 +286,24 @@
 	}
 }
 
+// TestExpectationsOfSlowVersions guards against slow versions that are not noticed, because expectations follow them.
+func TestExpectationsOfSlowVersions(t *testing.T) {
+	Convey("what is expected of short prompts does not follow a target that is twice as slow", t, func() {
+		ledger, now := settledLedger(engineTraits, 128)
+		work := func(serial uint64) coltsfootlink.Work { return prompt(0, 2000, serial+10) }
+		took := durationOf(2 * (rates.ReadMillis(0, 2000, 0) + rates.FirstEventMillis))
+		for serial := range uint64(100) {
+			var verdict coltsfootlink.Verdict
+			ledger, verdict = ledger.WithAsk(now, "a", ask(now, serial, work(serial), time.Second))
+			So(verdict.ExpectedMillis, ShouldBeLessThanOrEqualTo, int(took.Milliseconds())/2)
+			now = now.Add(took)
+			ledger = ledger.WithProgress(now, "a", coltsfootlink.Progress{Serial: serial, Stage: coltsfootlink.FirstEvent, Millis: int(took.Milliseconds())})
+			ledger = ledger.WithProgress(now, "a", coltsfootlink.Progress{Serial: serial, Stage: coltsfootlink.Ended, Result: coltsfootlink.Succeeded})
+		}
+		So(ledger.currentSlowdown(), ShouldAlmostEqual, 2, 0.1)
+	})
+}
+
 // speedRecorder is a sender that records announced speeds by receiver.
 type speedRecorder map[coltsfootlink.InstanceName][]coltsfootlink.TargetSpeed
 
--- a/admission/takeover.go
+++ b/admission/takeover.go
@@ -58,7 +58,7 @@
 
 // defaultReadMillis is the expected reading time in milliseconds of a prompt of unknown size.
 func (ledger Ledger) defaultReadMillis() float64 {
-	return ledger.slowdown * ledger.policy.Rates.ReadMillis(0, defaultPromptTokens, ledger.running())
+	return ledger.currentSlowdown() * ledger.policy.Rates.ReadMillis(0, defaultPromptTokens, ledger.running())
 }
 
 // WithoutHolder removes the requests of an instance that has failed or left.
