Late first events of slow holders do not move the queue

A first event that is reported after that of a later prompt was delayed by its holder, and of prompts that a previous owner permitted the times are not known; neither moves the queue in full.

--- a/admission/progress.go
+++ b/admission/progress.go
@@ -59,7 +59,7 @@
 	if !ledger.traits.Engine || held.readMillis == 0 {
 		return ledger
 	}
-	correction := ledger.correction(seen.Sub(held.expectedAt.Add(ledger.lag + durationOf(ledger.firstEventMillis()))))
+	correction := ledger.correction(held, seen.Sub(held.expectedAt.Add(ledger.lag+durationOf(ledger.firstEventMillis()))))
 	if ledger.unread(held) {
 		ledger = ledger.withReading(held, seen)
 	}
@@ -73,12 +73,17 @@
 	return ledger
 }
 
-// correction is by how much the expected times of later prompts move when one was read later than expected.
-func (ledger Ledger) correction(difference time.Duration) time.Duration {
-	if ledger.policy.BasicEstimate {
+// correction is by how much the expected times of later prompts move when one was read later than expected. If later ones are
+// known to have been read, the delay was the holder's. Of a prompt that another owner permitted little is known.
+func (ledger Ledger) correction(held request, difference time.Duration) time.Duration {
+	switch {
+	case ledger.policy.BasicEstimate || held.readStartsAt.IsZero():
 		return time.Duration(correctionGain * float64(difference))
+	case !ledger.unread(held):
+		return 0
+	default:
+		return speed.Correction(difference)
 	}
-	return speed.Correction(difference)
 }
 
 // withDuration adds the duration of a request to the moving average.
--- a/admission/speed_test.go
+++ b/admission/speed_test.go
@@ -252,6 +252,43 @@
 	}
 }
 
+// TestEventsOfSlowHolders guards against queues that move by the delays of holders, or by times that a new owner does not know.
+func TestEventsOfSlowHolders(t *testing.T) {
+	millis := rates.ReadMillis(0, 8000, 0) + rates.FirstEventMillis
+	cases := map[string]struct {
+		// laterFirst indicates that the first event of a later prompt was reported first, and held that another owner granted
+		// the permit.
+		laterFirst, held bool
+		// most is the maximum part of the delay by which the queue moves.
+		most float64
+	}{
+		"the target was suspended":        {false, false, 1},
+		"the holder was suspended":        {true, false, 0.01},
+		"permitted by the previous owner": {false, true, correctionGain},
+	}
+	for name, test := range cases {
+		Convey("a first event comes two seconds late: "+name, t, func() {
+			ledger, now := settledLedger(engineTraits, 128)
+			late := uint64(1)
+			if test.held {
+				late = 0
+				ledger = ledger.WithHeld(now, "a", coltsfootlink.Held{Target: "t", Requests: []coltsfootlink.HeldRequest{{Serial: 0, Work: prompt(0, 8000, 5), Deadline: now.Add(time.Minute)}}})
+			}
+			for serial := uint64(1); serial <= 20; serial++ {
+				ledger, _ = ledger.WithAsk(now, "a", ask(now, serial, prompt(0, 8000, serial+10), time.Minute))
+			}
+			if test.laterFirst {
+				ledger = ledger.WithProgress(now, "a", coltsfootlink.Progress{Serial: 2, Stage: coltsfootlink.FirstEvent, Millis: int(2*millis - rates.FirstEventMillis)})
+			}
+			before := ledger.queueEndsAt
+			now = now.Add(2*time.Second + durationOf(millis))
+			ledger = ledger.WithProgress(now, "a", coltsfootlink.Progress{Serial: late, Stage: coltsfootlink.FirstEvent, Millis: int(2000 + millis)})
+			moved := ledger.queueEndsAt.Sub(before).Seconds() / 2
+			So(moved, ShouldBeBetweenOrEqual, 0.9*test.most-0.01, test.most+0.05)
+		})
+	}
+}
+
 // TestLargePromptsOnSlowTargets guards against large prompts that are late on a slow target and would be in time on another, and
 // against their refusal where they would be late on all targets of the pool.
 func TestLargePromptsOnSlowTargets(t *testing.T) {
