--- a/speed/state.go
+++ b/speed/state.go
@@ -15,6 +15,8 @@
 	// overdueTolerance is how late a first event may be before the target counts as slow. It is above the error of
 	// predictions for targets that run at an even speed (25 ms at the 95th percentile) with the usual delay of reports.
 	overdueTolerance = 40 * time.Millisecond
+	// correctionGain is the fraction of usual errors by which predictions for later prompts are corrected.
+	correctionGain = 0.3
 	// usualReportDelay is the delay up to which reports of a holder count as in time.
 	usualReportDelay = 5 * time.Millisecond
 	// memoryMillis is the reading time over which the slowdown is averaged. It covers several of the moments of slowness that
@@ -130,8 +132,5 @@
 	return difference - usual + time.Duration(correctionGain*float64(usual))
 }
 
-// correctionGain is the fraction of usual errors by which predictions for later prompts are corrected.
-const correctionGain = 0.3
-
 // millisOf converts a duration to milliseconds.
 func millisOf(duration time.Duration) float64 { return float64(duration) / float64(time.Millisecond) }
