--- a/admission/explain.go
+++ b/admission/explain.go
@@ -80,15 +80,15 @@
 		explanation.MaxRequests = int(math.Ceil(ledger.plainLimit(now, ask)))
 		return explanation
 	}
-	firstEventMillis := ledger.readMillis(ask.Work) + ledger.policy.Rates.FirstEventMillis
+	firstEventMillis := ledger.readMillis(ask.Work) + ledger.firstEventMillis()
 	objectiveMillis := float64(explanation.Objective) / float64(time.Millisecond)
 	explanation.UsedTokens = ledger.usedTokens() + engine.OwnTokens(ask.Work)
 	explanation.MaxTokens = ledger.maxTokens()
 	explanation.CachedTokens = ledger.cache.CachedTokens(ask.Work)
-	explanation.Wait = durationOf(ledger.waitMillis(now))
-	explanation.MaxWait = durationOf(ledger.allowedWait(ask, objectiveMillis, firstEventMillis))
+	explanation.Wait = durationOf(ledger.expectedWait(now))
+	explanation.MaxWait = durationOf(ledger.allowedWait(now, ask, objectiveMillis, firstEventMillis))
 	explanation.Answer = explanation.Wait + durationOf(firstEventMillis)
-	explanation.Slowdown = ledger.slowdown
+	explanation.Slowdown = ledger.currentSlowdown()
 	return explanation
 }
 
--- a/admission/ledger.go
+++ b/admission/ledger.go
@@ -11,6 +11,7 @@
 
 	"coltsfootlink"
 	"coltsfootlink/engine"
+	"coltsfootlink/speed"
 )
 
 const (
@@ -82,6 +83,8 @@
 	ColdSlack   float64
 	// Pace lets the target's answers set the pace at which it gets requests after it has started or recovered.
 	Pace bool
+	// BasicEstimate ignores momentary slowness and differences in speed between targets; it is used for comparison.
+	BasicEstimate bool
 }
 
 // requestID identifies a permitted request.
@@ -101,6 +104,12 @@
 	// the permit is subtracted, so that the current lag can be added.
 	expectedAt time.Time
 	readMillis float64
+	// basicMillis is readMillis with the ledger's slowdown, and ratesMillis with none.
+	basicMillis, ratesMillis float64
+	// firstEventMillis is the expected time from the end of reading to the first event.
+	firstEventMillis float64
+	// promisedLag is the lag of the reading queue that was expected when the permit was granted.
+	promisedLag time.Duration
 	// readStartsAt is when the target is expected to begin reading the prompt; zero if another owner granted the permit.
 	readStartsAt time.Time
 	// firstInQueue indicates that no admitted prompt was still to be read when the permit was granted.
@@ -127,8 +136,19 @@
 	queueEndsAt time.Time
 	// lag is the smoothed difference between the actual and the predicted times at which prompts were read.
 	lag time.Duration
-	// slowdown is the ratio of the time that the target takes to read a prompt to the time computed from the rates.
+	// slowdown is the ratio of the time that the target takes to read a prompt to the time computed from the rates, in the basic
+	// estimate. Others use currentSlowdown.
 	slowdown float64
+	// poolSlowdown is the median slowdown of the pool's targets.
+	poolSlowdown float64
+	// speed is what is known of the target's speed.
+	speed speed.State
+	// head is the request whose first event is expected next. readUntil is the time, in terms of request.expectedAt, up to
+	// which prompts are known to have been read.
+	head      requestID
+	readUntil time.Time
+	// readSeenAt is when the first event of the latest prompt that was read was received.
+	readSeenAt time.Time
 	// orphaned is the number of requests on the target, by its last report, that no live instance holds.
 	orphaned int
 	// probeAt is when the next report is requested from the target. After probeUntil, reports are requested only while
@@ -174,6 +194,8 @@
 		probeUntil:     now.Add(probeDuration),
 		queueEndsAt:    now,
 		slowdown:       1,
+		poolSlowdown:   1,
+		speed:          speed.New(),
 		lastProgressAt: now,
 	}
 	ledger.recovery = ledger.newRecovery(now)
@@ -189,6 +211,7 @@
 		ledger.blockedUntil = time.Time{}
 		ledger.announced = announced{}
 		ledger.breaker = breaker{}
+		ledger.head, ledger.readUntil = requestID{}, time.Time{}
 		ledger = ledger.withRestart()
 	}
 	ledger.target = target
@@ -199,7 +222,7 @@
 // WithAsk decides whether a request may be sent; if so, the verdict's reason is empty and the request is recorded.
 func (ledger Ledger) WithAsk(now time.Time, from coltsfootlink.InstanceName, ask coltsfootlink.Ask) (Ledger, coltsfootlink.Verdict) {
 	ledger = ledger.withPaceAt(now)
-	verdict := coltsfootlink.Verdict{Serial: ask.Serial, WaitMillis: int(ledger.waitMillis(now))}
+	verdict := coltsfootlink.Verdict{Serial: ask.Serial, WaitMillis: int(ledger.expectedWait(now))}
 	ledger.grantTimes = timesAfter(ledger.grantTimes, now.Add(-coldRateWindow))
 	verdict.Reason, verdict.RetryAt = ledger.refusal(now, ask)
 	if verdict.Reason == "" {
@@ -210,7 +233,7 @@
 	}
 	verdict.Paced = ledger.paced(now)
 	if ledger.traits.Engine {
-		verdict.ExpectedMillis = int(ledger.waitMillis(now) + ledger.readMillis(ask.Work) + ledger.policy.Rates.FirstEventMillis)
+		verdict.ExpectedMillis = int(ledger.expectedWait(now) + ledger.usualMillis(ask.Work))
 	}
 	return ledger.withRequest(now, requestID{holder: from, serial: ask.Serial}, ask), verdict
 }
@@ -222,7 +245,10 @@
 		surplus: ask.Standing == coltsfootlink.Surplus,
 	}
 	if ledger.traits.Engine {
-		added.readMillis = ledger.readMillis(ask.Work)
+		added.ratesMillis = ledger.ratesMillis(ask.Work)
+		added.readMillis, added.basicMillis = ledger.currentSlowdown()*added.ratesMillis, ledger.slowdown*added.ratesMillis
+		added.firstEventMillis = ledger.firstEventMillis()
+		added.promisedLag = ledger.lag + ledger.overdue(now)
 		if ledger.queueEndsAt.Before(now) {
 			ledger.queueEndsAt = now
 			added.firstInQueue = true
@@ -235,12 +261,15 @@
 	ledger.grantTimes = append(ledger.grantTimes[:len(ledger.grantTimes):len(ledger.grantTimes)], now)
 	ledger.breaker = ledger.breaker.withGrant(now)
 	ledger.requests = ledger.requests.Set(id, added)
+	if _, found := ledger.requests.Get(ledger.head); !found {
+		ledger = ledger.withHead()
+	}
 	return ledger
 }
 
 // Load returns the number of permitted requests on the target and the expected wait of a new one in milliseconds.
 func (ledger Ledger) Load(now time.Time) (int, int) {
-	return ledger.requests.Len(), int(math.Round(ledger.waitMillis(now)))
+	return ledger.requests.Len(), int(math.Round(ledger.expectedWait(now)))
 }
 
 // timesAfter returns the times after a moment; the times must be in ascending order.
--- a/admission/pace.go
+++ b/admission/pace.go
@@ -178,7 +178,7 @@
 	if !ledger.traits.Engine {
 		return ledger.settledDuration()
 	}
-	expected := durationOf(held.readMillis + ledger.policy.Rates.FirstEventMillis)
+	expected := durationOf(held.readMillis + ledger.firstEventMillis())
 	if !held.readStartsAt.IsZero() {
 		expected += held.plannedWait()
 	}
@@ -274,7 +274,7 @@
 		window = strconv.Itoa(limit)
 	}
 	if ledger.traits.Engine {
-		slowdown = strconv.FormatFloat(ledger.slowdown, 'f', 2, 64)
+		slowdown = strconv.FormatFloat(ledger.currentSlowdown(), 'f', 2, 64)
 	}
 	return window, slowdown
 }
--- a/admission/progress.go
+++ b/admission/progress.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"coltsfootlink"
+	"coltsfootlink/speed"
 )
 
 // withProgress applies a report to all but the pace of the target.
@@ -16,10 +17,13 @@
 	if progress.Stage == coltsfootlink.FirstEvent {
 		held.firstEventReceived = true
 		ledger.requests = ledger.requests.Set(id, held)
-		return ledger.withFirstEvent(now, held, held.seenAt(now, progress))
+		return ledger.withFirstEvent(now, from, held, held.seenAt(now, progress))
 	}
 	ledger.requests = ledger.requests.Delete(id)
 	ledger = ledger.withReadingSaved(now, held, ledger.savedReading(now, held, progress.Result))
+	if id == ledger.head {
+		ledger = ledger.withHead()
+	}
 	switch progress.Result {
 	case coltsfootlink.Succeeded:
 		ledger.lastProgressAt = now
@@ -49,23 +53,39 @@
 }
 
 // withFirstEvent adjusts the slowdown, the lag and the end of the queue by when a prompt was actually read.
-func (ledger Ledger) withFirstEvent(now time.Time, held request, seen time.Time) Ledger {
+func (ledger Ledger) withFirstEvent(now time.Time, from coltsfootlink.InstanceName, held request, seen time.Time) Ledger {
 	ledger.lastProgressAt = now
+	ledger.speed = ledger.speed.WithReport(from, now.Sub(seen))
 	if !ledger.traits.Engine || held.readMillis == 0 {
 		return ledger
 	}
-	readAt := seen.Add(-durationOf(ledger.policy.Rates.FirstEventMillis))
-	if held.firstInQueue && held.readMillis >= minSlowdownSample {
-		took := float64(readAt.Sub(held.grantedAt)) / float64(time.Millisecond)
-		ratio := min(maxSlowdown, max(minSlowdown, took/held.readMillis)) * ledger.slowdown
+	correction := ledger.correction(held, seen.Sub(held.expectedAt.Add(ledger.lag+durationOf(ledger.firstEventMillis()))))
+	if ledger.unread(held) {
+		ledger = ledger.withReading(held, seen)
+	}
+	if held.firstInQueue && held.basicMillis >= minSlowdownSample {
+		took := float64(seen.Add(-durationOf(ledger.policy.Rates.FirstEventMillis)).Sub(held.grantedAt)) / float64(time.Millisecond)
+		ratio := min(maxSlowdown, max(minSlowdown, took/held.basicMillis)) * ledger.slowdown
 		ledger.slowdown = min(maxSlowdown, max(minSlowdown, ledger.slowdown+smoothing*(ratio-ledger.slowdown)))
 	}
-	correction := time.Duration(correctionGain * float64(readAt.Sub(held.expectedAt.Add(ledger.lag))))
 	ledger.lag += correction
 	ledger.queueEndsAt = ledger.queueEndsAt.Add(correction)
 	return ledger
 }
 
+// correction is by how much the expected times of later prompts move when one was read later than expected. If later ones are
+// known to have been read, the delay was the holder's. Of a prompt that another owner permitted little is known.
+func (ledger Ledger) correction(held request, difference time.Duration) time.Duration {
+	switch {
+	case ledger.policy.BasicEstimate || held.readStartsAt.IsZero():
+		return time.Duration(correctionGain * float64(difference))
+	case !ledger.unread(held):
+		return 0
+	default:
+		return speed.Correction(difference)
+	}
+}
+
 // withDuration adds the duration of a request to the moving average.
 func (ledger Ledger) withDuration(millis float64) Ledger {
 	if ledger.meanDurationMillis == 0 {
--- a/admission/refusal.go
+++ b/admission/refusal.go
@@ -112,10 +112,10 @@
 	if ledger.usedTokens()+engine.OwnTokens(ask.Work) > ledger.maxTokens() && ledger.requests.Len() > 0 {
 		return coltsfootlink.TargetFull, now.Add(minRetryDelay)
 	}
-	firstEventMillis := ledger.readMillis(ask.Work) + ledger.policy.Rates.FirstEventMillis
+	firstEventMillis := ledger.readMillis(ask.Work) + ledger.firstEventMillis()
 	objective := float64(ask.Objective.Sub(now)) / float64(time.Millisecond)
-	wait := ledger.waitMillis(now)
-	allowed := ledger.allowedWait(ask, objective, firstEventMillis)
+	wait := ledger.expectedWait(now)
+	allowed := ledger.allowedWait(now, ask, objective, firstEventMillis)
 	if wait > allowed {
 		excess := durationOf(wait - allowed)
 		return coltsfootlink.TargetFull, now.Add(max(minRetryDelay, excess))
@@ -125,9 +125,9 @@
 
 // allowedWait is the maximum time in milliseconds that a prompt may wait to be read. objective is the time left until
 // the request's objective, and firstEventMillis the time from the start of reading to the first event, both in
-// milliseconds.
-func (ledger Ledger) allowedWait(ask coltsfootlink.Ask, objective, firstEventMillis float64) float64 {
-	allowed := max(ledger.policy.ObjectiveShare*objective-firstEventMillis, ledger.policy.LargeShare*objective)
+// milliseconds. It is negative if the prompt is not to be read on this target.
+func (ledger Ledger) allowedWait(now time.Time, ask coltsfootlink.Ask, objective, firstEventMillis float64) float64 {
+	allowed := max(ledger.policy.ObjectiveShare*objective-firstEventMillis-ledger.marginMillis(objective), ledger.largeWait(now, objective, firstEventMillis))
 	allowed *= math.Pow(rankWaitFactor, float64(ask.Rank))
 	factor := max(1, ask.MaxWaitFraction/ledger.policy.BearableShare)
 	switch ask.Standing {
@@ -140,7 +140,7 @@
 	}
 }
 
-// waitMillis is the expected time in milliseconds until the target begins to read a new prompt.
+// waitMillis is the time in milliseconds until the target begins to read a new prompt if it reads the queue as expected.
 func (ledger Ledger) waitMillis(now time.Time) float64 {
 	return max(0, float64(ledger.queueEndsAt.Sub(now))/float64(time.Millisecond))
 }
@@ -163,6 +163,11 @@
 // readMillis is the expected time in milliseconds to read the part of a prompt that is not in the target's prefix
 // cache.
 func (ledger Ledger) readMillis(work coltsfootlink.Work) float64 {
+	return ledger.currentSlowdown() * ledger.ratesMillis(work)
+}
+
+// ratesMillis is the time in milliseconds that reading the same part takes at the rates in the settings.
+func (ledger Ledger) ratesMillis(work coltsfootlink.Work) float64 {
 	cached := ledger.cache.CachedTokens(work)
-	return ledger.slowdown * ledger.policy.Rates.ReadMillis(cached, max(0, work.PromptTokens-cached), ledger.running())
+	return ledger.policy.Rates.ReadMillis(cached, max(0, work.PromptTokens-cached), ledger.running())
 }
--- a/admission/takeover.go
+++ b/admission/takeover.go
@@ -58,11 +58,12 @@
 
 // defaultReadMillis is the expected reading time in milliseconds of a prompt of unknown size.
 func (ledger Ledger) defaultReadMillis() float64 {
-	return ledger.slowdown * ledger.policy.Rates.ReadMillis(0, defaultPromptTokens, ledger.running())
+	return ledger.currentSlowdown() * ledger.policy.Rates.ReadMillis(0, defaultPromptTokens, ledger.running())
 }
 
 // WithoutHolder removes the requests of an instance that has failed or left.
 func (ledger Ledger) WithoutHolder(holder coltsfootlink.InstanceName) Ledger {
+	ledger.speed = ledger.speed.WithoutHolder(holder)
 	return ledger.without(func(id requestID, _ request) bool { return id.holder == holder })
 }
 
@@ -79,5 +80,8 @@
 			ledger.requests = ledger.requests.Delete(id)
 		}
 	}
+	if _, found := ledger.requests.Get(ledger.head); !found {
+		ledger = ledger.withHead()
+	}
 	return ledger
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -437,6 +437,7 @@
 		ColdOverage:    gateway.Cold.Overage,
 		ColdSlack:      gateway.Cold.Slack,
 		Pace:           gateway.Admission.Pace,
+		BasicEstimate:  !gateway.Admission.Speed,
 	}
 }
 
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -92,7 +92,7 @@
 }
 
 // Admission holds the admission limits of engines. All fields but BearableFactor are copied into the fields of the same
-// names of admission.Policy.
+// names of admission.Policy; Speed is the opposite of its BasicEstimate.
 type Admission struct {
 	// ObjectiveShare is the maximum expected time to the first event as a fraction of the request's objective.
 	ObjectiveShare float64 `toml:"objective-share"`
@@ -109,6 +109,8 @@
 	MemoryShare float64 `toml:"memory-share"`
 	// Pace lets the answers of a target that has started or recovered set the pace at which it gets requests.
 	Pace bool `toml:"pace"`
+	// Speed makes owners follow differences and changes of targets' speed; without it they use the basic estimate.
+	Speed bool `toml:"speed"`
 }
 
 // GatewayDefaults returns the default settings of a gateway.
@@ -122,7 +124,10 @@
 		ChunkTokens:          1024,
 		FirstEventMillis:     35,
 	}
-	gateway.Admission = Admission{ObjectiveShare: 0.75, LargeShare: 0.25, MemoryShare: 0.9, BearableShare: 0.1, SurplusShare: 0.02, BearableFactor: 1.8, Pace: true}
+	gateway.Admission = Admission{
+		ObjectiveShare: 0.75, LargeShare: 0.25, MemoryShare: 0.9, BearableShare: 0.1, SurplusShare: 0.02, BearableFactor: 1.8,
+		Pace: true, Speed: true,
+	}
 	gateway.Duties = Duties{CallsPerSecond: 50, LeaseMillis: 3000, WindowSeconds: 5, LatenessSeconds: 10}
 	gateway.Timing.HeartbeatInterval = Duration{250 * time.Millisecond}
 	gateway.Timing.HeartbeatTimeout = Duration{time.Second}
