--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -51,6 +51,7 @@
 	Served       int               `json:"served"`
 	Runs         int               `json:"runs"`
 	Stalls       int               `json:"stalls"`
+	DutyCalls    int               `json:"duty-calls"`
 	Statuses     map[int]int       `json:"statuses"`
 	Breaches     []breach          `json:"breaches"`
 	Folder       string            `json:"folder"`
@@ -163,7 +164,7 @@
 // report evaluates the history of a run and writes outcome and report next to the logs.
 func (soak soak) report(plan []step, seen history) (outcome, error) {
 	result := outcome{
-		Seed: soak.seed, FaultCount: len(plan), Attempts: len(seen.attempts), Folder: soak.folder,
+		Seed: soak.seed, FaultCount: len(plan), Attempts: len(seen.attempts), DutyCalls: len(seen.dutyCalls), Folder: soak.folder,
 		Statuses: make(map[int]int), FaultsByKind: make(map[faultKind]int), Breaches: breaches(seen),
 	}
 	for _, attempt := range seen.attempts {
--- a/duty/holder.go
+++ b/duty/holder.go
@@ -73,7 +73,7 @@
 // useStore begins the call of the store that is due. One is in progress at a time, because each append needs the offset after
 // the one before.
 func (task *Task) useStore(ctx context.Context, now time.Time) {
-	step := task.lease.Next(now, task.candidate())
+	step := task.lease.Next(now, task.candidate)
 	result := storeResult{step: step, incarnation: task.incarnation}
 	switch {
 	case step == lease.Read:
--- a/duty/task.go
+++ b/duty/task.go
@@ -66,6 +66,8 @@
 
 	view    coltsfootlink.View
 	catalog coltsfootlink.Catalog
+	// candidate indicates that this instance is the one that should hold the lease.
+	candidate bool
 	// incarnation identifies this run of the task: its counts and its leases begin anew.
 	incarnation uint64
 	// anchor is when this run began. Windows are counted from its wall time with the steady clock, so that a step of the wall
@@ -135,6 +137,8 @@
 	switch message := delivery.Message.(type) {
 	case coltsfootlink.ViewChanged:
 		task.view = message.View
+		owner, found := ownership.SingletonOwner(singletonName, task.view)
+		task.candidate = found && owner == task.Self
 		task.tellPlanner()
 	case coltsfootlink.CatalogChanged:
 		task.catalog = message.Catalog
@@ -159,12 +163,6 @@
 // steady returns the wall time of a point in time as counted from the anchor with the steady clock.
 func (task *Task) steady(at time.Time) time.Time { return task.anchor.Add(at.Sub(task.anchor)) }
 
-// candidate reports whether this instance is the one that should hold the lease.
-func (task *Task) candidate() bool {
-	owner, found := ownership.SingletonOwner(singletonName, task.view)
-	return found && owner == task.Self
-}
-
 // handleAnnouncement takes an announcement unless a later holder is known. The recorded windows are counted no more. A new
 // holder gets a report at once.
 func (task *Task) handleAnnouncement(from coltsfootlink.InstanceName, message coltsfootlink.DutyHolder) {
