--- a/duty/task_test.go
+++ b/duty/task_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -184,7 +185,7 @@
 			Self: name, Holder: string(name), Usage: true, Lease: 3 * time.Second, Window: windowLength, Lateness: lateness, CallsPerSecond: 50,
 			Store: end, Caller: end, Clock: coltsfootlink.SystemClock{}, Sender: end, Log: zerolog.Nop(), Inbox: mailbox.NewDeliveries(),
 		}
-		site.tasks[name] = &running{Task: task, cancel: cancel}
+		site.set(func() { site.tasks[name] = &running{Task: task, cancel: cancel} })
 		go func() { _ = task.Run(ctx) }()
 	}
 	site.announceViews()
@@ -201,6 +202,12 @@
 	site.announceViews()
 }
 
+// stopAll ends all tasks and waits until their calls have ended.
+func (site *site) stopAll() {
+	site.stop(slices.Collect(maps.Keys(site.tasks))...)
+	synctest.Wait()
+}
+
 // announceViews tells each instance which ones are live.
 func (site *site) announceViews() {
 	for _, task := range site.tasks {
@@ -328,6 +335,7 @@
 				site.announceViews()
 				last := indexOf(time.Now())
 				site.play(30 * time.Second)
+				site.stopAll()
 				Convey(name, t, func() {
 					So(site.violations, ShouldBeEmpty)
 					wrong := 0
@@ -340,7 +348,6 @@
 					So(wrong, ShouldBeLessThanOrEqualTo, test.wrong)
 					So(len(site.records.Windows), ShouldBeLessThanOrEqualTo, removeAfter+3)
 				})
-				site.stop(slicesOf(site.tasks)...)
 			})
 		})
 	}
@@ -360,7 +367,7 @@
 			tables[name] = <-reply
 		}
 		holder := site.holderName()
-		site.stop("a", "b")
+		site.stopAll()
 		Convey("the holder and the instance that follows it tell the same", t, func() {
 			for name, table := range tables {
 				So(table.Rows, ShouldHaveLength, 1)
@@ -374,11 +381,3 @@
 		})
 	})
 }
-
-func slicesOf(tasks map[coltsfootlink.InstanceName]*running) []coltsfootlink.InstanceName {
-	var names []coltsfootlink.InstanceName
-	for name := range tasks {
-		names = append(names, name)
-	}
-	return names
-}
