--- a/cmd/soak/checker.go
+++ b/cmd/soak/checker.go
@@ -74,6 +74,8 @@
 		checker.seen = checker.seen.WithDisruption(message)
 	case standin.DutyCall:
 		checker.seen = checker.seen.WithDutyCall(message)
+	case controlRepaired:
+		checker.seen = checker.seen.WithControlRepaired(message)
 	case unexpectedExit:
 		checker.seen = checker.seen.WithExit(message.text)
 	case faultsOver:
--- a/cmd/soak/duties.go
+++ b/cmd/soak/duties.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"coltsfootlink"
+	"coltsfootlink/rig"
 	"coltsfootlink/standin"
 )
 
@@ -27,18 +28,26 @@
 	maxControlSlowMillis = 4000
 )
 
-// dutySettings returns the section of the gateways' settings for the singleton duties.
-func dutySettings(control string) string {
-	return fmt.Sprintf("[duties]\naddress = %q\nnames = [\"usage_reporting\"]\ncalls-per-second = %d\nlease-ms = %d\nwindow-seconds = %g\nlateness-seconds = %g\n",
-		control, dutyCallsPerSecond, dutyLease.Milliseconds(), usageWindow.Seconds(), usageLateness.Seconds())
+// dutySettings returns the gateways' settings for the singleton duties.
+func dutySettings() string {
+	return fmt.Sprintf("names = [\"usage_reporting\"]\ncalls-per-second = %d\nlease-ms = %d\nwindow-seconds = %g\nlateness-seconds = %g\n",
+		dutyCallsPerSecond, dutyLease.Milliseconds(), usageWindow.Seconds(), usageLateness.Seconds())
 }
 
-// controlFaults is the task that lets the control address lose answers, answer slowly or throttle all calls for a part of the
-// time. The plan of faults does not name these, so that the plans of earlier seeds stay the same.
+// controlRepaired reports that the link of an instance to the control address was repaired.
+type controlRepaired struct {
+	holder string
+	at     time.Time
+}
+
+// controlFaults is the task that lets the control address lose answers, answer slowly or throttle all calls, and cuts the link of
+// an instance to it, for a part of the time each. The plan of faults does not name these, so that the plans of earlier seeds stay the same.
 type controlFaults struct {
-	control *standin.Control
-	random  *rand.Rand
-	over    *atomic.Bool
+	control  *standin.Control
+	gateways []*rig.Gateway
+	random   *rand.Rand
+	over     *atomic.Bool
+	record   func(any)
 }
 
 // Run changes the behaviour until the faults are over or the context ends.
@@ -54,9 +63,15 @@
 			outage.Down = true
 		}
 		faults.control.SetOutage(outage)
+		gateway := faults.gateways[faults.random.IntN(len(faults.gateways))]
+		// In most phases no link is cut.
+		modes := []rig.Mode{rig.Hold, rig.HoldRequests, rig.HoldAnswers, rig.Abort, rig.Pass, rig.Pass, rig.Pass, rig.Pass, rig.Pass, rig.Pass}
+		gateway.ControlProxy.Set(modes[faults.random.IntN(len(modes))])
 		if !coltsfootlink.Sleep(ctx, minControlPhase+time.Duration(faults.random.Int64N(int64(maxControlPhase-minControlPhase)))) {
 			return nil
 		}
+		faults.record(controlRepaired{holder: gateway.Name, at: time.Now()})
+		gateway.ControlProxy.Set(rig.Pass)
 	}
 	faults.control.SetOutage(standin.Outage{})
 	<-ctx.Done()
@@ -78,8 +93,13 @@
 	return found
 }
 
-// excused reports whether a call came right after its sender was resumed.
+// excused reports whether a call came right after its sender was resumed or its link was repaired.
 func (seen history) excused(call standin.DutyCall) bool {
+	for _, repaired := range seen.controlRepairs {
+		if since := call.At.Sub(repaired.at); repaired.holder == call.Holder && since >= 0 && since < excuseTimeout {
+			return true
+		}
+	}
 	for _, disruption := range seen.disruptions {
 		ofSender := disruption.step.Subject == onInstance && fmt.Sprint("gateway-", disruption.step.Index) == call.Holder
 		if disruption.step.Kind == frozenKind && ofSender && !disruption.to.IsZero() && call.At.After(disruption.from) && call.At.Sub(disruption.to) < excuseTimeout {
--- a/cmd/soak/history.go
+++ b/cmd/soak/history.go
@@ -108,6 +108,8 @@
 	disruptions []disruption
 	// dutyCalls are the calls that the platform's control address has accepted, and those that it has answered.
 	dutyCalls []standin.DutyCall
+	// controlRepairs are when the instances' links to the control address were repaired.
+	controlRepairs []controlRepaired
 	// exits describe instances that exited unexpectedly and targets that could not start.
 	exits []string
 	// faultsOverAt is when all faults of the plan had ended and all instances were ready; zero before.
@@ -138,6 +140,11 @@
 	return seen
 }
 
+func (seen history) WithControlRepaired(added controlRepaired) history {
+	seen.controlRepairs = append(seen.controlRepairs, added)
+	return seen
+}
+
 // WithOrder returns the history with an order added. An earlier order of the same kind and name ends when the new one
 // was acknowledged. An order with an end only ends the earlier one.
 func (seen history) WithOrder(given order) history {
--- a/cmd/soak/site.go
+++ b/cmd/soak/site.go
@@ -97,10 +97,9 @@
 	}
 	site.control = &standin.Control{Address: control, CallsPerSecond: dutyCallsPerSecond, OnCall: func(call standin.DutyCall) { site.record(call) }}
 	site.branch.Add("control", site.control)
-	site.branch.Add("control-faults", &controlFaults{control: site.control, random: rand.New(rand.NewPCG(site.seed, site.seed)), over: &site.faultsOver})
 	fleet := rig.GatewayFleet{
 		Daemon: site.daemon, Folder: site.folder, Store: address, Zones: zones, Count: site.size.Instances, Proxied: true, DrainDelay: drainDelay,
-		ExtraSettings: dutySettings(control),
+		Control: control, DutySettings: dutySettings(),
 	}
 	site.gateways, err = fleet.Start(ctx)
 	return err
@@ -130,6 +129,9 @@
 func (site *site) startTraffic() {
 	balancer := &balancer{gateways: site.gateways, picks: make(chan instanceAddress)}
 	site.branch.Add("balancer", balancer)
+	site.branch.Add("control-faults", &controlFaults{
+		control: site.control, gateways: site.gateways, random: rand.New(rand.NewPCG(site.seed, site.seed)), over: &site.faultsOver, record: site.record,
+	})
 	for index, gateway := range site.gateways {
 		started := &process{index: index, gateway: gateway, record: site.record, inbox: mailbox.New[transition]()}
 		site.processes = append(site.processes, started)
--- a/duty/describe.go
+++ b/duty/describe.go
@@ -11,7 +11,7 @@
 	"coltsfootlink/metrics"
 )
 
-// failuresPerLine is the number of failures of one call for which one line is logged after the first.
+// failuresPerLine is the number of failures of one call, or of the store, for which one line is logged after the first.
 const failuresPerLine = 10
 
 // logConfirmed logs a confirmed order, and a usage report that was repeated or late.
--- a/duty/holder.go
+++ b/duty/holder.go
@@ -162,7 +162,10 @@
 		task.lease = task.lease.WithConflict(now)
 	case result.err != nil:
 		metrics.Count("duty-store-failures")
-		task.Log.Warn().Err(result.err).Str("step", string(result.step)).Msg("duty: call of the store failed, reading the records again")
+		if task.storeFailures++; task.storeFailures%failuresPerLine == 1 {
+			task.Log.Warn().Err(result.err).Str("step", string(result.step)).Int("failures", task.storeFailures).
+				Msg("duty: call of the store failed, reading the records again")
+		}
 		task.lease = task.lease.WithFailure(now)
 	case result.step == lease.Read:
 		task.records = result.records
@@ -170,6 +173,9 @@
 	default:
 		task.lease = task.lease.WithAppended(now, result.next, result.reported)
 	}
+	if result.err == nil {
+		task.storeFailures = 0
+	}
 	switch {
 	case !task.lease.Holds():
 		task.depose()
--- a/duty/task.go
+++ b/duty/task.go
@@ -84,7 +84,9 @@
 	lease    lease.State
 	// records are the records that were read last.
 	records coltsfootlink.DutyRecords
-	limiter *rate.Limiter
+	// storeFailures is the number of calls of the store that have failed since the last one that succeeded.
+	storeFailures int
+	limiter       *rate.Limiter
 	// held is the state of the holder; nil while another instance holds the lease, or none.
 	held *holding
 }
