--- a/duty/task_test.go
+++ b/duty/task_test.go
@@ -33,6 +33,8 @@
 	// The store: what is recorded, whether it is down, and whether the answers to appends are lost.
 	records         coltsfootlink.DutyRecords
 	down, loseStore bool
+	// lateStore delays some appends, which may then take effect after their caller has given up.
+	lateStore bool
 
 	// The platform: whether it throttles calls, loses their answers, or is slow.
 	throttle, loseAnswers bool
@@ -90,7 +92,31 @@
 	return records, nil
 }
 
-func (endpoint endpoint) append(at uint64, count int, change func(records *coltsfootlink.DutyRecords)) (uint64, error) {
+func (endpoint endpoint) append(ctx context.Context, at uint64, count int, change func(records *coltsfootlink.DutyRecords)) (uint64, error) {
+	type result struct {
+		next uint64
+		err  error
+	}
+	answer := make(chan result, 1)
+	go func() {
+		endpoint.site.mutex.Lock()
+		late := endpoint.site.lateStore && rand.IntN(3) == 0
+		endpoint.site.mutex.Unlock()
+		if late {
+			time.Sleep(rand.N(4 * time.Second))
+		}
+		next, err := endpoint.appendNow(at, count, change)
+		answer <- result{next, err}
+	}()
+	select {
+	case result := <-answer:
+		return result.next, result.err
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+}
+
+func (endpoint endpoint) appendNow(at uint64, count int, change func(records *coltsfootlink.DutyRecords)) (uint64, error) {
 	site := endpoint.site
 	site.mutex.Lock()
 	defer site.mutex.Unlock()
@@ -109,8 +135,8 @@
 }
 
 // AppendLease records a lease.
-func (endpoint endpoint) AppendLease(_ context.Context, record coltsfootlink.LeaseRecord, at uint64) (uint64, error) {
-	return endpoint.append(at, 1, func(records *coltsfootlink.DutyRecords) {
+func (endpoint endpoint) AppendLease(ctx context.Context, record coltsfootlink.LeaseRecord, at uint64) (uint64, error) {
+	return endpoint.append(ctx, at, 1, func(records *coltsfootlink.DutyRecords) {
 		if record.Token == 0 {
 			record.Token = at + 1
 		}
@@ -119,13 +145,13 @@
 }
 
 // AppendWindow records a window.
-func (endpoint endpoint) AppendWindow(_ context.Context, window coltsfootlink.UsageWindow, at uint64) (uint64, error) {
-	return endpoint.append(at, 1, func(records *coltsfootlink.DutyRecords) { records.Windows[window.Index] = window })
+func (endpoint endpoint) AppendWindow(ctx context.Context, window coltsfootlink.UsageWindow, at uint64) (uint64, error) {
+	return endpoint.append(ctx, at, 1, func(records *coltsfootlink.DutyRecords) { records.Windows[window.Index] = window })
 }
 
 // RemoveWindows removes windows.
-func (endpoint endpoint) RemoveWindows(_ context.Context, indexes []uint64, at uint64) (uint64, error) {
-	return endpoint.append(at, len(indexes), func(records *coltsfootlink.DutyRecords) {
+func (endpoint endpoint) RemoveWindows(ctx context.Context, indexes []uint64, at uint64) (uint64, error) {
+	return endpoint.append(ctx, at, len(indexes), func(records *coltsfootlink.DutyRecords) {
 		for _, index := range indexes {
 			delete(records.Windows, index)
 		}
@@ -353,6 +379,87 @@
 	}
 }
 
+// TestRandomFaults guards against violations in interleavings that no table case names. After the faults, reports must be right
+// again.
+func TestRandomFaults(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, 1))
+				names := []coltsfootlink.InstanceName{"a", "b", "c"}
+				site := newSite()
+				site.start(names...)
+				for range 60 {
+					site.disturb(random, names[random.IntN(len(names))])
+					site.play(time.Duration(random.IntN(2000)) * time.Millisecond)
+				}
+				site.repair(names)
+				site.play(20 * time.Second)
+				first := indexOf(time.Now()) + 1
+				site.play(30 * time.Second)
+				last := indexOf(time.Now())
+				site.play(10 * time.Second)
+				site.stopAll()
+				Convey(fmt.Sprint("seed ", seed), t, func() {
+					So(site.violations, ShouldBeEmpty)
+					for index := first; index < last; index++ {
+						So(site.answered[index], ShouldBeTrue)
+						So(site.received[index], ShouldResemble, site.truth[index])
+					}
+				})
+			})
+		})
+	}
+}
+
+// disturb begins or ends one fault.
+func (site *site) disturb(random *rand.Rand, name coltsfootlink.InstanceName) {
+	task, runs := site.tasks[name]
+	kind := random.IntN(8)
+	site.set(func() {
+		switch kind {
+		case 0:
+			site.down = random.IntN(3) == 0
+		case 1:
+			site.loseStore = random.IntN(2) == 0
+		case 2:
+			site.lateStore = random.IntN(2) == 0
+		case 3:
+			site.throttle = random.IntN(3) == 0
+		case 4:
+			site.loseAnswers = random.IntN(3) == 0
+		case 5:
+			site.delay = rand.N(3 * time.Second)
+		case 6:
+			if runs {
+				task.disagrees = !task.disagrees
+			}
+		}
+	})
+	switch {
+	case kind == 7 && runs:
+		site.stop(name)
+	case kind == 7:
+		site.start(name)
+	}
+	site.announceViews()
+}
+
+// repair ends all faults.
+func (site *site) repair(names []coltsfootlink.InstanceName) {
+	site.set(func() {
+		site.down, site.loseStore, site.lateStore, site.throttle, site.loseAnswers, site.delay = false, false, false, false, false, 0
+	})
+	for _, name := range names {
+		if task, runs := site.tasks[name]; runs {
+			task.disagrees = false
+		} else {
+			site.start(name)
+		}
+	}
+	site.announceViews()
+}
+
 // TestShowDuties guards against operators who cannot see who holds the lease and how far it has reported.
 func TestShowDuties(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
