Duties go on when the holder is cut off from the store or the platform alone

If no holder is heard of, the next ranked instances become candidates as well, and a holder that the platform has not answered for 8 s stops renewing. Before, the duties paused for as long as such a cut lasted, because the view still chose the same instance. The tests of usage reports also bound the number of late windows.

--- a/duty/holder.go
+++ b/duty/holder.go
@@ -40,6 +40,10 @@
 	// valid indicates that calls may be made; it is false while the lease could not be renewed in time.
 	valid      bool
 	announceAt time.Time
+	// unansweredSince is when the first of the calls failed since the platform last answered one; zero if it has answered.
+	unansweredSince time.Time
+	// yieldUntil is until when the lease is not renewed, so that another instance acquires it.
+	yieldUntil time.Time
 	// cancel ends the calls in progress.
 	cancel context.CancelFunc
 	ctx    context.Context
@@ -73,13 +77,15 @@
 // useStore begins the call of the store that is due. One is in progress at a time, because each append needs the offset after
 // the one before.
 func (task *Task) useStore(ctx context.Context, now time.Time) {
-	step := task.lease.Next(now, task.candidate)
+	step := task.lease.Next(now, task.candidate(now))
 	result := storeResult{step: step, incarnation: task.incarnation}
 	switch {
 	case step == lease.Read:
 	case step == lease.Acquire:
 		// What the earlier holders have reported stays on record.
 		result.reported = task.records.Lease.Reported
+	case step == lease.Renew && now.Before(task.held.yieldUntil):
+		return
 	case step == lease.Renew:
 		result.reported = task.held.calls.FirstUnconfirmed(task.held.next)
 	case task.held == nil || !task.lease.MayUse(now):
@@ -280,9 +286,21 @@
 	task.held.valid = valid
 }
 
-// announce tells all live instances who the holder is and which windows are recorded.
+// yield stops renewing the lease if the platform has not answered this instance for long: others may reach it. With another
+// live instance only.
+func (task *Task) yield(now time.Time) {
+	held := task.held
+	if held.unansweredSince.IsZero() || now.Sub(held.unansweredSince) < unreachableTimeout || now.Before(held.yieldUntil) || len(task.view.Live()) < 2 {
+		return
+	}
+	held.yieldUntil, held.unansweredSince = now.Add(yieldTime), time.Time{}
+	metrics.Count("duty-leases-yielded")
+	task.Log.Warn().Uint64("token", held.token).Msg("duty: the platform does not answer this instance, leaving the lease to another one")
+}
+
+// announce tells all live instances who the holder is and which windows are recorded. A holder that yields is silent.
 func (task *Task) announce(now time.Time) {
-	if now.Before(task.held.announceAt) {
+	if now.Before(task.held.announceAt) || now.Before(task.held.yieldUntil) {
 		return
 	}
 	task.held.announceAt = now.Add(sendInterval)
@@ -364,6 +382,13 @@
 		return
 	}
 	now, call := task.Clock.Now(), result.call
+	var failure *coltsfootlink.DutyError
+	switch answered := result.err == nil || errors.As(result.err, &failure) && (failure.Throttled || failure.Rejected); {
+	case answered:
+		task.held.unansweredSince, task.held.yieldUntil = time.Time{}, time.Time{}
+	case task.held.unansweredSince.IsZero():
+		task.held.unansweredSince = now
+	}
 	if result.err == nil {
 		task.held.calls = task.held.calls.WithConfirmed(call.Subject)
 		task.logConfirmed(now, call)
--- a/duty/task.go
+++ b/duty/task.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -24,6 +25,16 @@
 	sendInterval = time.Second
 	// holderTimeout is how long reports are sent to a holder that announces nothing.
 	holderTimeout = 5 * time.Second
+	// silenceTimeout is how long no holder announces itself before the second-ranked instance becomes a candidate, too; it is
+	// over two announcements. Each further one follows rankDelay later, and maxRank is the rank of the last one.
+	silenceTimeout = 2500 * time.Millisecond
+	rankDelay      = time.Second
+	maxRank        = 2
+	// unreachableTimeout is how long a holder has had no answer from the platform when it stops renewing its lease, and
+	// yieldTime how long it does so: others then acquire the lease about six seconds later. It is shorter than the time within
+	// which reports are due, and long enough for a platform that is away for all instances for a moment.
+	unreachableTimeout = 8 * time.Second
+	yieldTime          = 10 * time.Second
 	// settleDelay is how long after the end of a window a request that began in it may still be counted. A report does not say
 	// earlier that the window's counts are final.
 	settleDelay = 500 * time.Millisecond
@@ -66,8 +77,8 @@
 
 	view    coltsfootlink.View
 	catalog coltsfootlink.Catalog
-	// candidate indicates that this instance is the one that should hold the lease.
-	candidate bool
+	// rank is the position of this instance among those that may hold the lease; negative if it may not.
+	rank int
 	// incarnation identifies this run of the task: its counts and its leases begin anew.
 	incarnation uint64
 	// anchor is when this run began. Windows are counted from its wall time with the steady clock, so that a step of the wall
@@ -108,6 +119,9 @@
 }
 
 func (task *Task) reset() {
+	if len(task.view.Members) == 0 {
+		task.rank = -1
+	}
 	now := task.Clock.Now()
 	task.anchor, task.incarnation = now, uint64(now.UnixNano())
 	task.lease = lease.New(task.Holder, task.incarnation, task.Lease)
@@ -128,6 +142,7 @@
 	}
 	task.useStore(ctx, now)
 	if task.held != nil && task.held.valid {
+		task.yield(now)
 		task.announce(now)
 		task.plan(now)
 		task.call(ctx, now)
@@ -139,8 +154,7 @@
 	switch message := delivery.Message.(type) {
 	case coltsfootlink.ViewChanged:
 		task.view = message.View
-		owner, found := ownership.SingletonOwner(singletonName, task.view)
-		task.candidate = found && owner == task.Self
+		task.rank = slices.Index(ownership.Ranked(singletonName, task.view.AllCapable()), task.Self)
 		task.tellPlanner()
 	case coltsfootlink.CatalogChanged:
 		task.catalog = message.Catalog
@@ -162,6 +176,19 @@
 	}
 }
 
+// candidate reports whether this instance should hold the lease: the first-ranked one of the view or, if no holder is heard of,
+// the next ones. The first one may be cut off from the store, but not from the other instances.
+func (task *Task) candidate(now time.Time) bool {
+	if task.rank <= 0 || task.rank > maxRank {
+		return task.rank == 0
+	}
+	silentSince := task.anchor
+	if task.announcedAt.After(silentSince) {
+		silentSince = task.announcedAt
+	}
+	return now.Sub(silentSince) >= silenceTimeout+time.Duration(task.rank-1)*rankDelay
+}
+
 // steady returns the wall time of a point in time as counted from the anchor with the steady clock.
 func (task *Task) steady(at time.Time) time.Time { return task.anchor.Add(at.Sub(task.anchor)) }
 
--- a/duty/task_test.go
+++ b/duty/task_test.go
@@ -38,12 +38,14 @@
 
 	// The platform: whether it throttles calls, loses their answers, or is slow.
 	throttle, loseAnswers bool
-	delay                 time.Duration
+	// cutStore and cutControl are the instances that are cut off from the store or from the platform.
+	cutStore, cutControl map[coltsfootlink.InstanceName]bool
+	delay                time.Duration
 	// received are the counts that it was sent for each window, and tokens the highest token and its holder.
 	received   map[uint64]map[coltsfootlink.TeamName]int
 	token      uint64
 	holder     string
-	answered   map[uint64]bool
+	answered   map[uint64]time.Time
 	violations []string
 	// truth are the requests that began, by window.
 	truth map[uint64]map[coltsfootlink.TeamName]int
@@ -59,8 +61,9 @@
 func newSite() *site {
 	return &site{
 		tasks:    make(map[coltsfootlink.InstanceName]*running),
+		cutStore: make(map[coltsfootlink.InstanceName]bool), cutControl: make(map[coltsfootlink.InstanceName]bool),
 		records:  coltsfootlink.DutyRecords{Windows: make(map[uint64]coltsfootlink.UsageWindow)},
-		received: make(map[uint64]map[coltsfootlink.TeamName]int), answered: make(map[uint64]bool),
+		received: make(map[uint64]map[coltsfootlink.TeamName]int), answered: make(map[uint64]time.Time),
 		truth: make(map[uint64]map[coltsfootlink.TeamName]int),
 	}
 }
@@ -84,7 +87,7 @@
 func (endpoint endpoint) Read(context.Context) (coltsfootlink.DutyRecords, error) {
 	endpoint.site.mutex.Lock()
 	defer endpoint.site.mutex.Unlock()
-	if endpoint.site.down {
+	if endpoint.site.down || endpoint.site.cutStore[endpoint.name] {
 		return coltsfootlink.DutyRecords{}, errors.New("down")
 	}
 	records := endpoint.site.records
@@ -121,7 +124,7 @@
 	site.mutex.Lock()
 	defer site.mutex.Unlock()
 	switch {
-	case site.down:
+	case site.down || site.cutStore[endpoint.name]:
 		return 0, errors.New("down")
 	case at != site.records.End:
 		return 0, coltsfootlink.ErrDutyConflict
@@ -163,6 +166,10 @@
 	site := endpoint.site
 	site.mutex.Lock()
 	delay, throttle, lose := site.delay, site.throttle, site.loseAnswers
+	if site.cutControl[endpoint.name] {
+		site.mutex.Unlock()
+		return &coltsfootlink.DutyError{Cause: errors.New("cut off")}
+	}
 	if !throttle {
 		site.receive(fence, window, counts)
 	}
@@ -176,7 +183,9 @@
 	}
 	site.mutex.Lock()
 	defer site.mutex.Unlock()
-	site.answered[window] = true
+	if site.answered[window].IsZero() {
+		site.answered[window] = time.Now()
+	}
 	return nil
 }
 
@@ -269,6 +278,12 @@
 	}
 }
 
+// late reports whether the platform has not confirmed the report of a window in time.
+func (site *site) late(index uint64) bool {
+	due := time.Unix(0, 0).Add(time.Duration(index+1)*windowLength + lateness)
+	return site.answered[index].IsZero() || site.answered[index].After(due)
+}
+
 func indexOf(at time.Time) uint64 { return uint64(at.UnixNano()) / uint64(windowLength) }
 
 // holderName returns the instance that has made the newest call.
@@ -285,34 +300,37 @@
 		play func(site *site)
 		// wrong is the number of windows that may be missing or wrong: those whose counts died with an instance.
 		wrong int
+		// late is the number of windows whose report may come after it was due: those that are due while the store or the
+		// platform is away, and one at each edge.
+		late int
 	}{
-		"calm": {func(site *site) { site.play(time.Minute) }, 0},
+		"calm": {func(site *site) { site.play(time.Minute) }, 0, 0},
 		"the platform throttles calls": {func(site *site) {
 			site.set(func() { site.throttle = true })
 			site.play(30 * time.Second)
 			site.set(func() { site.throttle = false })
-		}, 0},
+		}, 0, 5},
 		"answers of the platform are lost": {func(site *site) {
 			site.set(func() { site.loseAnswers = true })
 			site.play(30 * time.Second)
 			site.set(func() { site.loseAnswers = false })
-		}, 0},
+		}, 0, 5},
 		"the platform is slow": {func(site *site) {
 			site.set(func() { site.delay = 1500 * time.Millisecond })
 			site.play(30 * time.Second)
-		}, 0},
+		}, 0, 0},
 		"the store is down": {func(site *site) {
 			site.play(10 * time.Second)
 			site.set(func() { site.down = true })
 			site.play(3 * time.Minute)
 			site.set(func() { site.down = false })
 			site.play(10 * time.Second)
-		}, 0},
+		}, 0, 36},
 		"answers of the store are lost": {func(site *site) {
 			site.set(func() { site.loseStore = true })
 			site.play(30 * time.Second)
 			site.set(func() { site.loseStore = false })
-		}, 0},
+		}, 0, 0},
 		"the holder dies after answers were lost: its successor repeats the recorded counts": {func(site *site) {
 			site.play(10 * time.Second)
 			site.set(func() { site.loseAnswers = true })
@@ -320,7 +338,7 @@
 			site.stop(site.holderName())
 			site.set(func() { site.loseAnswers = false })
 			site.play(20 * time.Second)
-		}, 1},
+		}, 1, 18},
 		"holders die one after the other": {func(site *site) {
 			for range 3 {
 				site.play(12 * time.Second)
@@ -329,7 +347,7 @@
 				site.play(12 * time.Second)
 				site.start(dead)
 			}
-		}, 3},
+		}, 3, 0},
 		"all instances lose power": {func(site *site) {
 			site.play(12 * time.Second)
 			site.set(func() { site.loseAnswers = true })
@@ -338,7 +356,20 @@
 			site.set(func() { site.loseAnswers = false })
 			time.Sleep(3 * time.Second)
 			site.start("a", "b", "c")
-		}, 2},
+		}, 2, 2},
+		"the holder is cut off from the store, but not from the other instances": {func(site *site) {
+			site.play(12 * time.Second)
+			site.set(func() { site.cutStore[coltsfootlink.InstanceName(site.holder)] = true })
+			site.play(30 * time.Second)
+			site.set(func() { clear(site.cutStore) })
+		}, 0, 0},
+		// It gives up after 8 s, and its successor has the lease about 6 s later; a report has 8 s or so left when it is recorded.
+		"the holder is cut off from the platform, but not from the store": {func(site *site) {
+			site.play(12 * time.Second)
+			site.set(func() { site.cutControl[coltsfootlink.InstanceName(site.holder)] = true })
+			site.play(60 * time.Second)
+			site.set(func() { clear(site.cutControl) })
+		}, 0, 2},
 		"each instance sees itself as the candidate": {func(site *site) {
 			for _, task := range site.tasks {
 				task.disagrees = true
@@ -348,7 +379,7 @@
 			for _, task := range site.tasks {
 				task.disagrees = false
 			}
-		}, 6},
+		}, 6, 0},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -364,14 +395,18 @@
 				site.stopAll()
 				Convey(name, t, func() {
 					So(site.violations, ShouldBeEmpty)
-					wrong := 0
+					wrong, late := 0, 0
 					for index := first; index < last; index++ {
-						if !site.answered[index] || !reflect.DeepEqual(site.received[index], site.truth[index]) {
+						if site.answered[index].IsZero() || !reflect.DeepEqual(site.received[index], site.truth[index]) {
 							wrong++
 						}
+						if site.late(index) {
+							late++
+						}
 					}
 					So(last-first, ShouldBeGreaterThan, 3)
 					So(wrong, ShouldBeLessThanOrEqualTo, test.wrong)
+					So(late, ShouldBeLessThanOrEqualTo, test.late)
 					So(len(site.records.Windows), ShouldBeLessThanOrEqualTo, removeAfter+3)
 				})
 			})
@@ -403,7 +438,7 @@
 				Convey(fmt.Sprint("seed ", seed), t, func() {
 					So(site.violations, ShouldBeEmpty)
 					for index := first; index < last; index++ {
-						So(site.answered[index], ShouldBeTrue)
+						So(site.late(index), ShouldBeFalse)
 						So(site.received[index], ShouldResemble, site.truth[index])
 					}
 				})
@@ -415,7 +450,7 @@
 // disturb begins or ends one fault.
 func (site *site) disturb(random *rand.Rand, name coltsfootlink.InstanceName) {
 	task, runs := site.tasks[name]
-	kind := random.IntN(8)
+	kind := random.IntN(10)
 	site.set(func() {
 		switch kind {
 		case 0:
@@ -434,6 +469,10 @@
 			if runs {
 				task.disagrees = !task.disagrees
 			}
+		case 8:
+			site.cutStore[name] = random.IntN(2) == 0
+		case 9:
+			site.cutControl[name] = random.IntN(2) == 0
 		}
 	})
 	switch {
@@ -448,6 +487,8 @@
 // repair ends all faults.
 func (site *site) repair(names []coltsfootlink.InstanceName) {
 	site.set(func() {
+		clear(site.cutStore)
+		clear(site.cutControl)
 		site.down, site.loseStore, site.lateStore, site.throttle, site.loseAnswers, site.delay = false, false, false, false, false, 0
 	})
 	for _, name := range names {
