--- a/duty/task.go
+++ b/duty/task.go
@@ -25,6 +25,16 @@
 	sendInterval = time.Second
 	// holderTimeout is how long reports are sent to a holder that announces nothing.
 	holderTimeout = 5 * time.Second
+	// silenceTimeout is how long no holder announces itself before the second-ranked instance becomes a candidate, too; it is
+	// over two announcements. Each further one follows rankDelay later, and maxRank is the rank of the last one.
+	silenceTimeout = 2500 * time.Millisecond
+	rankDelay      = time.Second
+	maxRank        = 2
+	// unreachableTimeout is how long a holder has had no answer from the platform when it stops renewing its lease, and
+	// yieldTime how long it does so: others then acquire the lease about six seconds later. It is shorter than the time within
+	// which reports are due, and long enough for a platform that is away for all instances for a moment.
+	unreachableTimeout = 8 * time.Second
+	yieldTime          = 10 * time.Second
 	// settleDelay is how long after the end of a window a request that began in it may still be counted. A report does not say
 	// earlier that the window's counts are final.
 	settleDelay = 500 * time.Millisecond
@@ -69,6 +79,8 @@
 
 	view    coltsfootlink.View
 	catalog coltsfootlink.Catalog
+	// rank is the position of this instance among those that may hold the lease; negative if it may not.
+	rank int
 	// incarnation identifies this run of the task: its counts and its leases begin anew.
 	incarnation uint64
 	// anchor is when this run began. Windows are counted from its wall time with the steady clock, so that a step of the wall
@@ -87,7 +99,9 @@
 	lease        lease.State
 	// records are the records that were read last.
 	records coltsfootlink.DutyRecords
-	limiter *rate.Limiter
+	// storeFailures is the number of calls of the store that have failed since the last one that succeeded.
+	storeFailures int
+	limiter       *rate.Limiter
 	// held is the state of the holder; nil while another instance holds the lease, or none.
 	held *holding
 }
@@ -109,6 +123,9 @@
 }
 
 func (task *Task) reset() {
+	if len(task.view.Members) == 0 {
+		task.rank = -1
+	}
 	now := task.Clock.Now()
 	task.anchor, task.incarnation = now, uint64(now.UnixNano())
 	task.lease = lease.New(task.Holder, task.incarnation, task.Lease)
@@ -129,6 +146,7 @@
 	}
 	task.useStore(ctx, now)
 	if task.held != nil && task.held.valid {
+		task.yield(now)
 		task.announce(now)
 		task.plan(now)
 		task.call(ctx, now)
@@ -140,6 +158,7 @@
 	switch message := delivery.Message.(type) {
 	case coltsfootlink.ViewChanged:
 		task.view = message.View
+		task.rank = slices.Index(ownership.Ranked(singletonName, task.view.AllCapable()), task.Self)
 		task.tellPlanner()
 	case coltsfootlink.CatalogChanged:
 		task.catalog = message.Catalog
@@ -161,15 +180,22 @@
 	}
 }
 
+// candidate reports whether this instance should hold the lease: the first-ranked one of the view or, if no holder is heard of,
+// the next ones. The first one may be cut off from the store, but not from the other instances.
+func (task *Task) candidate(now time.Time) bool {
+	if task.rank <= 0 || task.rank > maxRank {
+		return task.rank == 0
+	}
+	silentSince := task.anchor
+	if task.announcedAt.After(silentSince) {
+		silentSince = task.announcedAt
+	}
+	return now.Sub(silentSince) >= silenceTimeout+time.Duration(task.rank-1)*rankDelay
+}
+
 // steady returns the wall time of a point in time as counted from the anchor with the steady clock.
 func (task *Task) steady(at time.Time) time.Time { return task.anchor.Add(at.Sub(task.anchor)) }
 
-// candidate reports whether this instance is the one that should hold the lease.
-func (task *Task) candidate() bool {
-	owner, found := ownership.SingletonOwner(singletonName, task.view)
-	return found && owner == task.Self
-}
-
 // handleAnnouncement takes an announcement unless a later holder is known. The recorded windows are counted no more. A new
 // holder gets a report at once.
 func (task *Task) handleAnnouncement(from coltsfootlink.InstanceName, message coltsfootlink.DutyHolder) {
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -137,14 +137,17 @@
 	return gateway
 }
 
-// ReadGateway reads, parses and validates a gateway's settings file. An invalid file gives Findings, which list all
-// mistakes.
+// MoreVariable is the environment variable that holds further sections of a gateway's settings, which follow those of the file.
+const MoreVariable = "COLTSFOOTD_MORE_SETTINGS"
+
+// ReadGateway reads, parses and validates a gateway's settings file and what MoreVariable adds to it. Invalid settings give
+// Findings, which list all mistakes.
 func ReadGateway(file string) (Gateway, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return Gateway{}, err
 	}
-	return ParseGateway(file, string(text))
+	return ParseGateway(file, string(text)+"\n"+os.Getenv(MoreVariable))
 }
 
 // ParseGateway parses and validates a gateway's settings. Invalid settings give Findings, which list all mistakes; the
