Pass arguments of queries to the tasks that answer them, and explain requests

The dispatch task of the asked gateway answers with the candidates, the owners of the targets with what they would answer; package explain walks through them as dispatch does.

--- a/admission/task.go
+++ b/admission/task.go
@@ -112,7 +112,7 @@
 		task.view = message.View
 		task.updateOwnership()
 	case coltsfootlink.Inquiry:
-		message.Reply <- task.table(now)
+		message.Reply <- task.inquired(now, message)
 	}
 }
 
@@ -140,19 +140,11 @@
 
 // answer decides on a request and sends the verdict to the instance that asked.
 func (task *Task) answer(now time.Time, from coltsfootlink.InstanceName, ask coltsfootlink.Ask) {
-	ledger, owned := task.ledgers[ask.Target]
-	if !owned {
-		task.Sender.Send(from, coltsfootlink.Verdict{Serial: ask.Serial, Reason: coltsfootlink.NotTheOwner})
-		return
-	}
-	if !task.catalog.Usable(ledger.target) {
-		task.Sender.Send(from, coltsfootlink.Verdict{Serial: ask.Serial, Reason: coltsfootlink.TargetLeaving})
-		return
-	}
-	if until := task.trials[ask.Trial]; now.Before(until) {
-		task.Sender.Send(from, coltsfootlink.Verdict{Serial: ask.Serial, Reason: coltsfootlink.TrialRunning, RetryAt: until})
+	if refused := task.refusal(now, ask); refused.Reason != "" {
+		task.Sender.Send(from, refused)
 		return
 	}
+	ledger := task.ledgers[ask.Target]
 	requests, wait := ledger.Load(now)
 	updated, verdict := ledger.WithAsk(now, from, ask)
 	if verdict.Reason == "" && ask.Trial != 0 {
@@ -176,6 +168,22 @@
 		Msg("admission: decided on request")
 }
 
+// refusal returns the refusal of a request for which the target's ledger is not asked; its reason is empty if the ledger
+// decides.
+func (task *Task) refusal(now time.Time, ask coltsfootlink.Ask) coltsfootlink.Verdict {
+	ledger, owned := task.ledgers[ask.Target]
+	if !owned {
+		return coltsfootlink.Verdict{Serial: ask.Serial, Reason: coltsfootlink.NotTheOwner}
+	}
+	if !task.catalog.Usable(ledger.target) {
+		return coltsfootlink.Verdict{Serial: ask.Serial, Reason: coltsfootlink.TargetLeaving}
+	}
+	if until := task.trials[ask.Trial]; now.Before(until) {
+		return coltsfootlink.Verdict{Serial: ask.Serial, Reason: coltsfootlink.TrialRunning, RetryAt: until}
+	}
+	return coltsfootlink.Verdict{Serial: ask.Serial}
+}
+
 // beginTrial permits no further trial of the same barred parts for a while.
 func (task *Task) beginTrial(now time.Time, from coltsfootlink.InstanceName, ask coltsfootlink.Ask) {
 	maps.DeleteFunc(task.trials, func(_ uint64, until time.Time) bool { return now.After(until) })
--- a/cmd/coltsfootctl/peer.go
+++ b/cmd/coltsfootctl/peer.go
@@ -21,7 +21,8 @@
 	address, token string
 }
 
-// run runs one statement: a query, which the gateway answers for itself, or one that lifts a bar on all gateways.
+// run runs one statement: a query, which the gateway answers for itself, one that explains a request, or one that lifts
+// a bar on all gateways.
 func (session *peerSession) run(text string) error {
 	statement, err := language.Parse(time.Now(), text)
 	if err != nil {
@@ -33,10 +34,12 @@
 	switch {
 	case statement.Lift != nil:
 		return asker.LiftBar(ctx, session.address, coltsfootlink.BarLift{Pool: statement.Lift.Pool, Parts: statement.Lift.Parts})
+	case statement.Explain != nil:
+		return session.explain(ctx, asker, *statement.Explain)
 	case statement.Show == nil:
-		return errors.New("--peer takes show and lift statements only")
+		return errors.New("--peer takes show, explain and lift statements only")
 	}
-	table, err := asker.Ask(ctx, session.address, statement.Show.Subject, statement.Show.Since)
+	table, err := asker.Ask(ctx, session.address, coltsfootlink.Query{Subject: statement.Show.Subject, Since: statement.Show.Since})
 	if err != nil {
 		return err
 	}
--- a/dispatch/flood.go
+++ b/dispatch/flood.go
@@ -71,11 +71,21 @@
 	if want.Retry || !counted {
 		return nil
 	}
-	if guaranteed := task.guaranteedTokens(); guaranteed <= 0 || !pool.recent.floods(guaranteed) || !team.exhausted(guaranteed) {
+	refusal := task.floodRefusal(want, pool.recent, team)
+	if refusal == nil {
 		pool.recentTeams[want.Team] = team.withAdmitted(tokensOf(want.Work))
 		return nil
 	}
 	metrics.Count("floods-held")
+	return refusal
+}
+
+// floodRefusal returns the refusal of a request during a flood, by the recent load of the pool and of the request's team
+// including the request; nil if it may go on.
+func (task *Task) floodRefusal(want Want, pool, team recentLoad) *coltsfootlink.Refusal {
+	if guaranteed := task.guaranteedTokens(); guaranteed <= 0 || !pool.floods(guaranteed) || !team.exhausted(guaranteed) {
+		return nil
+	}
 	now := task.Clock.Now()
 	retryAt := now.Add(share.RetryDelay(want.Objective.Sub(now)))
 	return coltsfootlink.Refuse(coltsfootlink.OverShare, "its team asks for much more than just before").WithRetryAt(retryAt)
--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -61,13 +61,18 @@
 		return task.catalog
 	}
 	announcement := task.moves.announcement(task.Clock.Now(), order)
-	toNew := want.ID.Draw("move "+order.Started.String()) < announcement.Share
+	return task.versionCatalog(order, announcement, want.ID.Draw("move "+order.Started.String()) < announcement.Share)
+}
+
+// versionCatalog returns the catalog with the targets to which requests for the new version, or for the old one, may be
+// sent while the version of their pool is moved.
+func (task *Task) versionCatalog(order coltsfootlink.Move, announcement coltsfootlink.MoveWord, toNew bool) coltsfootlink.Catalog {
 	groups := make(map[bool]map[coltsfootlink.TargetName]coltsfootlink.Target)
 	for _, isNew := range []bool{false, true} {
 		groups[isNew] = make(map[coltsfootlink.TargetName]coltsfootlink.Target)
 	}
 	for name, target := range task.catalog.Targets {
-		if target.Pool == want.Pool {
+		if target.Pool == order.Pool {
 			groups[target.Version == order.To][name] = target
 		}
 	}
--- a/dispatch/notice.go
+++ b/dispatch/notice.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"time"
 
 	"coltsfootlink"
@@ -64,11 +65,9 @@
 		names = append(names, announced.Target)
 	}
 	for name, until := range task.withheldUntil {
-		if !now.Before(until) {
-			delete(task.withheldUntil, name)
-			continue
+		if now.Before(until) {
+			names = append(names, name)
 		}
-		names = append(names, name)
 	}
 	return names
 }
@@ -94,10 +93,14 @@
 
 // recordWithheld notes that an owner refuses all requests for a target for a while, so that it is not asked for each.
 func (task *Task) recordWithheld(target coltsfootlink.TargetName, verdict coltsfootlink.Verdict) {
+	now := task.Clock.Now()
 	switch verdict.Reason {
 	case coltsfootlink.TargetBackoff:
 		task.withheldUntil[target] = verdict.RetryAt
 	case coltsfootlink.TargetLeaving:
-		task.withheldUntil[target] = task.Clock.Now().Add(defaultRetryDelay)
+		task.withheldUntil[target] = now.Add(defaultRetryDelay)
+	default:
+		return
 	}
+	maps.DeleteFunc(task.withheldUntil, func(_ coltsfootlink.TargetName, until time.Time) bool { return !now.Before(until) })
 }
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -17,7 +17,9 @@
 	"coltsfootlink/notice"
 	"coltsfootlink/placement"
 	"coltsfootlink/pressure"
+	"coltsfootlink/quarantine"
 	"coltsfootlink/retry"
+	"coltsfootlink/share"
 )
 
 const (
@@ -118,8 +120,12 @@
 	budgets       map[coltsfootlink.PoolName]retry.Budget
 	// pressure is how short of CPU the instance is.
 	pressure pressure.State
-	catalog  coltsfootlink.Catalog
-	view     coltsfootlink.View
+	// barred are the prompts that are held back, and standings the announced shares of teams. The gate decides by them;
+	// they are kept here to explain what would become of a request.
+	barred    quarantine.View
+	standings share.Standings
+	catalog   coltsfootlink.Catalog
+	view      coltsfootlink.View
 	// owners caches the owners of targets; it is cleared when the view or the catalog changes.
 	owners  map[ownerKey]coltsfootlink.InstanceName
 	serial  uint64
@@ -210,7 +216,12 @@
 	case coltsfootlink.TargetSpeeds:
 		task.placement = task.placement.WithSpeeds(task.Clock.Now(), message.Speeds)
 	case coltsfootlink.Shares:
+		task.standings = task.standings.WithShares(task.Clock.Now(), message)
 		task.placement = task.placement.WithZoneDemand(task.Clock.Now(), message.Pool, message.Zones)
+	case quarantine.Changed:
+		task.barred = message.View
+	case coltsfootlink.Inquiry:
+		message.Reply <- task.inquired(message)
 	case pressure.Changed:
 		task.pressure = message.State
 	case coltsfootlink.Stopping:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -275,6 +275,9 @@
 		coltsfootlink.InstancesSubject: gateway.mailboxes.membership,
 		coltsfootlink.TimelineSubject:  gateway.mailboxes.timeline,
 		coltsfootlink.BarsSubject:      gateway.mailboxes.quarantine,
+
+		coltsfootlink.ExplainSubject:        gateway.mailboxes.dispatch,
+		coltsfootlink.ExplainTargetsSubject: gateway.mailboxes.admission,
 	}
 	subscribers := []*mailbox.Deliveries{
 		gateway.mailboxes.catalog, gateway.mailboxes.admission, gateway.mailboxes.dispatch, gateway.mailboxes.shares,
@@ -386,7 +389,7 @@
 		Sender:      gateway.router,
 		Log:         gateway.Log,
 		Inbox:       gateway.mailboxes.quarantine,
-		Subscribers: []*mailbox.Deliveries{gateway.mailboxes.gate},
+		Subscribers: []*mailbox.Deliveries{gateway.mailboxes.gate, gateway.mailboxes.dispatch},
 	})
 	branch.Add("moves", &move.Task{
 		Self:    gateway.self.Name,
--- a/language/grammar.go
+++ b/language/grammar.go
@@ -30,13 +30,14 @@
 // statementNode is the syntax tree of a statement. The parser names the node type that it expected in syntax errors, so
 // the names of these types are shown to operators.
 type statementNode struct {
-	Show   *showNode   `parser:"'show' @@"`
-	Take   *takeNode   `parser:"| 'take' @@"`
-	Bring  *bringNode  `parser:"| 'bring' @@"`
-	Apply  *applyNode  `parser:"| 'apply' @@"`
-	Start  *startNode  `parser:"| 'start' @@"`
-	Finish *finishNode `parser:"| 'finish' @@"`
-	Lift   *liftNode   `parser:"| 'lift' @@"`
+	Show    *showNode    `parser:"'show' @@"`
+	Take    *takeNode    `parser:"| 'take' @@"`
+	Bring   *bringNode   `parser:"| 'bring' @@"`
+	Apply   *applyNode   `parser:"| 'apply' @@"`
+	Start   *startNode   `parser:"| 'start' @@"`
+	Finish  *finishNode  `parser:"| 'finish' @@"`
+	Lift    *liftNode    `parser:"| 'lift' @@"`
+	Explain *explainNode `parser:"| 'explain' @@"`
 }
 
 type showNode struct {
@@ -135,6 +136,8 @@
 		return Statement{Zone: &Zone{Name: coltsfootlink.ZoneName(node.Take.Zone), Out: true}}, nil
 	case node.Lift != nil:
 		return lift(node.Lift)
+	case node.Explain != nil:
+		return explain(node.Explain)
 	case node.Bring != nil:
 		return Statement{Zone: &Zone{Name: coltsfootlink.ZoneName(node.Bring.Zone)}}, nil
 	default:
@@ -198,7 +201,7 @@
 
 // Keywords returns the keywords of the language in alphabetical order, to be shown to operators.
 func Keywords() []string {
-	words := []string{"show", "by", "team", "in", "pool", "where", "last", "take", "bring", "zone", "out", "back", "apply", "start", "finish", "move", "from", "to", "because", "lift", "bar"}
+	words := []string{"show", "by", "team", "in", "pool", "where", "last", "take", "bring", "zone", "out", "back", "apply", "start", "finish", "move", "from", "to", "because", "lift", "bar", "explain", "host", "path", "request", "model", "prompt", "tokens", "fingerprint"}
 	for _, subject := range Subjects {
 		words = append(words, string(subject))
 	}
--- a/language/statement.go
+++ b/language/statement.go
@@ -9,11 +9,12 @@
 
 // Statement is one query or command; exactly one of its fields is set.
 type Statement struct {
-	Show  *Show
-	Zone  *Zone
-	Apply *Apply
-	Move  *Move
-	Lift  *Lift
+	Show    *Show
+	Zone    *Zone
+	Apply   *Apply
+	Move    *Move
+	Lift    *Lift
+	Explain *Explain
 }
 
 // Show is a query about one subject.
@@ -62,6 +63,26 @@
 	Parts []coltsfootlink.PartID
 }
 
+// Explain asks where a request would go now, without sending it.
+type Explain struct {
+	Host, Path string
+	// Team is the team whose request it is; empty if none is given.
+	Team coltsfootlink.TeamName
+	// Pool is one of the pools that share the requests of the route; empty for the one that gets most of them.
+	Pool coltsfootlink.PoolName
+	// Request is the ID of the request, by which pools and versions are drawn; empty if none is given.
+	Request coltsfootlink.RequestID
+	Model   string
+	// Prompt lists the parts of the prompt as ID:TOKENS, separated by commas; the last one is specific to the request.
+	Prompt string
+	// Tokens holds the size of the prompt and the maximum size of the output in tokens, separated by a comma.
+	Tokens string
+	// Fingerprint is that of requests which crashed targets; zero if none is given.
+	Fingerprint uint64
+	// Zone is the zone in which the request arrives; empty for that of the asked instance.
+	Zone coltsfootlink.ZoneName
+}
+
 // Apply replaces the fleet's configuration with the document in a file.
 type Apply struct {
 	File string
--- a/message.go
+++ b/message.go
@@ -283,6 +283,8 @@
 	Subject Subject
 	// Since is the start of the queried time range; zero for all of it.
 	Since time.Time
+	// Arguments are the JSON arguments of subjects that need some; empty for the others.
+	Arguments string
 	// Reply receives one table; it must be buffered, so that the task never blocks on it.
 	Reply chan<- Table
 }
--- a/operator/answerer.go
+++ b/operator/answerer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -16,14 +15,14 @@
 	Tasks map[coltsfootlink.Subject]*mailbox.Deliveries
 }
 
-// Answer returns this instance's rows for a subject. since is the start of the period asked about; zero for all.
-func (answerer *Answerer) Answer(ctx context.Context, subject coltsfootlink.Subject, since time.Time) (coltsfootlink.Table, error) {
-	task, known := answerer.Tasks[subject]
+// Answer returns this instance's rows for a query.
+func (answerer *Answerer) Answer(ctx context.Context, query coltsfootlink.Query) (coltsfootlink.Table, error) {
+	task, known := answerer.Tasks[query.Subject]
 	if !known {
-		return coltsfootlink.Table{}, errors.Newf("operator: no task answers queries about %q", subject)
+		return coltsfootlink.Table{}, errors.Newf("operator: no task answers queries about %q", query.Subject)
 	}
 	reply := make(chan coltsfootlink.Table, 1)
-	task.Put(coltsfootlink.Delivery{Message: coltsfootlink.Inquiry{Subject: subject, Since: since, Reply: reply}})
+	task.Put(coltsfootlink.Delivery{Message: coltsfootlink.Inquiry{Subject: query.Subject, Since: query.Since, Arguments: query.Arguments, Reply: reply}})
 	select {
 	case table := <-reply:
 		return table, nil
--- a/operator/change.go
+++ b/operator/change.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"coltsfootlink"
 	"coltsfootlink/gen/operators"
@@ -46,7 +45,7 @@
 // inForce returns the number of instances on which the wanted revision or a later one is in force, and the names of the
 // instances that have an older one or did not answer.
 func (service *Service) inForce(ctx context.Context, wanted coltsfootlink.Revision) (int, []string) {
-	table, missing := service.askAll(ctx, coltsfootlink.RevisionSubject, time.Time{})
+	table, missing := service.askAll(ctx, coltsfootlink.Query{Subject: coltsfootlink.RevisionSubject})
 	count := 0
 	for _, cells := range table.Rows {
 		if parseRevision(cells[table.Column("revision")]) >= wanted {
@@ -60,7 +59,7 @@
 
 // revision returns the revision that is in force on this instance; zero if it cannot be read before the context ends.
 func (service *Service) revision(ctx context.Context) coltsfootlink.Revision {
-	table, err := service.Local.Answer(ctx, coltsfootlink.RevisionSubject, time.Time{})
+	table, err := service.Local.Answer(ctx, coltsfootlink.Query{Subject: coltsfootlink.RevisionSubject})
 	if err != nil || len(table.Rows) == 0 {
 		return 0
 	}
--- a/operator/service.go
+++ b/operator/service.go
@@ -27,7 +27,7 @@
 
 // Asker queries another instance for its rows.
 type Asker interface {
-	Ask(ctx context.Context, address string, subject coltsfootlink.Subject, since time.Time) (coltsfootlink.Table, error)
+	Ask(ctx context.Context, address string, query coltsfootlink.Query) (coltsfootlink.Table, error)
 }
 
 // Viewer provides the membership view, which lists the instances.
@@ -63,6 +63,8 @@
 		return service.change(ctx, revision.Record{Kind: revision.Zone, Zone: statement.Zone.Name, Out: statement.Zone.Out})
 	case statement.Move != nil:
 		return service.change(ctx, moveRecord(*statement.Move))
+	case statement.Explain != nil:
+		return nil, rejected("bad-statement", "explain", "requests are explained by gateways only; send the statement to one with --peer")
 	case statement.Lift != nil:
 		return nil, rejected("bad-statement", "lift", "prompts are held back by gateways only; send the statement to one with --peer")
 	default:
--- a/operator/show.go
+++ b/operator/show.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"time"
 
 	"coltsfootlink"
 	"coltsfootlink/gen/operators"
@@ -19,7 +18,7 @@
 
 // show answers a query with the rows of all instances.
 func (service *Service) show(ctx context.Context, query language.Show) (*operators.RunResult, error) {
-	table, missing := service.askAll(ctx, query.Subject, query.Since)
+	table, missing := service.askAll(ctx, coltsfootlink.Query{Subject: query.Subject, Since: query.Since})
 	arranged, err := Arrange(query, table)
 	if err != nil {
 		return nil, rejected("bad-statement", "where", err.Error())
@@ -29,13 +28,13 @@
 
 // askAll queries all instances concurrently. It returns their rows and the names of the instances that failed or did
 // not answer within answerTimeout.
-func (service *Service) askAll(ctx context.Context, subject coltsfootlink.Subject, since time.Time) (coltsfootlink.Table, []string) {
+func (service *Service) askAll(ctx context.Context, query coltsfootlink.Query) (coltsfootlink.Table, []string) {
 	ctx, cancel := context.WithDeadline(ctx, service.Clock.Now().Add(answerTimeout))
 	defer cancel()
 	members := service.Viewer.View().Members
 	partials := make(chan partial, len(members))
 	for _, member := range members {
-		go func() { partials <- service.ask(ctx, member, subject, since) }()
+		go func() { partials <- service.ask(ctx, member, query) }()
 	}
 	var table coltsfootlink.Table
 	var missing []string
@@ -52,12 +51,12 @@
 	return table, missing
 }
 
-func (service *Service) ask(ctx context.Context, member coltsfootlink.Member, subject coltsfootlink.Subject, since time.Time) partial {
+func (service *Service) ask(ctx context.Context, member coltsfootlink.Member, query coltsfootlink.Query) partial {
 	if member.Name == service.Self {
-		table, err := service.Local.Answer(ctx, subject, since)
+		table, err := service.Local.Answer(ctx, query)
 		return partial{instance: member.Name, table: table, err: err}
 	}
-	table, err := service.Asker.Ask(ctx, member.PeerAddress, subject, since)
+	table, err := service.Asker.Ask(ctx, member.PeerAddress, query)
 	return partial{instance: member.Name, table: table, err: err}
 }
 
--- a/peer/asker.go
+++ b/peer/asker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc/credentials"
@@ -20,10 +19,10 @@
 }
 
 // Ask returns the part of a query's result that the instance at the address has.
-func (asker Asker) Ask(ctx context.Context, address string, subject coltsfootlink.Subject, since time.Time) (coltsfootlink.Table, error) {
+func (asker Asker) Ask(ctx context.Context, address string, query coltsfootlink.Query) (coltsfootlink.Table, error) {
 	var reply *peerpb.Table
 	err := asker.call(ctx, address, func(ctx context.Context, client peerpb.PeerClient) (err error) {
-		reply, err = client.Ask(ctx, &peerpb.Question{Subject: string(subject), SinceUnixMillis: toUnixMillis(since)})
+		reply, err = client.Ask(ctx, &peerpb.Question{Subject: string(query.Subject), SinceUnixMillis: toUnixMillis(query.Since), Arguments: query.Arguments})
 		return err
 	})
 	if err != nil {
--- a/peer/server.go
+++ b/peer/server.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"runtime/debug"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
@@ -24,7 +23,7 @@
 
 // Answerer returns this instance's part of the result of an operator's query.
 type Answerer interface {
-	Answer(ctx context.Context, subject coltsfootlink.Subject, since time.Time) (coltsfootlink.Table, error)
+	Answer(ctx context.Context, query coltsfootlink.Query) (coltsfootlink.Table, error)
 }
 
 // Server is a task that owns the listener for other instances, receives their messages and answers their queries.
@@ -99,11 +98,15 @@
 }
 
 // Ask returns this instance's part of the result of an operator's query that another instance has received.
-func (server *Server) Ask(ctx context.Context, query *peerpb.Question) (*peerpb.Table, error) {
+func (server *Server) Ask(ctx context.Context, question *peerpb.Question) (*peerpb.Table, error) {
 	if _, err := server.authenticate(ctx); err != nil {
 		return nil, err
 	}
-	table, err := server.Answerer.Answer(ctx, coltsfootlink.Subject(query.GetSubject()), fromUnixMillis(query.GetSinceUnixMillis()))
+	table, err := server.Answerer.Answer(ctx, coltsfootlink.Query{
+		Subject:   coltsfootlink.Subject(question.GetSubject()),
+		Since:     fromUnixMillis(question.GetSinceUnixMillis()),
+		Arguments: question.GetArguments(),
+	})
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
--- a/placement/speeds.go
+++ b/placement/speeds.go
@@ -93,6 +93,14 @@
 	return weights
 }
 
+// Of returns the weight of a target.
+func (weights Weights) Of(name coltsfootlink.TargetName) float64 {
+	if weight, found := weights.byTarget[name]; found {
+		return weight
+	}
+	return 1
+}
+
 // Len returns the number of targets whose weight differs from 1.
 func (weights Weights) Len() int { return len(weights.byTarget) }
 
--- a/query.go
+++ b/query.go
@@ -1,6 +1,9 @@
 package coltsfootlink
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Subject is the subject of an operator's query.
 type Subject string
@@ -17,8 +20,21 @@
 	ZonesSubject     Subject = "zones"
 	BarsSubject      Subject = "bars"
 	DutiesSubject    Subject = "duties"
+	// ExplainSubject asks an instance where it would send a request, and ExplainTargetsSubject asks the owner of targets what
+	// it would answer to the request. Both need arguments.
+	ExplainSubject        Subject = "explain"
+	ExplainTargetsSubject Subject = "explain-targets"
 )
 
+// Query is an operator's query to one instance.
+type Query struct {
+	Subject Subject
+	// Since is the start of the queried time range; zero for all of it.
+	Since time.Time
+	// Arguments are the JSON arguments of subjects that need some; empty for the others.
+	Arguments string
+}
+
 // Table is the result of a query, or one instance's part of it.
 type Table struct {
 	Columns []string
--- a/routing.go
+++ b/routing.go
@@ -226,6 +226,16 @@
 	return team, found
 }
 
+// HasTeam reports whether a team has an API key.
+func (table RoutingTable) HasTeam(name TeamName) bool {
+	for _, team := range table.keys {
+		if team == name {
+			return true
+		}
+	}
+	return false
+}
+
 // Pool returns the traits of a pool.
 func (table RoutingTable) Pool(name PoolName) (PoolTraits, bool) {
 	pool, found := table.pools[name]
--- a/share/standings.go
+++ b/share/standings.go
@@ -66,6 +66,13 @@
 	}
 }
 
+// Share returns the announced share of a team; false if all its requests are Entitled.
+func (standings Standings) Share(now time.Time, pool coltsfootlink.PoolName, team coltsfootlink.TeamName) (coltsfootlink.TeamShare, bool) {
+	latest := standings.announcements[pool]
+	share, listed := latest.teams[team]
+	return share, listed && !now.After(latest.expires)
+}
+
 // MaxWaitFraction returns the maximum wait of a Bearable request as a fraction of its objective; zero if there is no
 // valid announcement.
 func (standings Standings) MaxWaitFraction(now time.Time, pool coltsfootlink.PoolName) float64 {
