--- a/language/grammar_test.go
+++ b/language/grammar_test.go
@@ -33,6 +33,13 @@
 	cases["start move p from v1 to v2 by 2026-12-11T18:00:00Z"] = Statement{Move: &Move{Action: StartMove, Pool: "p", From: "v1", To: "v2", FinishBy: finishBy}}
 	cases["finish move p"] = Statement{Move: &Move{Action: FinishMove, Pool: "p"}}
 	cases[`take back move p because "slow on load-check"`] = Statement{Move: &Move{Action: RollBackMove, Pool: "p", Reason: "slow on load-check"}}
+	cases["explain host api.example path /v1/chat/"] = Statement{Explain: &Explain{Host: "api.example", Path: "/v1/chat/"}}
+	cases[`explain host h path "/a?b=c" team x prompt s1:900,u:40 tokens 940,200 model m in zone a`] = Statement{Explain: &Explain{
+		Host: "h", Path: "/a?b=c", Team: "x", Prompt: "s1:900,u:40", Tokens: "940,200", Model: "m", Zone: "a",
+	}}
+	cases["explain host h path / in zone a request r-1 fingerprint 1f pool p"] = Statement{Explain: &Explain{
+		Host: "h", Path: "/", Zone: "a", Request: "r-1", Fingerprint: 0x1f, Pool: "p",
+	}}
 	for text, want := range cases {
 		Convey(text, t, func() {
 			statement, err := Parse(now, text)
@@ -60,6 +67,17 @@
 		"part that is not a number":     {"lift bar roof in pool p", 10},
 		"no parts":                      {`lift bar "" in pool p`, 10},
 		"apply without file":            {"apply", 6},
+		"explain without host":          {"explain path /", 9},
+		"explain without path":          {"explain host h", 15},
+		"clause without value":          {"explain host h path / team", 27},
+		"unknown clause":                {"explain host h path / zone a", 23},
+		"clause given twice":            {"explain host h path / team x team y", 30},
+		"part without size":             {"explain host h path / prompt a:1,b", 30},
+		"part with a negative size":     {"explain host h path / prompt a:-1", 30},
+		"one token count":               {"explain host h path / tokens 100", 30},
+		"token count that is no number": {"explain host h path / tokens 100,many", 30},
+		"too many tokens":               {"explain host h path / tokens 99999999999,1", 30},
+		"fingerprint that is no number": {"explain host h path / fingerprint roof", 35},
 	}
 	for name, test := range cases {
 		Convey(name, t, func() {
