--- a/admission/inquiry_test.go
+++ b/admission/inquiry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -55,8 +56,22 @@
 			So(last.RetryAt.Equal(answer.RetryAt), ShouldBeTrue)
 		})
 	}
-	Convey("arguments that cannot be read get an empty table", t, func() {
-		task, _ := ownerTask(start)
-		So(task.inquired(start, coltsfootlink.Inquiry{Subject: coltsfootlink.ExplainTargetsSubject, Arguments: "{"}).Columns, ShouldBeEmpty)
-	})
+}
+
+// TestExplainArguments guards against arguments that end the task, or that the ledgers are not made for.
+func TestExplainArguments(t *testing.T) {
+	cases := map[string]string{
+		"no JSON":          "{",
+		"empty":            "",
+		"negative tokens":  `{"Targets":["t"],"Work":{"Prompt":[{"Tokens":-1}]}}`,
+		"too many tokens":  `{"Targets":["t"],"Work":{"PromptTokens":99999999999}}`,
+		"too many parts":   `{"Targets":["t"],"Work":{"Prompt":[{}` + strings.Repeat(",{}", 1<<10) + `]}}`,
+		"too many targets": `{"Targets":["t"` + strings.Repeat(`,"t"`, 1<<5) + `]}`,
+	}
+	for name, arguments := range cases {
+		Convey(name, t, func() {
+			task, _ := ownerTask(start)
+			So(task.inquired(start, coltsfootlink.Inquiry{Subject: coltsfootlink.ExplainTargetsSubject, Arguments: arguments}).Columns, ShouldBeEmpty)
+		})
+	}
 }
--- a/cmd/coltsfootctl/explain.go
+++ b/cmd/coltsfootctl/explain.go
@@ -15,6 +15,9 @@
 	"coltsfootlink/platform"
 )
 
+// maxPromptTokens is the largest prompt that gateways take.
+const maxPromptTokens = 1 << 24
+
 // explanationDocument is the JSON form of an explanation, as --json prints it.
 type explanationDocument struct {
 	Instance string     `json:"instance"`
@@ -50,7 +53,7 @@
 	work := platform.ParseWork(statement.Model, statement.Tokens, statement.Prompt)
 	if statement.Tokens == "" {
 		for _, part := range work.Prompt {
-			work.PromptTokens += part.Tokens
+			work.PromptTokens = min(work.PromptTokens+part.Tokens, maxPromptTokens)
 		}
 	}
 	return explain.Request{
