--- a/dispatch/waits.go
+++ b/dispatch/waits.go
@@ -39,15 +39,6 @@
 	return reason != "" && reason != coltsfootlink.TargetFull && reason != coltsfootlink.TargetPaced && reason != coltsfootlink.PastDeadline
 }
 
-// wait returns the estimated wait at a target; false if the target takes no requests.
-func (estimates waitEstimates) wait(now time.Time, target coltsfootlink.TargetName) (time.Duration, bool) {
-	estimate := estimates[target]
-	if now.After(estimate.validUntil) {
-		return defaultWait, true
-	}
-	return estimate.readAt.Sub(now), !estimate.unavailable
-}
-
 // shortest returns the usable target of a pool with the shortest estimated wait, without those that were tried; false
 // if none is left.
 func (estimates waitEstimates) shortest(now time.Time, catalog coltsfootlink.Catalog, pool coltsfootlink.PoolName, tried map[coltsfootlink.TargetName]bool) (coltsfootlink.Target, bool) {
@@ -58,8 +49,12 @@
 		if target.Pool != pool || tried[target.Name] || !catalog.Usable(target) {
 			continue
 		}
-		remaining, available := estimates.wait(now, target.Name)
-		if !available {
+		estimate := estimates[target.Name]
+		remaining := estimate.readAt.Sub(now)
+		switch {
+		case now.After(estimate.validUntil):
+			remaining = defaultWait
+		case estimate.unavailable:
 			continue
 		}
 		if !found || remaining < bestWait {
