Duties, planner and ledger after a reading by somebody new to them

Mended, each found by reading: after a suspension of the machine the usage windows lagged for good (the wall clock is compared with the steady one now); a usage window that the platform refuses each time kept all later ones in the store (given up after 30 attempts); counts that a former holder had sent could be booked under its successor's name; an answer with an error counted as none, so that a holder yielded; a load sample replaced the one before it; a zone that is gone for good was reported as lost; a restarted target kept the reading queue and orphans of the one before. show duties lists targets, demand and peak of each zone.

--- a/admission/explain.go
+++ b/admission/explain.go
@@ -71,9 +71,9 @@
 		explanation.Unavailable = verdict.Reason
 	}
 	explanation.Unanswered, _ = ledger.unanswered(now)
-	if ledger.paced(now) {
+	if ledger.rateLimited(now) {
 		explanation.Granted = len(timesAfter(ledger.grantTimes, now.Add(-coldRateWindow)))
-		explanation.MaxGranted = ledger.paceLimit()
+		explanation.MaxGranted = ledger.coldRateLimit()
 	}
 	if !ledger.traits.Engine {
 		explanation.Answer = durationOf(ledger.meanDurationMillis)
--- a/admission/ledger.go
+++ b/admission/ledger.go
@@ -78,7 +78,7 @@
 	// MemoryShare is the fraction of an engine's memory that running requests may use.
 	MemoryShare float64
 	// ColdOverage and ColdSlack give the maximum number of requests per second to a cold target:
-	// ColdPerSecond x ColdOverage + ColdSlack. An owner grants half of that, see coldLimit.
+	// ColdPerSecond x ColdOverage + ColdSlack. An owner grants half of that, see coldRateLimit.
 	ColdOverage float64
 	ColdSlack   float64
 	// Pace lets the target's answers set the pace at which it gets requests after it has started or recovered.
@@ -203,7 +203,8 @@
 }
 
 // WithTarget applies a change of the target or of its pool's traits. A new incarnation has restarted: it has lost its
-// requests and its cache, and blocks and failures of the previous one no longer count.
+// requests, its queue and its cache, and blocks and failures of the previous one no longer count. Its speed is kept: a
+// restart on the same machine seldom changes it.
 func (ledger Ledger) WithTarget(target coltsfootlink.Target, traits coltsfootlink.PoolTraits) Ledger {
 	if target.Incarnation != ledger.target.Incarnation {
 		ledger.cache = engine.NewCache()
@@ -212,6 +213,7 @@
 		ledger.announced = announced{}
 		ledger.breaker = breaker{}
 		ledger.head, ledger.readUntil = requestID{}, time.Time{}
+		ledger.queueEndsAt, ledger.lag, ledger.orphaned, ledger.crashTimes = time.Time{}, 0, 0, nil
 		ledger = ledger.withRestart()
 	}
 	ledger.target = target
@@ -231,7 +233,7 @@
 	if verdict.Reason != "" {
 		return ledger, verdict
 	}
-	verdict.Paced = ledger.paced(now)
+	verdict.Paced = ledger.rateLimited(now)
 	if ledger.traits.Engine {
 		verdict.ExpectedMillis = int(ledger.expectedWait(now) + ledger.usualMillis(ask.Work))
 	}
--- a/admission/pace.go
+++ b/admission/pace.go
@@ -13,8 +13,8 @@
 type recovery struct {
 	// pace limits the requests that wait for their answers.
 	pace pace.State
-	// overdue indicates that the target was found to be unresponsive.
-	overdue bool
+	// unresponsive indicates that the target was found to be unresponsive.
+	unresponsive bool
 	// wholeAnswers indicates that requests to the engine have ended without a first event: some are answered as a whole.
 	wholeAnswers bool
 	// answeredGrant is when the newest permit whose request has been answered was granted.
@@ -68,7 +68,7 @@
 // withRestart begins a pace for a new incarnation of the target.
 func (ledger Ledger) withRestart() Ledger {
 	if ledger.policy.Pace {
-		ledger.recovery.overdue = false
+		ledger.recovery.unresponsive = false
 		ledger.recovery.pace = ledger.recovery.pace.WithRestart()
 	}
 	return ledger
@@ -79,14 +79,14 @@
 	return ledger.withReturn(now, pace.ZoneReturned)
 }
 
-// withOverdue records whether the target is unresponsive, and that it has ceased to be.
-func (ledger Ledger) withOverdue(now time.Time) Ledger {
+// withUnresponsive records whether the target is unresponsive, and that it has ceased to be.
+func (ledger Ledger) withUnresponsive(now time.Time) Ledger {
 	if !ledger.policy.Pace {
 		return ledger
 	}
-	was := ledger.recovery.overdue
-	ledger.recovery.overdue = ledger.stalled(now)
-	if was && !ledger.recovery.overdue {
+	was := ledger.recovery.unresponsive
+	ledger.recovery.unresponsive = ledger.stalled(now)
+	if was && !ledger.recovery.unresponsive {
 		return ledger.withReturn(now, pace.AnswersAgain)
 	}
 	return ledger
@@ -116,7 +116,7 @@
 	if !ledger.policy.Pace {
 		return ledger
 	}
-	ledger = ledger.withOverdue(now)
+	ledger = ledger.withUnresponsive(now)
 	_, before := ledger.recovery.pace.Current()
 	ledger.recovery.pace = ledger.recovery.pace.WithRequest(now, ledger.paceLimits())
 	if _, begunAt := ledger.recovery.pace.Current(); begunAt != before {
@@ -135,7 +135,7 @@
 // retried when an answer is expected that makes room for it; if the first one is overdue, it is expected to take as long
 // again. Trial requests to an unresponsive target are not limited.
 func (ledger Ledger) withPaceVerdict(now time.Time, verdict coltsfootlink.Verdict) (Ledger, coltsfootlink.Verdict) {
-	if ledger.recovery.pace.Window() == 0 || ledger.recovery.overdue {
+	if ledger.recovery.pace.Window() == 0 || ledger.recovery.unresponsive {
 		return ledger, verdict
 	}
 	unanswered, nextAt := ledger.unanswered(now)
@@ -210,7 +210,7 @@
 	if !found || !ledger.policy.Pace {
 		return ledger.withProgress(now, from, progress)
 	}
-	before := ledger.withOverdue(now)
+	before := ledger.withUnresponsive(now)
 	ledger = before.withProgress(now, from, progress).withPaceProgress(now, before, held, progress)
 	switch {
 	case ledger.blockedUntil.After(before.blockedUntil):
@@ -220,7 +220,7 @@
 	case before.breaker.open() && !ledger.breaker.open():
 		ledger = ledger.withReturn(now, pace.BreakerClosed)
 	}
-	return ledger.withOverdue(now)
+	return ledger.withUnresponsive(now)
 }
 
 // withPaceProgress applies to the pace what a report says of the target. before is the ledger without the report.
--- a/admission/refusal.go
+++ b/admission/refusal.go
@@ -24,7 +24,7 @@
 		return coltsfootlink.TargetSilent, now.Add(trialInterval)
 	case ledger.breaker.open() && now.Before(ledger.breaker.nextTrialAt):
 		return coltsfootlink.TargetFailing, ledger.breaker.nextTrialAt
-	case ledger.overPace(now):
+	case ledger.overRateLimit(now):
 		return coltsfootlink.TargetCold, now.Add(coldRateWindow)
 	case !ledger.traits.Engine:
 		return ledger.plainRefusal(now, ask)
@@ -54,19 +54,19 @@
 	return !held.firstEventReceived && now.After(held.expectedAt.Add(ledger.lag+unresponsiveTimeout))
 }
 
-// paced reports whether the rate of requests to the target is limited, because it is cold or its backoff has ended. After a
+// rateLimited reports whether the rate of requests to the target is limited, because it is cold or its backoff has ended. After a
 // backoff, the window of the pace takes the place of the rate limit.
-func (ledger Ledger) paced(now time.Time) bool {
+func (ledger Ledger) rateLimited(now time.Time) bool {
 	return ledger.traits.ColdPerSecond > 0 && ledger.cold(now) || !ledger.policy.Pace && ledger.announced.ramping(now)
 }
 
-// overPace reports whether a paced target has reached its rate limit. A new owner grants nothing to a cold target until
+// overRateLimit reports whether a paced target has reached its rate limit. A new owner grants nothing to a cold target until
 // the permits that the previous owner may have granted are out of the window.
-func (ledger Ledger) overPace(now time.Time) bool {
-	if !ledger.paced(now) {
+func (ledger Ledger) overRateLimit(now time.Time) bool {
+	if !ledger.rateLimited(now) {
 		return false
 	}
-	return len(ledger.grantTimes) >= ledger.paceLimit() || ledger.cold(now) && now.Before(ledger.ownedAt.Add(coldRateWindow+viewLag))
+	return len(ledger.grantTimes) >= ledger.coldRateLimit() || ledger.cold(now) && now.Before(ledger.ownedAt.Add(coldRateWindow+viewLag))
 }
 
 // cold reports whether the target may still be in its cold start.
@@ -74,10 +74,10 @@
 	return now.Before(ledger.target.ColdUntil) || now.Before(ledger.coldUntil)
 }
 
-// paceLimit is the maximum number of requests to a paced target within coldRateWindow. It is half of what the policy
+// coldRateLimit is the maximum number of requests to a paced target within coldRateWindow. It is half of what the policy
 // allows for a cold one, because two instances may both believe for a moment that they own the target; a pool without cold
 // starts gets as many requests as the target has slots.
-func (ledger Ledger) paceLimit() int {
+func (ledger Ledger) coldRateLimit() int {
 	if ledger.traits.ColdPerSecond <= 0 {
 		return max(1, ledger.target.Slots)
 	}
--- a/duty.go
+++ b/duty.go
@@ -120,7 +120,9 @@
 type DutyError struct {
 	// Throttled indicates that the platform accepts no more duty calls at the moment, and Rejected that it refused this one.
 	Throttled, Rejected bool
-	Cause               error
+	// Answered indicates that the platform has answered at all.
+	Answered bool
+	Cause    error
 }
 
 // Error returns the text of the cause.
--- a/duty/calls.go
+++ b/duty/calls.go
@@ -14,6 +14,8 @@
 	// jitter is the fraction by which a delay is lengthened at random, so that calls that failed together are not repeated
 	// together.
 	jitter = 0.25
+	// maxRejections is the number of attempts after which a usage report that the platform refuses is given up.
+	maxRejections = 30
 	// maxCallsInProgress limits the calls in progress at a time, so that a platform that does not answer holds few connections.
 	maxCallsInProgress = 32
 )
@@ -110,6 +112,7 @@
 func (calls Calls) WithConfirmed(subject Subject) Calls {
 	return calls.update(subject, func(call Call) Call {
 		call.inProgress, call.Confirmed = false, call.sentCount == call.Count
+		call.Teams = nil
 		return call
 	})
 }
--- a/duty/describe.go
+++ b/duty/describe.go
@@ -36,7 +36,7 @@
 	return time.Unix(0, 0).Add(time.Duration(index+1) * task.Window)
 }
 
-// logFailure logs the first failures of a call and every failuresPerLine-th further one.
+// logFailure logs the first failure of a call and every failuresPerLine-th further one.
 func (task *Task) logFailure(result callResult) {
 	var failure *coltsfootlink.DutyError
 	text := "duty: call to the platform got no answer, repeating it"
@@ -50,6 +50,9 @@
 	case errors.As(result.err, &failure) && failure.Rejected:
 		metrics.Count("duty-calls-rejected")
 		text = "duty: the platform has refused a call, repeating it"
+	case errors.As(result.err, &failure) && failure.Answered:
+		metrics.Count("duty-calls-failed")
+		text = "duty: the platform answered a call with an error, repeating it"
 	default:
 		metrics.Count("duty-calls-unanswered")
 	}
@@ -68,33 +71,46 @@
 }
 
 // table returns what this instance knows of the duties, for the operators' query: one row for the lease and the usage reports,
-// and on the holder one for each pool and zone whose number of targets was ordered.
+// and on the holder one for each pool and zone whose number of targets may be ordered. Demand is in targets that would be fully at
+// work, now and at its peak of the last 20 s.
 func (task *Task) table() coltsfootlink.Table {
-	table := coltsfootlink.Table{Columns: []string{"holder", "token", "state", "recorded", "reported", "pool", "zone", "desired"}}
+	table := coltsfootlink.Table{Columns: []string{"holder", "token", "state", "recorded", "reported", "pool", "zone", "desired", "targets", "demand", "peak"}}
 	if task.held == nil {
-		holder, recorded := string(task.announcer), window(task.announced.NextWindow)
+		holder, recorded := string(task.announcer), previousWindow(task.announced.NextWindow)
 		if holder == "" {
 			holder = "-"
 		}
-		return table.WithRow(holder, strconv.FormatUint(task.announced.Token, 10), "follows", recorded, "-", "-", "-", "-")
+		return table.WithRow(holder, strconv.FormatUint(task.announced.Token, 10), "follows", recorded, "-", "-", "-", "-", "-", "-", "-")
 	}
 	token, state := strconv.FormatUint(task.held.token, 10), "paused"
 	if task.held.valid {
 		state = "holds"
 	}
-	table = table.WithRow(string(task.Self), token, state, window(task.held.next), window(task.held.calls.FirstUnconfirmed(task.held.next)), "-", "-", "-")
+	table = table.WithRow(string(task.Self), token, state, previousWindow(task.held.next), previousWindow(task.held.calls.FirstUnconfirmed(task.held.next)), "-", "-", "-", "-", "-", "-")
+	for _, zone := range task.held.planner.Zones() {
+		state = task.orderState(zone.Pool, zone.Zone)
+		table = table.WithRow(string(task.Self), token, state, "-", "-", string(zone.Pool), string(zone.Zone), strconv.Itoa(zone.Desired),
+			strconv.Itoa(zone.Targets), strconv.FormatFloat(zone.Demand, 'f', 1, 64), strconv.FormatFloat(zone.Peak, 'f', 1, 64))
+	}
+	return table
+}
+
+// orderState tells whether the number of a pool's targets in a zone was ordered, and whether the platform has confirmed it.
+func (task *Task) orderState(pool coltsfootlink.PoolName, zone coltsfootlink.ZoneName) string {
 	for _, order := range task.held.calls.Orders() {
-		state = "ordering"
-		if order.Confirmed {
-			state = "ordered"
+		switch {
+		case order.Pool != pool || order.Zone != zone:
+		case order.Confirmed:
+			return "ordered"
+		default:
+			return "ordering"
 		}
-		table = table.WithRow(string(task.Self), token, state, "-", "-", string(order.Pool), string(order.Zone), strconv.Itoa(order.Count))
 	}
-	return table
+	return "unchanged"
 }
 
-// window returns the window before the given one, or a dash if there is none.
-func window(next uint64) string {
+// previousWindow returns the window before the given one, or a dash if there is none.
+func previousWindow(next uint64) string {
 	if next == 0 {
 		return "-"
 	}
--- a/duty/holder.go
+++ b/duty/holder.go
@@ -127,7 +127,7 @@
 	for _, member := range task.view.Live() {
 		live = append(live, member.Name)
 	}
-	for range maxCountedWindows {
+	for range maxPassedWindows {
 		window, due := task.held.ledger.Due(task.steady(now), live)
 		if !due || window.Index >= task.counter.Index(task.steady(now)) {
 			return coltsfootlink.UsageWindow{}, false
@@ -184,7 +184,7 @@
 	}
 	switch {
 	case !task.lease.Holds():
-		task.depose()
+		task.loseLease()
 		return
 	case task.held == nil || task.held.token != task.lease.Token():
 		task.hold(now)
@@ -204,7 +204,7 @@
 	if task.Usage && task.holderReport.Incarnation != 0 {
 		held.ledger = held.ledger.WithReport(task.steady(now), task.announcer, task.holderReport)
 	}
-	task.tellPlanner()
+	task.updatePlanner()
 	metrics.Count("duty-acquisitions")
 	task.Log.Info().Uint64("token", held.token).Uint64("next-window", held.next).Int("unconfirmed-windows", len(held.calls.calls)).
 		Str("previous-holder", task.records.Lease.Holder).Msg("duty: this instance holds the lease of the singleton duties")
@@ -256,8 +256,8 @@
 	}
 }
 
-// depose ends the duties after another instance has acquired the lease.
-func (task *Task) depose() {
+// loseLease ends the duties after another instance has acquired the lease.
+func (task *Task) loseLease() {
 	if task.held == nil {
 		return
 	}
@@ -327,7 +327,7 @@
 	}
 }
 
-func (task *Task) tellPlanner() {
+func (task *Task) updatePlanner() {
 	if task.held != nil && task.Scaling {
 		task.held.planner = task.held.planner.WithCatalog(task.Clock.Now(), task.catalog, task.view)
 	}
@@ -389,7 +389,8 @@
 	}
 	now, call := task.Clock.Now(), result.call
 	var failure *coltsfootlink.DutyError
-	switch answered := result.err == nil || errors.As(result.err, &failure) && (failure.Throttled || failure.Rejected); {
+	switch answered := result.err == nil || errors.As(result.err, &failure) && failure.Answered; {
+	case errors.Is(result.err, errLeaseEnded):
 	case answered:
 		task.held.unansweredSince, task.held.yieldUntil = time.Time{}, time.Time{}
 	case task.held.unansweredSince.IsZero():
@@ -400,6 +401,13 @@
 		task.logConfirmed(now, call)
 		return
 	}
+	if failure != nil && failure.Rejected && call.Pool == "" && call.Attempts >= maxRejections {
+		// A window that is always refused would keep all later ones in the store.
+		metrics.Count("usage-windows-abandoned")
+		describe(task.Log.Error(), call).Err(result.err).Msg("duty: the platform refuses a usage window each time, giving it up")
+		task.held.calls = task.held.calls.WithConfirmed(call.Subject)
+		return
+	}
 	task.held.calls = task.held.calls.WithFailure(now, call.Subject, rand.Float64())
 	task.logFailure(result)
 }
--- a/duty/task.go
+++ b/duty/task.go
@@ -13,6 +13,7 @@
 	"coltsfootlink"
 	"coltsfootlink/lease"
 	"coltsfootlink/mailbox"
+	"coltsfootlink/metrics"
 	"coltsfootlink/ownership"
 	"coltsfootlink/usage"
 )
@@ -38,10 +39,15 @@
 	// settleDelay is how long after the end of a window a request that began in it may still be counted. A report does not say
 	// earlier that the window's counts are final.
 	settleDelay = 500 * time.Millisecond
-	// maxReportWindows is the largest number of windows in one report, and maxCountedWindows that of windows whose counts are
-	// kept while no holder records them: an hour in windows of five seconds.
-	maxReportWindows  = 24
-	maxCountedWindows = 720
+	// maxReportWindows is the largest number of windows in one report, and maxPassedWindows that of recorded windows that the
+	// holder passes over at once.
+	maxReportWindows = 24
+	maxPassedWindows = 720
+	// maxSampledLoads is the largest number of load samples that are kept while no holder is known.
+	maxSampledLoads = 64
+	// maxClockDrift is by how much the wall clock may differ from the steady clock before windows are counted anew. Steps of the
+	// wall clock are smaller; a machine that was suspended for longer lags behind the others for good.
+	maxClockDrift = 10 * time.Second
 	// rateFraction and burstFraction are the fractions of the calls that the platform accepts in a second that are made in the
 	// long run and at once. Together they are less than one, so that no second has too many.
 	rateFraction  = 0.8
@@ -141,6 +147,7 @@
 		task.handle(delivery)
 	}
 	now := task.Clock.Now()
+	task.checkClock(now)
 	if task.held != nil {
 		task.checkValidity(now)
 	}
@@ -154,19 +161,33 @@
 	task.report(now)
 }
 
+// checkClock begins anew if the wall clock and the steady clock have drifted apart: usage windows are those of true time, which the
+// wall clock of a machine that was suspended shows again.
+func (task *Task) checkClock(now time.Time) {
+	drift := now.Round(0).Sub(task.anchor.Round(0)) - now.Sub(task.anchor)
+	if drift.Abs() < maxClockDrift {
+		return
+	}
+	metrics.Count("duty-clock-restarts")
+	task.Log.Warn().Int64("drift-ms", drift.Milliseconds()).Msg("duty: wall clock and steady clock differ, as after a suspension; counting usage windows anew")
+	task.drop()
+	task.reset()
+}
+
 func (task *Task) handle(delivery coltsfootlink.Delivery) {
 	switch message := delivery.Message.(type) {
 	case coltsfootlink.ViewChanged:
 		task.view = message.View
 		task.rank = slices.Index(ownership.Ranked(singletonName, task.view.AllCapable()), task.Self)
-		task.tellPlanner()
+		task.updatePlanner()
 	case coltsfootlink.CatalogChanged:
 		task.catalog = message.Catalog
-		task.tellPlanner()
+		task.updatePlanner()
 	case coltsfootlink.UsageBegun:
 		task.counter = task.counter.WithBegun(task.steady(message.At), message.Team)
 	case coltsfootlink.LoadsSampled:
-		task.loads = message.Loads
+		task.loads = append(task.loads, message.Loads...)
+		task.loads = task.loads[max(0, len(task.loads)-maxSampledLoads):]
 	case coltsfootlink.DutyHolder:
 		task.handleAnnouncement(delivery.From, message)
 	case coltsfootlink.DutyReport:
@@ -205,6 +226,9 @@
 	if message.Token > task.announced.Token {
 		task.reportAt = time.Time{}
 	}
+	if from != task.announcer {
+		task.holderReport = coltsfootlink.DutyReport{}
+	}
 	task.announced, task.announcer, task.announcedAt = message, from, task.Clock.Now()
 	task.counter = task.counter.WithoutBefore(message.NextWindow)
 }
@@ -243,9 +267,6 @@
 // left out.
 func (task *Task) countedWindows(now time.Time) ([]coltsfootlink.UsageWindow, uint64) {
 	now = task.steady(now)
-	if current := task.counter.Index(now); current > maxCountedWindows {
-		task.counter = task.counter.WithoutBefore(current - maxCountedWindows)
-	}
 	windows, reached := task.counter.Windows(), task.counter.Index(now.Add(-settleDelay))
 	if len(windows) > maxReportWindows {
 		reached = min(reached, windows[maxReportWindows].Index)
--- a/placement/speeds.go
+++ b/placement/speeds.go
@@ -12,8 +12,8 @@
 const (
 	// speedTTL is how long an announced speed is used. Owners repeat it every 5 s; one repetition may be lost.
 	speedTTL = 12 * time.Second
-	// minSpeed and maxSpeed bound the announced speeds. Owners measure slowdowns from 0.5 to 4.
-	minSpeed, maxSpeed = 0.25, 2.0
+	// minSpeed and maxSpeed bound the announced speeds. Owners measure slowdowns from 0.4 to 4.
+	minSpeed, maxSpeed = 0.25, 2.5
 )
 
 // Weights are the weights of the targets of a pool that differ from 1. They answer the load of a pool some of whose targets
--- a/placement/zones.go
+++ b/placement/zones.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// demandTTL is how long an announcement of the zones' demand is used. It is repeated every second; two repetitions may
+	// demandTTL is how long an announcement of the zones' demand is used. It is repeated every second; one repetition may
 	// be lost.
 	demandTTL = 3 * time.Second
 	// Demand is uneven from when a zone's part of it is unevenFactor times the zone's part of the targets until no zone's is
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -29,6 +29,9 @@
 	// cutOffTime is how long a zone must have been cut off before its load is ordered in the others. Links that heal within it
 	// would leave targets behind that nobody needs.
 	cutOffTime = 3 * time.Second
+	// absentTTL is how long a zone without targets counts as lost. After that it is taken to be gone for good, so that the loss
+	// of another one is prepared for again, and nothing is ordered there any more.
+	absentTTL = 10 * time.Minute
 	// repeatInterval is the time after which an order whose targets have not appeared is repeated.
 	repeatInterval = 10 * time.Second
 	// downInterval is the time between two steps down, and maxDownPart the part of a zone's targets that a step may give up.
@@ -44,8 +47,8 @@
 	// repeatedAt.
 	ordered               int
 	orderedAt, repeatedAt time.Time
-	// cutOffAt is when the zone was cut off; zero if it is not.
-	cutOffAt time.Time
+	// cutOffAt is when the zone was cut off; zero if it is not. seenAt is when it last had targets.
+	cutOffAt, seenAt time.Time
 }
 
 // withTargets records the targets of the zone. A zone that is cut off counts as serving for cutOffTime.
@@ -59,6 +62,9 @@
 	}
 	targets.serving = targets.serving || cutOff && now.Before(zone.cutOffAt.Add(cutOffTime))
 	zone.targets = targets
+	if targets.count > 0 || zone.seenAt.IsZero() {
+		zone.seenAt = now
+	}
 	return zone
 }
 
@@ -100,6 +106,9 @@
 		}
 		zone.demand = zone.demand.with(now, works[name].demand())
 		plan.zones[name] = zone
+		if now.Sub(zone.seenAt) >= absentTTL {
+			delete(plan.zones, name)
+		}
 	}
 	return plan
 }
--- a/scaling/planner.go
+++ b/scaling/planner.go
@@ -3,7 +3,6 @@
 
 import (
 	"maps"
-	"strconv"
 	"time"
 
 	"coltsfootlink"
@@ -200,23 +199,31 @@
 	return planner, orders
 }
 
-// Table returns what the planner knows and has ordered, for operators: demand is in targets that would be fully at work, now and
-// at its peak in the last calmTime, and ordered is empty where the number of targets was left as it was.
-func (planner Planner) Table() coltsfootlink.Table {
-	table := coltsfootlink.Table{Columns: []string{"pool", "zone", "targets", "ordered", "serving", "demand", "peak"}}
+// Zone is what the planner knows of the targets of a pool in one zone.
+type Zone struct {
+	Pool coltsfootlink.PoolName
+	Zone coltsfootlink.ZoneName
+	// Targets is the number of targets, and Desired the one that was ordered, or that there is if none was.
+	Targets, Desired int
+	// Serving indicates that the zone's targets can be used.
+	Serving bool
+	// Demand is in targets that would be fully at work, now, and Peak the most of the last calmTime.
+	Demand, Peak float64
+}
+
+// Zones returns what the planner knows of all pools whose number of targets may be ordered.
+func (planner Planner) Zones() []Zone {
+	var all []Zone
 	for _, pool := range sorted(planner.pools) {
 		zones := planner.pools[pool].zones
 		for _, name := range sorted(zones) {
-			zone, ordered, demand := zones[name], "", 0.0
-			if zone.ordered > 0 {
-				ordered = strconv.Itoa(zone.ordered)
-			}
+			zone := zones[name]
+			known := Zone{Pool: pool, Zone: name, Targets: zone.targets.count, Desired: zone.count(), Serving: zone.targets.serving, Peak: zone.demand.peak()}
 			if last := len(zone.demand) - 1; last >= 0 {
-				demand = zone.demand[last].demand
+				known.Demand = zone.demand[last].demand
 			}
-			table = table.WithRow(string(pool), string(name), strconv.Itoa(zone.targets.count), ordered, strconv.FormatBool(zone.targets.serving),
-				strconv.FormatFloat(demand, 'f', 1, 64), strconv.FormatFloat(zone.demand.peak(), 'f', 1, 64))
+			all = append(all, known)
 		}
 	}
-	return table
+	return all
 }
--- a/speed/announcer.go
+++ b/speed/announcer.go
@@ -23,7 +23,7 @@
 	// for instances that have joined or missed a message.
 	announceInterval = time.Second
 	repeatInterval   = 5 * time.Second
-	// heardTTL is how long announced speeds are used: two repetitions may be lost.
+	// heardTTL is how long announced speeds are used: one repetition may be lost.
 	heardTTL = 3*repeatInterval - announceInterval
 )
 
