--- a/duty/calls.go
+++ b/duty/calls.go
@@ -15,7 +15,7 @@
 	// together.
 	jitter = 0.25
 	// maxRejections is the number of attempts after which a usage report that the platform refuses is given up.
-	maxRejections = 30
+	maxRejections = 10
 	// maxCallsInProgress limits the calls in progress at a time, so that a platform that does not answer holds few connections.
 	maxCallsInProgress = 32
 )
