--- a/standin/handlers.go
+++ b/standin/handlers.go
@@ -64,10 +64,25 @@
 		reply(writer, map[string]uint64{"first": found.first})
 	default:
 		// A write error means that the connection is closed; the caller sees a truncated answer.
-		_, _ = writer.Write(platform.Batch{End: found.end, First: found.first, Records: found.records}.Encode())
+		_, _ = writer.Write(platform.Batch{End: found.end, First: found.first, Records: firstRecords(found.records)}.Encode())
 	}
 }
 
+// maxReadBytes limits the records in one answer to a read, as the platform does (1,024 kilobytes). One record is always sent.
+const maxReadBytes = 1 << 20
+
+// firstRecords returns as many records, from the first one on, as one answer may hold.
+func firstRecords(records [][]byte) [][]byte {
+	size := 0
+	for index, record := range records {
+		size += len(record)
+		if size > maxReadBytes && index > 0 {
+			return records[:index]
+		}
+	}
+	return records
+}
+
 func (server *Platform) newest(writer http.ResponseWriter, request *http.Request) {
 	name := partitionOf(request)
 	page, err := server.Store.newest(request.Context(), name, request.FormValue(platform.AfterParameter))
