The platform's names of duties stand in platform/, and constants give no figures

Found by reading the change once more: usage_reporting and scaling were spelled out in settings and in the soak; both take them from platform/ now. Three comments on constants of speed and pace gave measured percentiles or told of a trial; they give the reason alone. No change of behaviour.

Tests of settings, gateway, platform, speed and pace pass.

--- a/cmd/soak/duties.go
+++ b/cmd/soak/duties.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"coltsfootlink"
+	"coltsfootlink/platform"
 	"coltsfootlink/rig"
 	"coltsfootlink/standin"
 )
@@ -30,8 +31,8 @@
 
 // dutySettings returns the gateways' settings for the singleton duties.
 func dutySettings() string {
-	return fmt.Sprintf("names = [\"usage_reporting\"]\ncalls-per-second = %d\nlease-ms = %d\nwindow-seconds = %g\nlateness-seconds = %g\n",
-		dutyCallsPerSecond, dutyLease.Milliseconds(), usageWindow.Seconds(), usageLateness.Seconds())
+	return fmt.Sprintf("names = [%q]\ncalls-per-second = %d\nlease-ms = %d\nwindow-seconds = %g\nlateness-seconds = %g\n",
+		platform.UsageReportingDuty, dutyCallsPerSecond, dutyLease.Milliseconds(), usageWindow.Seconds(), usageLateness.Seconds())
 }
 
 // controlRepaired reports that the link of an instance to the control address was repaired.
--- a/pace/state.go
+++ b/pace/state.go
@@ -16,7 +16,7 @@
 	// counts as late or very late.
 	lateFactor     = 1.5
 	veryLateFactor = 3.0
-	// tolerance is added to both bounds. It is the 95th percentile of the prediction errors of even targets.
+	// tolerance is added to both bounds, so that the usual errors of predictions do not make short answers count as late.
 	tolerance = 25 * time.Millisecond
 	// reduction is the factor by which the window falls after a failure or a very late answer.
 	reduction = 0.5
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -3,6 +3,8 @@
 import (
 	"os"
 	"time"
+
+	"coltsfootlink/platform"
 )
 
 // Gateway holds the settings of a daemon that runs as a gateway on the users' platform, which fills them in from the
@@ -59,10 +61,10 @@
 	} `toml:"timing"`
 }
 
-// The values of Duties.Names.
+// The values of Duties.Names. The platform fills them in by its own names.
 const (
-	UsageReporting = "usage_reporting"
-	Scaling        = "scaling"
+	UsageReporting = platform.UsageReportingDuty
+	Scaling        = platform.ScalingDuty
 )
 
 // Duties holds the settings of the calls to the platform that are the duty of one instance at a time. Without names there are
--- a/speed/state.go
+++ b/speed/state.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// overdueTolerance is how late a first event may be before the target counts as slow. It is above the error of
-	// predictions for targets that run at an even speed (25 ms at the 95th percentile) with the usual delay of reports.
+	// overdueTolerance is how late a first event may be before the target counts as slow. Predictions are seldom off by as much
+	// for a target that runs at an even speed, the usual delay of reports included.
 	overdueTolerance = 40 * time.Millisecond
 	// correctionGain is the fraction of usual errors by which predictions for later prompts are corrected.
 	correctionGain = 0.3
@@ -33,9 +33,8 @@
 	// errorWeight is the weight of the newest error in the mean absolute error. A larger one makes margins grow and fall with
 	// single moments of slowness, which come and go within a few prompts.
 	errorWeight = 0.04
-	// usualErrorMillis is the mean absolute error up to which predictions need no margin. It is above that of targets that
-	// run at an even speed (12 ms at the median). The margin is the part beyond; twice that refused more requests than it kept
-	// from being late.
+	// usualErrorMillis is the mean absolute error up to which predictions need no margin. Targets that run at an even speed stay
+	// below it; the margin is the part beyond.
 	usualErrorMillis = 15.0
 	// minSamples is the number of measurements before a target's speed is announced.
 	minSamples = 10
