One weight of tokens, one end of a usage window, one anchor of its clock

Found by reading the change once more, each stood twice: the weighted tokens of a request (dispatch, admission) are Work.WeightedTokens; the end of a window (duty, usage) is usage.End; usage.Counter anchored times that the duty task had anchored already. No change of behaviour; the tests of these packages pass, with the constant's new name in one.

--- a/admission/loads.go
+++ b/admission/loads.go
@@ -9,12 +9,8 @@
 	"coltsfootlink"
 )
 
-const (
-	// loadInterval is the time between two reports of the loads of the owned targets.
-	loadInterval = time.Second
-	// outputTokenWeight is the weight of a generated token relative to a prompt token.
-	outputTokenWeight = 2
-)
+// loadInterval is the time between two reports of the loads of the owned targets.
+const loadInterval = time.Second
 
 // loadKey is the pool and the zone to which a load belongs.
 type loadKey struct {
@@ -37,7 +33,7 @@
 	if !ledger.traits.Scale.Ordered() || ask.Standing == coltsfootlink.Surplus {
 		return sampler
 	}
-	tokens := float64(ask.Work.PromptTokens + outputTokenWeight*ask.Work.OutputTokens)
+	tokens := ask.Work.WeightedTokens()
 	added := coltsfootlink.TargetsLoad{}
 	switch {
 	case reason == "":
--- a/admission/loads_test.go
+++ b/admission/loads_test.go
@@ -14,7 +14,7 @@
 func TestLoadsSampled(t *testing.T) {
 	scaled := engineTraits
 	scaled.Scale = coltsfootlink.ScaleRange{Min: 1, Max: 4, StartupTime: 8 * time.Second}
-	const tokens = 1500 + outputTokenWeight*300
+	const tokens = 1500 + coltsfootlink.OutputTokenWeight*300
 	cases := map[string]struct {
 		traits   coltsfootlink.PoolTraits
 		slots    int
--- a/dispatch/ask.go
+++ b/dispatch/ask.go
@@ -95,7 +95,7 @@
 		}
 		task.countPlacement(target)
 		task.loads.countAttempt(waiting.want, nil)
-		task.loads.countTeam(waiting.want.Pool, waiting.want.Team, 0, tokensOf(waiting.want.Work))
+		task.loads.countTeam(waiting.want.Pool, waiting.want.Team, 0, waiting.want.Work.WeightedTokens())
 		task.running[verdict.Serial] = running{
 			want: waiting.want, target: target.Name, version: target.Version, incarnation: target.Incarnation, owner: from, expectedMillis: verdict.ExpectedMillis,
 		}
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -146,7 +146,7 @@
 		refusal = task.refuseUnfinishable(want)
 	}
 	if refusal == nil && want.Team != "" {
-		pool, tokens := task.loads.pools[want.Pool], tokensOf(want.Work)
+		pool, tokens := task.loads.pools[want.Pool], want.Work.WeightedTokens()
 		refusal = task.floodRefusal(want, pool.recent.withRequested(tokens), pool.recentTeams[want.Team].withRequested(tokens))
 	}
 	return want, plan, refusal
--- a/dispatch/flood.go
+++ b/dispatch/flood.go
@@ -73,7 +73,7 @@
 	}
 	refusal := task.floodRefusal(want, pool.recent, team)
 	if refusal == nil {
-		pool.recentTeams[want.Team] = team.withAdmitted(tokensOf(want.Work))
+		pool.recentTeams[want.Team] = team.withAdmitted(want.Work.WeightedTokens())
 		return nil
 	}
 	metrics.Count("floods-held")
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -7,12 +7,8 @@
 	"coltsfootlink/share"
 )
 
-const (
-	// reportInterval is the time between two regular reports to the coordinators of shares and of moves.
-	reportInterval = 250 * time.Millisecond
-	// outputTokenWeight is the weight of a generated token relative to a prompt token.
-	outputTokenWeight = 2
-)
+// reportInterval is the time between two regular reports to the coordinators of shares and of moves.
+const reportInterval = 250 * time.Millisecond
 
 // loads is the load that is to be reported to the share coordinators, by pool.
 type loads struct {
@@ -76,18 +72,13 @@
 		return
 	}
 	load := loads.pools[want.Pool]
-	load.attempted += tokensOf(want.Work)
+	load.attempted += want.Work.WeightedTokens()
 	if refusal != nil && refusal.Reason == coltsfootlink.TargetFull {
-		load.refusedFull += tokensOf(want.Work)
+		load.refusedFull += want.Work.WeightedTokens()
 	}
 	loads.pools[want.Pool] = load
 }
 
-// tokensOf returns the work of a request that counts towards its team's share, in tokens.
-func tokensOf(work coltsfootlink.Work) float64 {
-	return float64(work.PromptTokens + outputTokenWeight*work.OutputTokens)
-}
-
 // sendReports sends the regular reports to the coordinators of shares and of moves if they are due, and otherwise
 // reports bursts to the share coordinators.
 func (task *Task) sendReports(now time.Time) {
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -208,7 +208,7 @@
 		task.handleStrikes(delivery.From, message)
 	case Shed:
 		task.creditRetryBudget(message.Pool)
-		task.loads.countTeam(message.Pool, message.Team, tokensOf(message.Work), 0)
+		task.loads.countTeam(message.Pool, message.Team, message.Work.WeightedTokens(), 0)
 	case coltsfootlink.TargetNotice:
 		task.handleNotice(delivery.From, message)
 	case coltsfootlink.MoveWord:
@@ -257,7 +257,7 @@
 		return
 	}
 	if !want.Retry {
-		task.loads.countTeam(want.Pool, want.Team, tokensOf(want.Work), 0)
+		task.loads.countTeam(want.Pool, want.Team, want.Work.WeightedTokens(), 0)
 	}
 	if refusal := task.deferFlood(want); refusal != nil {
 		want.Reply <- Choice{Refusal: refusal}
@@ -325,7 +325,7 @@
 			task.clearStrikes(request)
 		}
 		if !request.firstEventReceived && report.Result != coltsfootlink.Succeeded {
-			task.loads.countTeam(request.want.Pool, request.want.Team, 0, -tokensOf(request.want.Work))
+			task.loads.countTeam(request.want.Pool, request.want.Team, 0, -request.want.Work.WeightedTokens())
 		}
 		if report.Result == coltsfootlink.Crashed {
 			task.announceStrike(request)
--- a/duty/describe.go
+++ b/duty/describe.go
@@ -9,6 +9,7 @@
 
 	"coltsfootlink"
 	"coltsfootlink/metrics"
+	"coltsfootlink/usage"
 )
 
 // failuresPerLine is the number of failures of one call, or of the store, for which one line is logged after the first.
@@ -22,7 +23,7 @@
 		return
 	}
 	metrics.Count("usage-windows-reported")
-	late := task.steady(now).Sub(task.windowEnd(call.Window)) - task.Lateness
+	late := task.steady(now).Sub(usage.End(call.Window, task.Window)) - task.Lateness
 	if late > 0 {
 		metrics.Count("usage-windows-late")
 		describe(task.Log.Warn(), call).Int64("late-ms", late.Milliseconds()).Msg("duty: usage window was reported after it was due")
@@ -31,11 +32,6 @@
 	}
 }
 
-// windowEnd returns when a usage window ends.
-func (task *Task) windowEnd(index uint64) time.Time {
-	return time.Unix(0, 0).Add(time.Duration(index+1) * task.Window)
-}
-
 // logFailure logs the first failure of a call and every failuresPerLine-th further one.
 func (task *Task) logFailure(result callResult) {
 	var failure *coltsfootlink.DutyError
--- a/prompt.go
+++ b/prompt.go
@@ -28,6 +28,14 @@
 	OutputTokens int
 }
 
+// OutputTokenWeight is the weight of a generated token relative to a prompt token.
+const OutputTokenWeight = 2
+
+// WeightedTokens returns the work that counts towards a team's share, in tokens.
+func (work Work) WeightedTokens() float64 {
+	return float64(work.PromptTokens + OutputTokenWeight*work.OutputTokens)
+}
+
 // SharedPrefix returns all parts of the prompt but the last; other requests may have the same prefix.
 func (work Work) SharedPrefix() []CachePart {
 	if len(work.Prompt) == 0 {
--- a/usage/counter.go
+++ b/usage/counter.go
@@ -29,12 +29,9 @@
 }
 
 // Counter counts the requests of an instance's callers that have begun, by window and team; it is immutable. Counts of one
-// window only grow until the window is dropped.
+// window only grow until the window is dropped. Times are those of a clock that does not step.
 type Counter struct {
 	window time.Duration
-	// anchor is the first time that was counted. Later times are taken as the anchor plus the time since, which is
-	// monotonic, so that a step of the wall clock shifts no window.
-	anchor time.Time
 	// first is the first window that is counted; those before it are recorded.
 	first   uint64
 	windows *immutable.SortedMap[uint64, teamCounts]
@@ -47,9 +44,6 @@
 
 // Index returns the number of the window to which a time belongs. Window 0 began at the Unix epoch.
 func (counter Counter) Index(at time.Time) uint64 {
-	if !counter.anchor.IsZero() {
-		at = counter.anchor.Add(at.Sub(counter.anchor))
-	}
 	return indexOf(at, counter.window)
 }
 
@@ -59,9 +53,6 @@
 	if team == "" {
 		return counter
 	}
-	if counter.anchor.IsZero() {
-		counter.anchor = at
-	}
 	index := counter.Index(at)
 	if index < counter.first {
 		return counter
@@ -103,8 +94,8 @@
 	return uint64(max(0, at.UnixNano()) / int64(window))
 }
 
-// endOf returns the end of a window.
-func endOf(index uint64, window time.Duration) time.Time {
+// End returns the end of a window.
+func End(index uint64, window time.Duration) time.Time {
 	return time.Unix(0, int64(index+1)*int64(window))
 }
 
--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -141,7 +141,7 @@
 			index = min(index, counted)
 		}
 	}
-	end := endOf(index, ledger.window)
+	end := End(index, ledger.window)
 	complete := !now.Before(end.Add(settleTime)) && ledger.reportedPast(index, live)
 	if !complete && now.Before(ledger.deadline(end)) {
 		return coltsfootlink.UsageWindow{}, false
