Log what a stopping instance leaves behind

Cause: three hypotheses for requests lost in planned stops could not be told apart: forwarded connections that are reset leave no line, and the last line before the listeners close counts admitted requests only. Change: a line and a counter for each forwarded connection that is reset at the end of its instance, the counts of active requests and forwarded connections in the last line, and a mark for requests that came over the relay.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -171,7 +171,8 @@
 			idlePolls = 0
 		}
 	}
-	gateway.Log.Info().Int("requests", gateway.service.Admitted()).Msg("gateway: closing the listeners")
+	gateway.Log.Info().Int("requests", gateway.service.Admitted()).Int("active", gateway.service.Active()).
+		Int64("forwarded", gateway.relay.Open()).Msg("gateway: closing the listeners")
 	gateway.endRequests()
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -30,6 +30,7 @@
 		MaxOpening: gateway.maxWaiting(),
 		Draw:       rand.Float64,
 		Clock:      gateway.clock,
+		Log:        gateway.Log,
 		Inbox:      gateway.mailboxes.relay,
 	}
 	if port != "" {
--- a/ingress/outcome.go
+++ b/ingress/outcome.go
@@ -8,6 +8,7 @@
 	"coltsfootlink"
 	"coltsfootlink/metrics"
 	"coltsfootlink/platform"
+	"coltsfootlink/web"
 )
 
 const (
@@ -91,6 +92,9 @@
 		line = line.Int("expected-ms", current.expectedMillis).Int64("first-ms", first.Milliseconds()).Bool("late", first > current.rule.Objective)
 		metrics.ObserveLatency(string(current.rule.Kind), first)
 	}
+	if web.Forwarded(current.incoming) {
+		line = line.Bool("forwarded", true)
+	}
 	if why != "" {
 		line = line.Str("why", why)
 	}
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -65,6 +65,9 @@
 // Admitted returns the number of requests that passed admission and have no complete answer yet.
 func (service *Service) Admitted() int { return int(service.admitted.Load()) }
 
+// Active returns the number of requests without a complete answer, also of those that have not passed admission.
+func (service *Service) Active() int { return int(service.active.Load()) }
+
 // exchange is the state of one caller's request, from its arrival to the end of its answer.
 type exchange struct {
 	service  *Service
--- a/relay/forwarding.go
+++ b/relay/forwarding.go
@@ -43,6 +43,8 @@
 	sentAt time.Time
 	// awaitsResponse indicates that a request has begun and no byte of its response has arrived.
 	awaitsResponse atomic.Bool
+	// lastResponseAt is when the last bytes of a response arrived, as Unix milliseconds; zero if none has.
+	lastResponseAt atomic.Int64
 }
 
 // badGateway is the response to a forwarded request that may have run, but whose response will not come.
@@ -65,6 +67,7 @@
 // connection.
 func (forwarding *forwarding) copyBoth(ctx context.Context, other net.Conn) {
 	stop := context.AfterFunc(ctx, func() {
+		forwarding.logReset()
 		reset(forwarding.caller)
 		reset(other)
 	})
@@ -78,7 +81,7 @@
 			_ = other.Close()
 		}
 	}()
-	err := copyStream(forwarding.caller, other, nil, func([]byte) { forwarding.awaitsResponse.Store(false) })
+	err := copyStream(forwarding.caller, other, nil, forwarding.markResponse)
 	switch {
 	case forwarding.awaitsResponse.Load():
 		metrics.Count("passed-on-unanswered")
@@ -102,6 +105,25 @@
 	}
 }
 
+// markResponse records that bytes of a response have arrived.
+func (forwarding *forwarding) markResponse([]byte) {
+	forwarding.awaitsResponse.Store(false)
+	forwarding.lastResponseAt.Store(forwarding.task.Clock.Now().UnixMilli())
+}
+
+// logReset logs that the connection is reset because this instance ends, and what the caller may lose with it.
+func (forwarding *forwarding) logReset() {
+	awaits := forwarding.awaitsResponse.Load()
+	if awaits {
+		metrics.Count("forwarded-reset-unanswered")
+	}
+	line := forwarding.task.Log.Info().Stringer("caller", forwarding.caller.RemoteAddr()).Bool("awaits-response", awaits)
+	if last := forwarding.lastResponseAt.Load(); last > 0 {
+		line = line.Int64("last-response-ms", forwarding.task.Clock.Now().UnixMilli()-last)
+	}
+	line.Msg("relay: forwarded connection reset, the instance ends")
+}
+
 // beginsRequest reports whether a chunk begins with an HTTP method and a space.
 func beginsRequest(chunk []byte) bool {
 	method, _, found := bytes.Cut(chunk[:min(len(chunk), maxMethodBytes+1)], []byte(" "))
--- a/relay/task.go
+++ b/relay/task.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync/atomic"
 
+	"github.com/rs/zerolog"
+
 	"coltsfootlink"
 	"coltsfootlink/mailbox"
 	"coltsfootlink/pressure"
@@ -27,6 +29,7 @@
 	// Draw returns a random number from 0 to 1.
 	Draw  func() float64
 	Clock coltsfootlink.Clock
+	Log   zerolog.Logger
 	Inbox *mailbox.Deliveries
 
 	// plan is written by Run and read by the callers' server.
--- a/web/server.go
+++ b/web/server.go
@@ -110,6 +110,12 @@
 	return 0
 }
 
+// Forwarded reports whether a request came on a connection that another instance forwarded.
+func Forwarded(request *http.Request) bool {
+	_, is := request.Context().Value(delayedConnKey{}).(coltsfootlink.DelayedConn)
+	return is
+}
+
 func (server *Server) connContext(ctx context.Context, conn net.Conn) context.Context {
 	ctx = withSocket(ctx, conn)
 	if delayed, is := conn.(coltsfootlink.DelayedConn); is {
