--- a/integration/stop_test.go
+++ b/integration/stop_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -129,3 +131,35 @@
 		})
 	}
 }
+
+// TestRequestsReceivedDuringAStopAreServed guards against a stopping gateway that ends while a request's body is still on its
+// way, and gives the request up that it has accepted.
+func TestRequestsReceivedDuringAStopAreServed(t *testing.T) {
+	// The gateway stops half a second after the signal if it finds nothing to wait for, and at the latest after 5.2 s.
+	cases := map[string]time.Duration{
+		"the body ends just after the checks": 900 * time.Millisecond,
+		"the body ends as the gateway stops":  1100 * time.Millisecond,
+		"the body ends a second later":        2 * time.Second,
+	}
+	for name, bodyAfter := range cases {
+		Convey("a request whose head was accepted is served: "+name, t, func() {
+			bed := startTestbed(t)
+			conn, err := net.Dial("tcp", bed.gateways[0].Callers)
+			So(err, ShouldBeNil)
+			defer func() { _ = conn.Close() }()
+			const head = "POST /unsafe/a HTTP/1.1\r\nHost: h\r\nAttempt-Id: slow-body\r\nTime-Left-Ms: 4000\r\nAuthorization: Bearer key\r\nContent-Length: 4\r\n\r\npl"
+			_, err = io.WriteString(conn, head)
+			So(err, ShouldBeNil)
+			time.Sleep(50 * time.Millisecond)
+			time.AfterFunc(bodyAfter, func() { _, _ = io.WriteString(conn, "an") })
+			stopped := make(chan error, 1)
+			go func() { stopped <- bed.gateways[0].Stop(time.Now().Add(10 * time.Second)) }()
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			So(err, ShouldBeNil)
+			defer func() { _ = response.Body.Close() }()
+			So(response.StatusCode, ShouldEqual, http.StatusOK)
+			So(bed.executions("slow-body"), ShouldEqual, 1)
+			So(<-stopped, ShouldBeNil)
+		})
+	}
+}
