A request that comes after the end is refused, not sent and given up

Callers saw: 504 on requests that came up to 0.3 s after an idle instance had ended its requests, seconds after the stop signal; those that must not run twice were lost to them. Cause: the gate accepted whatever had its deadline before the latest possible end, though the instance ends as soon as it is idle. The request's context was then cancelled by another goroutine, before or after it was sent. Change: Service.Close refuses all further requests before the instance looks for requests in progress for the last time; a request is counted before it looks whether the service is closed, so none falls between the two.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -171,6 +171,11 @@
 			idlePolls = 0
 		}
 	}
+	gateway.service.Close()
+	// A request may have been accepted since the last check.
+	for gateway.service.Active() > 0 && gateway.clock.Now().Before(endsAt) {
+		time.Sleep(drainPollInterval)
+	}
 	gateway.Log.Info().Int("requests", gateway.service.Admitted()).Int("active", gateway.service.Active()).
 		Int64("forwarded", gateway.relay.Open()).Msg("gateway: closing the listeners")
 	gateway.endRequests()
--- a/ingress/admission.go
+++ b/ingress/admission.go
@@ -12,6 +12,10 @@
 // admit matches the request to a rule and a team, applies the admission limits and reads the body. It returns false if
 // the request was refused.
 func (current *exchange) admit(catalog coltsfootlink.Catalog) bool {
+	if current.service.isClosed() {
+		current.refuse(http.StatusServiceUnavailable, coltsfootlink.Refuse(coltsfootlink.InstanceStopping, "the instance ends").WithRetryAt(current.arrived.Add(otherInstanceRetryDelay)))
+		return false
+	}
 	if !catalog.TableLoaded {
 		current.refuse(http.StatusServiceUnavailable, coltsfootlink.Refuse(coltsfootlink.NotReady, "no configuration has been loaded yet").WithRetryAt(current.arrived.Add(notReadyRetryDelay)))
 		return false
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -60,6 +60,8 @@
 	// active counts the requests without a complete answer, admitted those of them that passed admission, and waiting
 	// those that wait for a target.
 	active, admitted, waiting atomic.Int64
+	// closed indicates that no further requests are accepted.
+	closed atomic.Bool
 }
 
 // Admitted returns the number of requests that passed admission and have no complete answer yet.
@@ -68,6 +70,14 @@
 // Active returns the number of requests without a complete answer, also of those that have not passed admission.
 func (service *Service) Active() int { return int(service.active.Load()) }
 
+// Close has all further requests refused. Requests that are not refused are counted by Active from before it returns.
+func (service *Service) Close() { service.closed.Store(true) }
+
+// isClosed reports whether no further requests are accepted.
+func (service *Service) isClosed() bool {
+	return service.closed.Load() || service.Ending != nil && service.Ending.Err() != nil
+}
+
 // exchange is the state of one caller's request, from its arrival to the end of its answer.
 type exchange struct {
 	service  *Service
@@ -144,7 +154,7 @@
 
 		maxBodyBytes: defaultBodyBytes,
 	}
-	if service.Gate.Leaving() || service.Connections.Load() > service.MaxConnections {
+	if service.Gate.Leaving() || service.isClosed() || service.Connections.Load() > service.MaxConnections {
 		writer.Header().Set("Connection", "close")
 	}
 	defer current.releaseBody()
