A stopping instance waits for requests that are still being received

Callers saw: a request whose body was on its way when its instance began to stop was refused after its body was whole, or its connection ended without an answer; a target may already have it. Cause: the checks for requests in progress counted those that had passed admission, which includes reading the body; over a slow or lossy link a body takes longer than the three checks. Evidence: TestRequestsReceivedDuringAStopAreServed failed in each run on (503, 503, unexpected EOF). Change: the checks count every request whose head has been read; the second counter goes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -155,19 +155,19 @@
 	now := gateway.clock.Now()
 	timing := gateway.Settings.Timing
 	endsAt := now.Add(time.Duration(timing.StopSeconds*float64(time.Second)) - stopMargin)
-	gateway.Log.Info().Int("requests", gateway.service.Admitted()).Time("ends-at", endsAt).Msg("gateway: shutdown started, accepting requests until the load balancer has caught up")
+	gateway.Log.Info().Int("requests", gateway.service.Active()).Time("ends-at", endsAt).Msg("gateway: shutdown started, accepting requests until the load balancer has caught up")
 	for _, inbox := range []*mailbox.Deliveries{gateway.mailboxes.gate, gateway.mailboxes.membership, gateway.mailboxes.relay} {
 		inbox.Put(coltsfootlink.Delivery{Message: coltsfootlink.Leave{}})
 	}
 	stopping := coltsfootlink.Delivery{Message: coltsfootlink.Stopping{EndsAt: endsAt}}
 	gateway.mailboxes.dispatch.Put(stopping)
 	time.Sleep(timing.DrainDelay.Duration)
-	gateway.Log.Info().Int("requests", gateway.service.Admitted()).Msg("gateway: shutting down, refusing requests that may not finish in time")
+	gateway.Log.Info().Int("requests", gateway.service.Active()).Msg("gateway: shutting down, refusing requests that may not finish in time")
 	gateway.mailboxes.gate.Put(stopping)
 	for idlePolls := 0; idlePolls < idlePollsToStop && gateway.clock.Now().Before(endsAt); {
 		time.Sleep(drainPollInterval)
 		idlePolls++
-		if gateway.service.Admitted() > 0 || gateway.relay.Open() > 0 {
+		if gateway.service.Active() > 0 || gateway.relay.Open() > 0 {
 			idlePolls = 0
 		}
 	}
@@ -176,7 +176,7 @@
 	for gateway.service.Active() > 0 && gateway.clock.Now().Before(endsAt) {
 		time.Sleep(drainPollInterval)
 	}
-	gateway.Log.Info().Int("requests", gateway.service.Admitted()).Int("active", gateway.service.Active()).
+	gateway.Log.Info().Int("requests", gateway.service.Active()).
 		Int64("forwarded", gateway.relay.Open()).Msg("gateway: closing the listeners")
 	gateway.endRequests()
 }
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -57,17 +57,13 @@
 	// Ending is done when the instance ends: requests in progress are then answered as far as they can be. It may be nil.
 	Ending context.Context
 
-	// active counts the requests without a complete answer, admitted those of them that passed admission, and waiting
-	// those that wait for a target.
-	active, admitted, waiting atomic.Int64
+	// active counts the requests without a complete answer, and waiting those of them that wait for a target.
+	active, waiting atomic.Int64
 	// closed indicates that no further requests are accepted.
 	closed atomic.Bool
 }
 
-// Admitted returns the number of requests that passed admission and have no complete answer yet.
-func (service *Service) Admitted() int { return int(service.admitted.Load()) }
-
-// Active returns the number of requests without a complete answer, also of those that have not passed admission.
+// Active returns the number of requests whose heads have been read and that have no complete answer yet.
 func (service *Service) Active() int { return int(service.active.Load()) }
 
 // Close has all further requests refused. Requests that are not refused are counted by Active from before it returns.
@@ -159,8 +155,6 @@
 	}
 	defer current.releaseBody()
 	if current.admit(service.Gate.Catalog()) {
-		service.admitted.Add(1)
-		defer service.admitted.Add(-1)
 		ctx, cancel := context.WithDeadline(incoming.Context(), current.deadline)
 		defer cancel()
 		if service.Ending != nil {
--- a/ingress/stalled_test.go
+++ b/ingress/stalled_test.go
@@ -122,9 +122,9 @@
 			_, err = io.WriteString(conn, "POST "+path+" HTTP/1.1\r\nHost: h\r\nAttempt-Id: r-1\r\nTime-Left-Ms: 500\r\nContent-Length: 4\r\n\r\nplan")
 			So(err, ShouldBeNil)
 			time.Sleep(200 * time.Millisecond)
-			So(service.Admitted(), ShouldEqual, 1)
+			So(service.Active(), ShouldEqual, 1)
 			time.Sleep(1500 * time.Millisecond)
-			So(service.Admitted(), ShouldEqual, 0)
+			So(service.Active(), ShouldEqual, 0)
 		})
 	}
 }
