The forwarder of a connection tells its receiver when it stops

Cause: the receiver serves the connection and decides what it accepts, but only the forwarder knows that it stops. Evidence: TestForwardedRequestsAreNotCutAtTheEndOfTheForwarder failed on: requests with a minute left were run and reset. Change: what a caller sends is forwarded in frames; a stop frame says when the forwarder refuses and ends. The receiver refuses what may outlast it by the same rule as its own stop, and closes the connection with its next answer.

--- a/connection.go
+++ b/connection.go
@@ -13,10 +13,12 @@
 	Admit(conn net.Conn, giveBack func(net.Conn)) net.Conn
 }
 
-// DelayedConn is a connection that another instance forwarded, so that its first bytes arrived later than the
-// caller sent them.
-type DelayedConn interface {
+// ForwardedConn is a connection that another instance forwarded. Its first bytes arrived later than the caller sent them, and
+// it ends with that instance.
+type ForwardedConn interface {
 	net.Conn
 	// TakeDelay returns the delay of the first bytes. It is known once these have been read; each later call returns zero.
 	TakeDelay() time.Duration
+	// Stopping returns when the forwarding instance ends; the zero value while it is not known to shut down.
+	Stopping() Stopping
 }
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -18,6 +18,9 @@
 	Work      coltsfootlink.Work
 	Objective time.Time
 	Deadline  time.Time
+	// ForwarderEndsAt is when the instance ends that forwards the caller's connection; zero if there is none, or it does not
+	// shut down.
+	ForwarderEndsAt time.Time
 	// Rank is the number of priorities in the pool that are served before this request's.
 	Rank int
 	// Standing is the request's position relative to its team's fair share.
--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -42,11 +42,19 @@
 	return end
 }
 
-// refuseUnfinishable refuses a request whose answer is not expected to end before the instance does; nil if it may go on.
+// refuseUnfinishable refuses a request whose answer is not expected to end before the instance does, or the one that forwards the
+// caller's connection; nil if it may go on.
 func (task *Task) refuseUnfinishable(want Want) *coltsfootlink.Refusal {
-	if task.endsAt.IsZero() || task.durations.endOf(want).Before(task.endsAt) {
+	expectedEnd := task.durations.endOf(want)
+	if endsInTime(expectedEnd, task.endsAt) && endsInTime(expectedEnd, want.ForwarderEndsAt) {
 		return nil
 	}
 	retryAt := task.Clock.Now().Add(otherInstanceDelay)
 	return coltsfootlink.Refuse(coltsfootlink.InstanceStopping, "the instance stops before the answer is expected to end").WithRetryAt(retryAt)
 }
+
+// endsInTime reports whether an answer is expected to end before an instance does; endsAt is zero if the instance does not shut
+// down.
+func endsInTime(expectedEnd, endsAt time.Time) bool {
+	return endsAt.IsZero() || expectedEnd.Before(endsAt)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -159,11 +159,12 @@
 	for _, inbox := range []*mailbox.Deliveries{gateway.mailboxes.gate, gateway.mailboxes.membership, gateway.mailboxes.relay} {
 		inbox.Put(coltsfootlink.Delivery{Message: coltsfootlink.Leave{}})
 	}
-	stopping := coltsfootlink.Delivery{Message: coltsfootlink.Stopping{EndsAt: endsAt}}
-	gateway.mailboxes.dispatch.Put(stopping)
+	stopping := coltsfootlink.Stopping{RefusesAt: now.Add(timing.DrainDelay.Duration), EndsAt: endsAt}
+	for _, inbox := range []*mailbox.Deliveries{gateway.mailboxes.gate, gateway.mailboxes.dispatch, gateway.mailboxes.relay} {
+		inbox.Put(coltsfootlink.Delivery{Message: stopping})
+	}
 	time.Sleep(timing.DrainDelay.Duration)
 	gateway.Log.Info().Int("requests", gateway.service.Active()).Msg("gateway: shutting down, refusing requests that may not finish in time")
-	gateway.mailboxes.gate.Put(stopping)
 	for idlePolls := 0; idlePolls < idlePollsToStop && gateway.clock.Now().Before(endsAt); {
 		time.Sleep(drainPollInterval)
 		idlePolls++
--- a/ingress/admission.go
+++ b/ingress/admission.go
@@ -42,7 +42,7 @@
 	if deadline := current.head.Deadline; !deadline.IsZero() && deadline.Before(current.deadline) {
 		current.deadline = deadline
 	}
-	if !current.service.Gate.Accepts(current.deadline) {
+	if !current.service.Gate.Stopping().Accepts(current.arrived, current.deadline) || !current.forwarderStopping.Accepts(current.arrived, current.deadline) {
 		current.refuse(http.StatusServiceUnavailable, coltsfootlink.Refuse(coltsfootlink.InstanceStopping, "the instance stops before the request's deadline").WithRetryAt(current.arrived.Add(otherInstanceRetryDelay)))
 		return false
 	}
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -49,6 +49,7 @@
 		Work:            current.head.Work,
 		Objective:       current.sentAt.Add(current.rule.Objective),
 		Deadline:        current.deadline,
+		ForwarderEndsAt: current.forwarderStopping.EndsAt,
 		Rank:            current.rank,
 		Standing:        current.standing,
 		MaxWaitFraction: current.maxWaitFraction,
--- a/ingress/gate.go
+++ b/ingress/gate.go
@@ -6,7 +6,6 @@
 	"context"
 	"net/http"
 	"sync/atomic"
-	"time"
 
 	"github.com/rs/zerolog"
 
@@ -31,12 +30,11 @@
 	pressure  atomic.Pointer[pressure.State]
 	barred    atomic.Pointer[quarantine.View]
 	leaving   atomic.Bool
-	// endsAt is when the instance stops; nil while no shutdown is planned.
-	endsAt atomic.Pointer[time.Time]
+	// stopping is nil while no shutdown is planned.
+	stopping atomic.Pointer[coltsfootlink.Stopping]
 }
 
-// Run applies the messages in the inbox until the context is cancelled. After Stopping, the gate accepts only requests whose
-// deadlines lie before the end of the instance.
+// Run applies the messages in the inbox until the context is cancelled.
 func (gate *Gate) Run(ctx context.Context) error {
 	for {
 		select {
@@ -58,7 +56,7 @@
 			case coltsfootlink.Leave:
 				gate.leaving.Store(true)
 			case coltsfootlink.Stopping:
-				gate.endsAt.Store(&message.EndsAt)
+				gate.stopping.Store(&message)
 			}
 		}
 	}
@@ -107,10 +105,12 @@
 	return quarantine.View{}
 }
 
-// Accepts reports whether a request with the given deadline can finish before the instance stops.
-func (gate *Gate) Accepts(until time.Time) bool {
-	endsAt := gate.endsAt.Load()
-	return endsAt == nil || until.Before(*endsAt)
+// Stopping returns when the instance ends; the zero value while no shutdown is planned.
+func (gate *Gate) Stopping() coltsfootlink.Stopping {
+	if stopping := gate.stopping.Load(); stopping != nil {
+		return *stopping
+	}
+	return coltsfootlink.Stopping{}
 }
 
 // Leaving reports whether the instance is shutting down.
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -82,10 +82,14 @@
 	arrived  time.Time
 	// sentAt estimates when the request reached the system: its arrival time minus the delay before the handler saw it.
 	sentAt time.Time
-	head   platform.CallerHead
-	rule   coltsfootlink.RoutingRule
-	team   coltsfootlink.TeamName
-	pool   coltsfootlink.PoolName
+	// forwarderStopping is when the instance ends that forwards the caller's connection; zero if there is none, or it does not
+	// shut down.
+	forwarderStopping coltsfootlink.Stopping
+
+	head platform.CallerHead
+	rule coltsfootlink.RoutingRule
+	team coltsfootlink.TeamName
+	pool coltsfootlink.PoolName
 	// rank is the number of priority levels in the pool that are served before this request's.
 	rank int
 	// standing classifies the request relative to its team's fair share.
@@ -148,9 +152,11 @@
 		head:     platform.DecodeCaller(incoming, sentAt),
 		avoid:    make(map[coltsfootlink.TargetName]bool),
 
+		forwarderStopping: web.ForwarderStopping(incoming),
+
 		maxBodyBytes: defaultBodyBytes,
 	}
-	if service.Gate.Leaving() || service.isClosed() || service.Connections.Load() > service.MaxConnections {
+	if service.Gate.Leaving() || service.isClosed() || !current.forwarderStopping.IsZero() || service.Connections.Load() > service.MaxConnections {
 		writer.Header().Set("Connection", "close")
 	}
 	defer current.releaseBody()
--- a/ingress/service_test.go
+++ b/ingress/service_test.go
@@ -209,7 +209,7 @@
 	gate.standings.Store(&standings)
 	gate.pressure.Store(&dispatcher.pressure)
 	if !dispatcher.endsAt.IsZero() {
-		gate.endsAt.Store(&dispatcher.endsAt)
+		gate.stopping.Store(&coltsfootlink.Stopping{EndsAt: dispatcher.endsAt})
 	}
 	service := &Service{
 		Gate: gate, Clock: coltsfootlink.SystemClock{}, Dispatch: dispatcher.inbox, Log: dispatcher.log,
--- a/message.go
+++ b/message.go
@@ -297,13 +297,25 @@
 // Leave is sent to the tasks of an instance when it begins to shut down.
 type Leave struct{}
 
-// Stopping is sent to tasks of an instance that shuts down, when they are to refuse what does not end in time.
+// Stopping is sent to tasks of an instance that shuts down, when they are to refuse what does not end in time. The zero value
+// refuses nothing.
 type Stopping struct {
 	Local
+	// RefusesAt is when the instance begins to refuse requests whose deadlines lie after its end. Before, the load balancer still
+	// sends requests to it.
+	RefusesAt time.Time
 	// EndsAt is when the instance ends.
 	EndsAt time.Time
 }
 
+// IsZero reports whether the instance does not shut down.
+func (stopping Stopping) IsZero() bool { return stopping.EndsAt.IsZero() }
+
+// Accepts reports whether a request that arrives now with the given deadline may be accepted.
+func (stopping Stopping) Accepts(now, deadline time.Time) bool {
+	return stopping.IsZero() || now.Before(stopping.RefusesAt) || deadline.Before(stopping.EndsAt)
+}
+
 func (Heartbeat) isMessage()            {}
 func (Demand) isMessage()               {}
 func (Grant) isMessage()                {}
--- a/relay/forwarding.go
+++ b/relay/forwarding.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"coltsfootlink"
 	"coltsfootlink/metrics"
 )
 
@@ -24,8 +25,9 @@
 	// lingerTimeout limits how long data that the caller still sends is read and discarded after the end of the
 	// response.
 	lingerTimeout = 500 * time.Millisecond
-	// acceptByte is sent by an instance to confirm that it accepts a forwarded connection.
-	acceptByte = 'w'
+	// acceptByte is sent by an instance to confirm that it accepts a forwarded connection with frames. Versions that sent no
+	// frames used another byte; they and this one do not forward to each other.
+	acceptByte = 'f'
 	// chunkBytes is the size of the copy buffer.
 	chunkBytes = 8 << 10
 	// maxMethodBytes is the maximum length of a request's method.
@@ -39,7 +41,7 @@
 	task     *Task
 	caller   net.Conn
 	giveBack func(net.Conn)
-	// sentAt is the estimated time at which the caller sent its first request.
+	// sentAt is the estimated time at which the caller sent its first request; zero once that has been forwarded.
 	sentAt time.Time
 	// awaitsResponse indicates that a request has begun and no byte of its response has arrived.
 	awaitsResponse atomic.Bool
@@ -64,7 +66,7 @@
 }
 
 // copyBoth copies data in both directions between the caller and the other instance until one of them closes its
-// connection.
+// connection. Once this instance shuts down, it tells the other one.
 func (forwarding *forwarding) copyBoth(ctx context.Context, other net.Conn) {
 	stop := context.AfterFunc(ctx, func() {
 		forwarding.logReset()
@@ -72,16 +74,16 @@
 		reset(other)
 	})
 	defer stop()
-	delay := encodeDelay(forwarding.task.Clock.Now().Sub(forwarding.sentAt))
+	defer forwarding.task.shutdown.subscribe(func(stopping coltsfootlink.Stopping) { forwarding.announce(other, stopping) })()
 	go func() {
 		// A caller that has closed its direction waits for no further response.
-		if err := copyStream(other, forwarding.caller, delay[:], forwarding.markRequest); err != nil {
+		if err := copyStream(other, forwarding.caller, frameBytes, forwarding.frameRequest); err != nil {
 			reset(other)
 		} else {
 			_ = other.Close()
 		}
 	}()
-	err := copyStream(forwarding.caller, other, nil, forwarding.markResponse)
+	err := copyStream(forwarding.caller, other, 0, forwarding.markResponse)
 	switch {
 	case forwarding.awaitsResponse.Load():
 		metrics.Count("passed-on-unanswered")
@@ -97,6 +99,28 @@
 	_ = other.Close()
 }
 
+// announce tells the other instance that this one shuts down, so that it accepts no request that would outlast this one. The
+// frame is one write, so it cannot come between the bytes of another frame.
+func (forwarding *forwarding) announce(other net.Conn, stopping coltsfootlink.Stopping) {
+	var header [frameBytes]byte
+	newStopFrame(forwarding.task.Clock.Now(), stopping).put(header[:])
+	_ = other.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := other.Write(header[:]); err != nil {
+		metrics.Count("stop-not-announced")
+	}
+}
+
+// frameRequest puts the header before bytes that the caller has sent. Only the first bytes of a connection have been delayed.
+func (forwarding *forwarding) frameRequest(header, chunk []byte) {
+	forwarding.markRequest(chunk)
+	var delay time.Duration
+	if !forwarding.sentAt.IsZero() {
+		delay = forwarding.task.Clock.Now().Sub(forwarding.sentAt)
+		forwarding.sentAt = time.Time{}
+	}
+	newDataFrame(len(chunk), delay).put(header)
+}
+
 // markRequest records that a request has begun if the chunk looks like the start of one. Later chunks of a request
 // must not count, because they may follow the first bytes of its response.
 func (forwarding *forwarding) markRequest(chunk []byte) {
@@ -106,7 +130,7 @@
 }
 
 // markResponse records that bytes of a response have arrived.
-func (forwarding *forwarding) markResponse([]byte) {
+func (forwarding *forwarding) markResponse(_, _ []byte) {
 	forwarding.awaitsResponse.Store(false)
 	forwarding.lastResponseAt.Store(forwarding.task.Clock.Now().UnixMilli())
 }
@@ -164,22 +188,20 @@
 	return other
 }
 
-// copyStream writes the head and then copies from the source until it ends, and calls observe with each chunk before
-// writing it. The head is sent together with the first chunk. The error is that of a connection that broke.
-func copyStream(destination, source net.Conn, head []byte, observe func(chunk []byte)) error {
-	chunk := chunkPool.Get().(*[chunkBytes]byte)
-	defer chunkPool.Put(chunk)
-	filled := copy(chunk[:], head)
+// copyStream copies from the source until it ends. Before it writes a chunk, it calls prepare with the chunk and with room for a
+// header that is written before it. The error is that of a connection that broke.
+func copyStream(destination, source net.Conn, headerBytes int, prepare func(header, chunk []byte)) error {
+	buffer := chunkPool.Get().(*[chunkBytes]byte)
+	defer chunkPool.Put(buffer)
 	for {
-		count, err := source.Read(chunk[filled:])
+		count, err := source.Read(buffer[headerBytes:])
 		if count > 0 {
-			observe(chunk[filled : filled+count])
+			prepare(buffer[:headerBytes], buffer[headerBytes:headerBytes+count])
 			// Setting it fails only on a closed connection, on which writing fails, too.
 			_ = destination.SetWriteDeadline(time.Now().Add(writeTimeout))
-			if _, writeErr := destination.Write(chunk[:filled+count]); writeErr != nil {
+			if _, writeErr := destination.Write(buffer[:headerBytes+count]); writeErr != nil {
 				return writeErr
 			}
-			filled = 0
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
--- a/relay/receiver.go
+++ b/relay/receiver.go
@@ -1,25 +1,21 @@
 package relay
 
 import (
-	"encoding/binary"
-	"io"
-	"math"
+	"bufio"
 	"net"
 	"sync/atomic"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"coltsfootlink"
 )
 
-// delayBytes is the size of the header that precedes a forwarded connection's first bytes. The header holds their
-// delay in milliseconds.
-const delayBytes = 2
+// frameBufferBytes is the size of the buffer in which headers of frames arrive, with the beginning of their data.
+const frameBufferBytes = 1 << 10
 
-// encodeDelay encodes the delay of a forwarded connection's first bytes, clamped to the range of an unsigned 16-bit
-// number.
-func encodeDelay(delay time.Duration) [delayBytes]byte {
-	var encoded [delayBytes]byte
-	binary.BigEndian.PutUint16(encoded[:], uint16(min(math.MaxUint16, max(0, delay.Milliseconds()))))
-	return encoded
-}
+// errUnknownFrame means that another instance sent a frame that this one does not know.
+var errUnknownFrame = errors.New("relay: unknown frame on a forwarded connection")
 
 // Receiver is the connection filter of the listener on which other instances forward connections. It accepts a
 // connection, and confirms this with a byte, only while this instance has capacity.
@@ -39,32 +35,61 @@
 		_ = conn.Close()
 		return nil
 	}
-	return &forwardedConn{TCPConn: tcp}
+	return &forwardedConn{TCPConn: tcp, reader: bufio.NewReaderSize(tcp, frameBufferBytes)}
 }
 
 // forwardedConn is a connection that another instance forwards to this one.
 type forwardedConn struct {
 	*net.TCPConn
-	head [delayBytes]byte
-	// headRead is the number of bytes of the header that have been read.
-	headRead    int
+	reader *bufio.Reader
+	// unread is how many bytes of the current data frame have not been read.
+	unread      int
 	delayMillis atomic.Int64
+	stopping    atomic.Pointer[coltsfootlink.Stopping]
 }
 
-// Read reads what the caller has sent. The first call also reads the header with the delay.
+// Read reads what the caller has sent. An error that leaves the connection usable, such as a timeout, loses no part of a frame.
 func (conn *forwardedConn) Read(buffer []byte) (int, error) {
-	if conn.headRead < delayBytes {
-		count, err := io.ReadFull(conn.TCPConn, conn.head[conn.headRead:])
-		conn.headRead += count
-		if err != nil {
+	for conn.unread == 0 {
+		if err := conn.readHeader(); err != nil {
 			return 0, err
 		}
-		conn.delayMillis.Store(int64(binary.BigEndian.Uint16(conn.head[:])))
 	}
-	return conn.TCPConn.Read(buffer)
+	count, err := conn.reader.Read(buffer[:min(len(buffer), conn.unread)])
+	conn.unread -= count
+	return count, err
+}
+
+// readHeader reads the header of the next frame, and what a stop frame announces.
+func (conn *forwardedConn) readHeader() error {
+	header, err := conn.reader.Peek(frameBytes)
+	if err != nil {
+		return err
+	}
+	frame := decodeFrame(header)
+	switch frame.kind {
+	case dataFrame:
+		conn.unread = int(frame.first)
+		conn.delayMillis.Add(int64(frame.second))
+	case stopFrame:
+		stopping := frame.stopping(time.Now())
+		conn.stopping.Store(&stopping)
+	default:
+		return errUnknownFrame
+	}
+	_, err = conn.reader.Discard(frameBytes)
+	return err
 }
 
 // TakeDelay returns the delay of the first bytes; each later call returns zero.
 func (conn *forwardedConn) TakeDelay() time.Duration {
 	return time.Duration(conn.delayMillis.Swap(0)) * time.Millisecond
 }
+
+// Stopping returns when the forwarding instance ends; the zero value while it is not known to shut down.
+func (conn *forwardedConn) Stopping() coltsfootlink.Stopping {
+	if stopping := conn.stopping.Load(); stopping != nil {
+		return *stopping
+	}
+	return coltsfootlink.Stopping{}
+}
--- a/relay/task.go
+++ b/relay/task.go
@@ -40,6 +40,8 @@
 	opening atomic.Int64
 	// runContext is the context of Run; forwarded connections are reset when it ends.
 	runContext atomic.Pointer[context.Context]
+	// shutdown tells the forwarded connections that the instance shuts down.
+	shutdown shutdown
 }
 
 // Run updates the plan on changes of the CPU pressure and of the zone's other instances, until the context ends.
@@ -69,6 +71,9 @@
 		return plan.WithAddresses(task.addresses(message.View))
 	case coltsfootlink.Leave:
 		return plan.WithLeaving()
+	case coltsfootlink.Stopping:
+		task.shutdown.announce(message)
+		return plan
 	case connectionRefused:
 		return plan.WithRefusal(task.Clock.Now(), message.address)
 	default:
--- a/relay/task_test.go
+++ b/relay/task_test.go
@@ -341,7 +341,6 @@
 	}
 	for name, test := range cases {
 		Convey("only the first request on a forwarded connection has a delay: "+name, t, func() {
-			encoded := encodeDelay(test.sent)
 			var reported []time.Duration
 			address := freeAddress(t)
 			serve(t, &web.Server{Address: address, ConnectionFilter: Receiver{Full: never}, Handler: http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
@@ -354,14 +353,15 @@
 			got, err := reader.ReadByte()
 			So(err, ShouldBeNil)
 			So(got, ShouldEqual, acceptByte)
-			head := encoded[:]
-			for range 2 {
-				_, err = conn.Write(append(head, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"...))
+			const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+			for _, delay := range []time.Duration{test.sent, 0} {
+				framed := make([]byte, frameBytes)
+				newDataFrame(len(request), delay).put(framed)
+				_, err = conn.Write(append(framed, request...))
 				So(err, ShouldBeNil)
 				response, err := http.ReadResponse(reader, nil)
 				So(err, ShouldBeNil)
 				So(response.StatusCode, ShouldEqual, http.StatusOK)
-				head = nil
 			}
 			So(reported, ShouldResemble, []time.Duration{test.reported, 0})
 		})
--- a/web/server.go
+++ b/web/server.go
@@ -94,32 +94,46 @@
 	return errors.Wrap(err, server.Part)
 }
 
-// Keys of context values: expiryKey of the time after which a connection is closed, delayedConnKey of a connection
-// that was forwarded with a delay.
+// Keys of context values: expiryKey of the time after which a connection is closed, forwardedConnKey of a connection
+// that another instance forwarded.
 type (
-	expiryKey      struct{}
-	delayedConnKey struct{}
+	expiryKey        struct{}
+	forwardedConnKey struct{}
 )
 
 // ForwardingDelay returns how much later than sent a request arrived because its connection was forwarded. It is zero
 // for connections that were not forwarded and for all but the first request on a connection.
 func ForwardingDelay(request *http.Request) time.Duration {
-	if delayed, is := request.Context().Value(delayedConnKey{}).(coltsfootlink.DelayedConn); is {
-		return delayed.TakeDelay()
+	if conn, is := forwardedConn(request); is {
+		return conn.TakeDelay()
 	}
 	return 0
 }
 
 // Forwarded reports whether a request came on a connection that another instance forwarded.
 func Forwarded(request *http.Request) bool {
-	_, is := request.Context().Value(delayedConnKey{}).(coltsfootlink.DelayedConn)
+	_, is := forwardedConn(request)
 	return is
 }
 
+// ForwarderStopping returns when the instance ends that forwards a request's connection; the zero value if there is none, or it is
+// not known to shut down.
+func ForwarderStopping(request *http.Request) coltsfootlink.Stopping {
+	if conn, is := forwardedConn(request); is {
+		return conn.Stopping()
+	}
+	return coltsfootlink.Stopping{}
+}
+
+func forwardedConn(request *http.Request) (coltsfootlink.ForwardedConn, bool) {
+	conn, is := request.Context().Value(forwardedConnKey{}).(coltsfootlink.ForwardedConn)
+	return conn, is
+}
+
 func (server *Server) connContext(ctx context.Context, conn net.Conn) context.Context {
 	ctx = withSocket(ctx, conn)
-	if delayed, is := conn.(coltsfootlink.DelayedConn); is {
-		ctx = context.WithValue(ctx, delayedConnKey{}, delayed)
+	if forwarded, is := conn.(coltsfootlink.ForwardedConn); is {
+		ctx = context.WithValue(ctx, forwardedConnKey{}, forwarded)
 	}
 	if server.MaxConnAge == 0 {
 		return ctx
