A request in progress at the end of the instance is not sent any more

Callers saw: a request that was accepted before the end of a stop, and whose body or whose target came only after it, was sent to a target and given up at once (504). Cause: checks the end only when a request arrives. The end cancels the request's context in a goroutine of its own, and a choice of target that comes at the same time is taken for one in time; over a kept connection the request is written before the connection is aborted. Change: the end and the deadline are checked again once a target is chosen; the target is reported as unused. Result: the test passes in 3 of 3 runs, and in 1 of 1 with -race.

--- a/ingress/service.go
+++ b/ingress/service.go
@@ -192,6 +192,11 @@
 			current.giveUp(ctx, choice.Refusal)
 			return
 		}
+		if current.isOver(ctx) {
+			current.report(choice, coltsfootlink.Ended, coltsfootlink.Unused, current.service.Clock.Now())
+			current.giveUp(ctx, coltsfootlink.Refuse(current.endReason(), "a target was free only after the end of the request"))
+			return
+		}
 		if refusal := current.barredPrompt(); refusal != nil {
 			current.report(choice, coltsfootlink.Ended, coltsfootlink.Unused, current.service.Clock.Now())
 			current.giveUp(ctx, refusal)
@@ -209,6 +214,13 @@
 	}
 }
 
+// isOver reports whether the request has no time left or the instance has ended its requests. The end is checked by itself, because
+// it cancels the context in a goroutine of its own, some time later.
+func (current *exchange) isOver(ctx context.Context) bool {
+	ending := current.service.Ending
+	return ctx.Err() != nil || ending != nil && ending.Err() != nil
+}
+
 // mayRetry reports whether the request may be sent to another target after a failure.
 func (current *exchange) mayRetry(ctx context.Context, failure *coltsfootlink.Refusal) bool {
 	switch {
