A stop that is announced during a forwarded request applies to it

Callers saw: a request on a forwarded connection, whose body or whose second attempt came after the forwarder's announcement, could be sent to a target though its answer was not expected before the forwarder's end, and be reset there. Cause: the end of the forwarder was read once, when the request's head had come. The instance's own end is looked up at each choice of a target. Evidence: TestForwarderStopsApplyToRequestsInProgress failed in both cases in 1 of 1 runs on: the dispatcher was told of no end. Change: the end is read at each choice of a target. Result: the test passes in 1 of 1 runs.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -15,6 +15,7 @@
 	"coltsfootlink/metrics"
 	"coltsfootlink/platform"
 	"coltsfootlink/upstream"
+	"coltsfootlink/web"
 )
 
 const (
@@ -42,14 +43,15 @@
 	defer current.releaseSlot()
 	reply := make(chan dispatch.Choice, 1)
 	current.service.Dispatch.Put(coltsfootlink.Delivery{Message: dispatch.Want{
-		ID:              current.head.ID,
-		Pool:            current.pool,
-		Team:            current.team,
-		Rule:            current.rule.Name,
-		Work:            current.head.Work,
-		Objective:       current.sentAt.Add(current.rule.Objective),
-		Deadline:        current.deadline,
-		ForwarderEndsAt: current.forwarderStopping.EndsAt,
+		ID:        current.head.ID,
+		Pool:      current.pool,
+		Team:      current.team,
+		Rule:      current.rule.Name,
+		Work:      current.head.Work,
+		Objective: current.sentAt.Add(current.rule.Objective),
+		Deadline:  current.deadline,
+		// The stop may have been announced after the head of the request, while its body came or at its first target.
+		ForwarderEndsAt: web.ForwarderStopping(current.incoming).EndsAt,
 		Rank:            current.rank,
 		Standing:        current.standing,
 		MaxWaitFraction: current.maxWaitFraction,
