An unknown frame closes the connection without an answer

Callers saw: nothing yet; no version sends other frames. Cause: net/http answers 400 if reading a request fails with an error that is no network error. With a further kind of frame, or after an announcement that was written in part, a proper request would be answered 400. Evidence: TestUnknownFramesAreNotAnswered failed in both cases in 1 of 1 runs. Change: the error is that of a failed read. Result: the test passes in 1 of 1 runs.

--- a/relay/frame_test.go
+++ b/relay/frame_test.go
@@ -11,6 +11,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"coltsfootlink"
+	"coltsfootlink/web"
 )
 
 // TestFramesArriveWhole guards against parts of frames that are lost when a read of the connection is interrupted.
@@ -103,3 +104,28 @@
 		})
 	}
 }
+
+// TestUnknownFramesAreNotAnswered guards against a caller that gets 400 for its request because two versions of instances do not
+// know each other's frames.
+func TestUnknownFramesAreNotAnswered(t *testing.T) {
+	data := make([]byte, frameBytes)
+	const head = "GET / HTTP/1.1\r\nHost: h\r\n"
+	newDataFrame(len(head), 0).put(data)
+	cases := map[string]string{
+		"before a request": "xxxxx",
+		"within a request": string(data) + head + "xxxxx",
+	}
+	for name, sent := range cases {
+		Convey("the connection is closed without an answer: "+name, t, func() {
+			address := freeAddress(t)
+			serve(t, &web.Server{Address: address, Handler: echo("other"), ConnectionFilter: Receiver{Full: never}})
+			conn, err := net.Dial("tcp", address)
+			So(err, ShouldBeNil)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, sent)
+			So(err, ShouldBeNil)
+			got, _ := io.ReadAll(conn)
+			So(string(got), ShouldEqual, string(rune(acceptByte)))
+		})
+	}
+}
--- a/relay/receiver.go
+++ b/relay/receiver.go
@@ -14,8 +14,9 @@
 // frameBufferBytes is the size of the buffer in which headers of frames arrive, with the beginning of their data.
 const frameBufferBytes = 1 << 10
 
-// errUnknownFrame means that another instance sent a frame that this one does not know.
-var errUnknownFrame = errors.New("relay: unknown frame on a forwarded connection")
+// errUnknownFrame means that another instance sent a frame that this one does not know. It is a net.OpError of a read, because
+// net/http answers other errors with 400, which the caller would take for an answer to its request.
+var errUnknownFrame error = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("relay: unknown frame on a forwarded connection")}
 
 // Receiver is the connection filter of the listener on which other instances forward connections. It accepts a
 // connection, and confirms this with a byte, only while this instance has capacity.
