A late request counts as ended no sooner than it can be

Callers saw: an instance that stops sent requests to targets whose objective had passed, those that are sent again above all, though their answers could not end in time. Cause: the expected end was counted from the objective, also if that had passed. Change: it is counted from now if the objective has passed.

--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -32,10 +32,15 @@
 	durations[request.want.Pool] = mean + durationWeight*(sample-mean)
 }
 
-// endOf returns when the answer to a request that is sent now is expected to have ended, at its deadline at the latest.
-func (durations durations) endOf(want Want) time.Time {
+// endOf returns when the answer to a request that is sent now is expected to have ended, at its deadline at the latest. Its first
+// event is expected at its objective, or at once if that has passed.
+func (durations durations) endOf(now time.Time, want Want) time.Time {
+	firstEvent := want.Objective
+	if firstEvent.Before(now) {
+		firstEvent = now
+	}
 	generating := durationMargin * durations[want.Pool] * outputTokens(want.Work)
-	end := want.Objective.Add(time.Duration(generating * float64(time.Millisecond)))
+	end := firstEvent.Add(time.Duration(generating * float64(time.Millisecond)))
 	if !want.Deadline.IsZero() && want.Deadline.Before(end) {
 		return want.Deadline
 	}
@@ -45,7 +50,7 @@
 // refuseUnfinishable refuses a request whose answer is not expected to end before the instance does, or the one that forwards the
 // caller's connection; nil if it may go on.
 func (task *Task) refuseUnfinishable(want Want) *coltsfootlink.Refusal {
-	expectedEnd := task.durations.endOf(want)
+	expectedEnd := task.durations.endOf(task.Clock.Now(), want)
 	if endsInTime(expectedEnd, task.endsAt) && endsInTime(expectedEnd, want.ForwarderEndsAt) {
 		return nil
 	}
--- a/dispatch/stop_test.go
+++ b/dispatch/stop_test.go
@@ -60,3 +60,30 @@
 		})
 	}
 }
+
+// TestLateRequestsThatOutlastTheInstanceAreRefused guards against requests past their objective, such as those that are sent
+// again, that count as ended before they are sent.
+func TestLateRequestsThatOutlastTheInstanceAreRefused(t *testing.T) {
+	// Answers of 100 tokens take a second after their first event, and half a second of margin.
+	cases := map[string]struct {
+		late, endsIn time.Duration
+		refused      bool
+	}{
+		"the objective has passed, too little time is left": {5 * time.Second, time.Second, true},
+		"the objective has passed, enough time is left":     {5 * time.Second, 2 * time.Second, false},
+		"the objective passes now, too little time is left": {0, time.Second, true},
+	}
+	for name, test := range cases {
+		Convey(name, t, func() {
+			task, _, clock := newTask()
+			reply := make(chan Choice, 1)
+			request := newWant(clock, reply)
+			task.durations[request.Pool] = 10
+			request.Work.OutputTokens = 100
+			request.Objective, request.Deadline = clock.now.Add(-test.late), clock.now.Add(time.Minute)
+			task.handle(coltsfootlink.Delivery{Message: coltsfootlink.Stopping{EndsAt: clock.now.Add(test.endsIn)}})
+			task.handle(coltsfootlink.Delivery{Message: request})
+			So(len(reply) == 1, ShouldEqual, test.refused)
+		})
+	}
+}
