A stop frame that is read late does not put off the forwarder's end

Callers saw: nothing reported; a receiver that was suspended or short of CPU would accept requests that end after the forwarder has ended. Cause: the frame says in how many milliseconds the forwarder ends, and the receiver counted them from when it read the frame. Change: the frame has the low bits of the time of day at which it was sent, so the receiver knows its age. A receiver whose clock is behind takes it for fresh, as before; one whose clock is ahead refuses earlier.

--- a/relay/frame_test.go
+++ b/relay/frame_test.go
@@ -17,16 +17,19 @@
 // TestFramesArriveWhole guards against parts of frames that are lost when a read of the connection is interrupted.
 func TestFramesArriveWhole(t *testing.T) {
 	const text = "POST /a HTTP/1.1\r\n"
-	data := make([]byte, frameBytes)
-	newDataFrame(len(text), 0).put(data)
 	stop := make([]byte, frameBytes)
 	frame{kind: stopFrame, first: 100, second: 5000}.put(stop)
+	dataOf := func(bytes string) string {
+		header := make([]byte, frameBytes)
+		newDataFrame(len(bytes), 0).put(header)
+		return string(header) + bytes
+	}
 	cases := map[string]string{
-		"data":                  string(data) + text,
-		"a stop, then data":     string(stop) + string(data) + text,
-		"data without bytes":    string([]byte{'d', 0, 0, 0, 0}) + string(data) + text,
-		"data in two frames":    string([]byte{'d', 0, 4, 0, 0}) + text[:4] + string([]byte{'d', 0, byte(len(text) - 4), 0, 0}) + text[4:],
-		"a stop between frames": string([]byte{'d', 0, 4, 0, 0}) + text[:4] + string(stop) + string([]byte{'d', 0, byte(len(text) - 4), 0, 0}) + text[4:],
+		"data":                  dataOf(text),
+		"a stop, then data":     string(stop) + dataOf(text),
+		"data without bytes":    dataOf("") + dataOf(text),
+		"data in two frames":    dataOf(text[:4]) + dataOf(text[4:]),
+		"a stop between frames": dataOf(text[:4]) + string(stop) + dataOf(text[4:]),
 	}
 	for name, sent := range cases {
 		Convey("all bytes arrive, wherever reading is interrupted: "+name, t, func() {
@@ -112,8 +115,8 @@
 	const head = "GET / HTTP/1.1\r\nHost: h\r\n"
 	newDataFrame(len(head), 0).put(data)
 	cases := map[string]string{
-		"before a request": "xxxxx",
-		"within a request": string(data) + head + "xxxxx",
+		"before a request": "xxxxxxx",
+		"within a request": string(data) + head + "xxxxxxx",
 	}
 	for name, sent := range cases {
 		Convey("the connection is closed without an answer: "+name, t, func() {
