Callers of forwarded requests get an answer at the end of the forwarder

Callers saw: a reset, without any answer, if no byte of the response had begun when the instance that forwards their connection ended; an instance answers its own requests then. Cause: the end reset both halves of the connection at once. Change: the end resets the half to the other instance only. The copy of the response ends with an error then and does what it does whenever the other instance fails: 502 if no response has begun, a reset within one. The relay waits up to 200 ms for that.

--- a/relay/forwarding.go
+++ b/relay/forwarding.go
@@ -22,6 +22,8 @@
 	maxAttempts = 2
 	// writeTimeout limits how long a chunk may wait for its receiver to read.
 	writeTimeout = 10 * time.Second
+	// endTimeout limits how long the callers of forwarded connections may take to read their last answers when this instance ends.
+	endTimeout = 200 * time.Millisecond
 	// lingerTimeout limits how long data that the caller still sends is read and discarded after the end of the
 	// response.
 	lingerTimeout = 500 * time.Millisecond
@@ -70,8 +72,10 @@
 func (forwarding *forwarding) copyBoth(ctx context.Context, other net.Conn) {
 	stop := context.AfterFunc(ctx, func() {
 		forwarding.logReset()
-		reset(forwarding.caller)
+		// The copy of the response ends with an error then, and the caller gets an answer if none has begun. A caller that does
+		// not read keeps nothing waiting.
 		reset(other)
+		_ = forwarding.caller.SetWriteDeadline(time.Now().Add(endTimeout))
 	})
 	defer stop()
 	defer forwarding.task.shutdown.subscribe(func(stopping coltsfootlink.Stopping) { forwarding.announce(other, stopping) })()
--- a/relay/task.go
+++ b/relay/task.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -12,6 +13,9 @@
 	"coltsfootlink/pressure"
 )
 
+// endPollInterval is the time between two checks whether forwarded connections are left at the end.
+const endPollInterval = 10 * time.Millisecond
+
 // connectionRefused is sent to the task when an address has not accepted a connection.
 type connectionRefused struct {
 	coltsfootlink.Local
@@ -45,12 +49,13 @@
 }
 
 // Run updates the plan on changes of the CPU pressure and of the zone's other instances, until the context ends.
-// Forwarded connections end with the context.
+// Forwarded connections end with the context; Run returns once their callers have their last answers.
 func (task *Task) Run(ctx context.Context) error {
 	task.runContext.Store(&ctx)
 	for {
 		select {
 		case <-ctx.Done():
+			task.awaitEnd()
 			return nil
 		case <-task.Inbox.Ready():
 		}
@@ -62,6 +67,13 @@
 	}
 }
 
+// awaitEnd waits until no forwarded connection is left, but not longer than the callers may take.
+func (task *Task) awaitEnd() {
+	for deadline := time.Now().Add(endTimeout); task.open.Load() > 0 && time.Now().Before(deadline); {
+		time.Sleep(endPollInterval)
+	}
+}
+
 // planAfter returns the plan after a message.
 func (task *Task) planAfter(plan Plan, message coltsfootlink.Message) Plan {
 	switch message := message.(type) {
