Failing test: a 502 within a forwarded answer that broke off

Cause: the forwarder takes the next request of a pipelining caller for one that waits for its answer, although the answer before it has not ended. Result: no change of the code.

--- a/relay/shutdown_test.go
+++ b/relay/shutdown_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -89,3 +90,46 @@
 		})
 	}
 }
+
+// TestPipelinedRequestsDoNotEndAnAnswer guards against a 502 that is written into the body of an answer that broke off, because the
+// caller had already sent its next request.
+func TestPipelinedRequestsDoNotEndAnAnswer(t *testing.T) {
+	cases := map[string]bool{
+		"the caller waits for its answer":      false,
+		"the caller has sent its next request": true,
+	}
+	for name, pipelined := range cases {
+		Convey("an answer that breaks off does not look whole: "+name, t, func() {
+			address, callers := freeAddress(t), freeAddress(t)
+			begun := make(chan struct{})
+			handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+				writer.Header().Set("Content-Length", strconv.Itoa(len("be"+badGateway)))
+				_, _ = io.WriteString(writer, "be")
+				_ = http.NewResponseController(writer).Flush()
+				<-begun
+				time.Sleep(100 * time.Millisecond)
+				panic(http.ErrAbortHandler)
+			})
+			serve(t, &web.Server{Address: address, Handler: handler, ConnectionFilter: Receiver{Full: never}})
+			task := startTask(t, shortOfCPU(30), address)
+			serve(t, &web.Server{Address: callers, Handler: echo("here"), ConnectionFilter: task})
+			time.Sleep(2 * refusalBackoff)
+			conn, err := net.Dial("tcp", callers)
+			So(err, ShouldBeNil)
+			defer func() { _ = conn.Close() }()
+			const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+			_, err = io.WriteString(conn, request)
+			So(err, ShouldBeNil)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			So(err, ShouldBeNil)
+			defer func() { _ = response.Body.Close() }()
+			if pipelined {
+				_, err = io.WriteString(conn, request)
+				So(err, ShouldBeNil)
+			}
+			close(begun)
+			_, err = io.ReadAll(response.Body)
+			So(err, ShouldNotBeNil)
+		})
+	}
+}
