Stand-in store: a drill in which it is restored from an earlier copy

The platform's store may be away and come back from a copy some seconds old: what was appended since is gone, its offsets are assigned again, and the header Store-Era, in all answers, rises by one. The stand-in could not do this, so no test could show what the system does then.

Appends that arrive while the store is away can be carried out after its return. A read from beyond the end of a partition gets 410, as on the platform; before, it waited.

--- a/position_test.go
+++ b/position_test.go
@@ -12,7 +12,9 @@
 
 // TestPositionOrder guards against a record of an era before a restore that counts as newer than one read after it.
 func TestPositionOrder(t *testing.T) {
-	at := func(era, offset uint64) coltsfootlink.Position { return coltsfootlink.Position{Era: era, Offset: offset} }
+	at := func(era, offset uint64) coltsfootlink.Position {
+		return coltsfootlink.Position{Era: era, Offset: offset}
+	}
 	cases := map[string]struct {
 		left, right coltsfootlink.Position
 		compared    int
--- a/rig/control.go
+++ b/rig/control.go
@@ -69,6 +69,12 @@
 	return fleet.post(ctx, "http://"+fleet.Platform+standin.OutagePath, outage)
 }
 
+// Restore has the platform's store go away and come back from an earlier copy, and returns once the operator and the targets
+// have written again what they have lost.
+func (fleet *Fleet) Restore(ctx context.Context, restore standin.Restore) error {
+	return fleet.post(ctx, "http://"+fleet.Platform+standin.RestorePath, restore)
+}
+
 // ChangeList changes the list of instances and targets. Each change replaces the previous one.
 func (fleet *Fleet) ChangeList(ctx context.Context, change standin.ListChange) error {
 	return fleet.post(ctx, "http://"+fleet.Platform+standin.ListPath, change)
--- a/standin/group.go
+++ b/standin/group.go
@@ -22,13 +22,17 @@
 	offsets    map[partitionName]uint64
 }
 
-// join adds a member to a group or renews its lease. It returns the generation and the rows of the partitions that the
-// member owns. A new member or a new topic starts a new generation.
-func (store *Store) join(ctx context.Context, name, member string, topics []string, lease time.Duration) (uint64, [][]any, error) {
-	var generation uint64
-	var rows [][]any
-	err := store.do(ctx, func(state *storeState) {
-		joined := state.group(name)
+// joinResult is the store's answer to a join: the generation of the group and the rows of the member's partitions.
+type joinResult struct {
+	era, generation uint64
+	rows            [][]any
+}
+
+// join adds a member to a group or renews its lease. A new member or a new topic starts a new generation.
+func (store *Store) join(ctx context.Context, name, member string, topics []string, lease time.Duration) (joinResult, error) {
+	var result joinResult
+	era, err := store.do(ctx, func(state *storeState) {
+		joined := state.changedGroup(name)
 		joined.expire(time.Now())
 		_, known := joined.members[member]
 		joined.members[member] = time.Now().Add(lease)
@@ -39,16 +43,17 @@
 		if !known {
 			joined.rebalance()
 		}
-		generation = joined.generation
-		rows = joined.rows(func(owner string) bool { return owner == member }, false)
+		result.generation = joined.generation
+		result.rows = joined.rows(func(owner string) bool { return owner == member }, false)
 	})
-	return generation, rows, err
+	result.era = era
+	return result, err
 }
 
-// leave removes a member from a group and reassigns its partitions to the other members.
-func (store *Store) leave(ctx context.Context, name, member string) error {
+// leave removes a member from a group and reassigns its partitions to the other members. It returns the store's era.
+func (store *Store) leave(ctx context.Context, name, member string) (uint64, error) {
 	return store.do(ctx, func(state *storeState) {
-		group := state.group(name)
+		group := state.changedGroup(name)
 		if _, known := group.members[member]; known {
 			delete(group.members, member)
 			group.rebalance()
@@ -56,30 +61,31 @@
 	})
 }
 
-// commit stores the offset up to which a member has processed a partition. It returns false if the member does not own
-// the partition, or got it in a later generation than the one given.
-func (store *Store) commit(ctx context.Context, name, member string, generation uint64, part partitionName, offset uint64) (bool, error) {
+// commit stores the offset up to which a member has processed a partition. It returns the store's era, and false if the
+// member does not own the partition, or got it in a later generation than the one given.
+func (store *Store) commit(ctx context.Context, name, member string, generation uint64, part partitionName, offset uint64) (uint64, bool, error) {
 	var accepted bool
-	err := store.do(ctx, func(state *storeState) {
-		found := state.group(name)
+	era, err := store.do(ctx, func(state *storeState) {
+		found := state.changedGroup(name)
 		found.expire(time.Now())
 		accepted = found.owners[part] == member && generation >= found.ownedSince[part]
 		if accepted {
 			found.offsets[part] = offset
 		}
 	})
-	return accepted, err
+	return era, accepted, err
 }
 
-// owners returns a row of topic, partition, owning member and committed offset for each partition that has an owner.
-func (store *Store) owners(ctx context.Context, name string) ([][]any, error) {
+// owners returns the store's era, and a row of topic, partition, owning member and committed offset for each partition that
+// has an owner.
+func (store *Store) owners(ctx context.Context, name string) (uint64, [][]any, error) {
 	var rows [][]any
-	err := store.do(ctx, func(state *storeState) {
-		found := state.group(name)
+	era, err := store.do(ctx, func(state *storeState) {
+		found := state.changedGroup(name)
 		found.expire(time.Now())
 		rows = found.rows(func(string) bool { return true }, true)
 	})
-	return rows, err
+	return era, rows, err
 }
 
 func (state *storeState) group(name string) *group {
@@ -97,6 +103,15 @@
 	return found
 }
 
+// clone returns a copy that shares no map with the group.
+func (group *group) clone() *group {
+	copied := *group
+	copied.members, copied.topics = maps.Clone(group.members), maps.Clone(group.topics)
+	copied.owners, copied.ownedSince = maps.Clone(group.owners), maps.Clone(group.ownedSince)
+	copied.offsets = maps.Clone(group.offsets)
+	return &copied
+}
+
 // expire removes the members whose lease has expired, and reassigns their partitions.
 func (group *group) expire(now time.Time) {
 	before := len(group.members)
--- a/standin/handlers.go
+++ b/standin/handlers.go
@@ -41,6 +41,7 @@
 		return
 	}
 	result, err := server.Store.append(request.Context(), partitionOf(request), records, conditionOf(request))
+	setEra(writer, result.era)
 	switch {
 	case err != nil || server.outage.Load().LoseReplies:
 		panic(http.ErrAbortHandler)
@@ -56,10 +57,11 @@
 func (server *Platform) read(writer http.ResponseWriter, request *http.Request) {
 	waitUntil := time.Now().Add(time.Duration(uintParameter(request, platform.WaitParameter)) * time.Millisecond)
 	found, err := server.Store.read(request.Context(), partitionOf(request), uintParameter(request, platform.FromParameter), waitUntil)
+	setEra(writer, found.era)
 	switch {
-	case err != nil || server.outage.Load().Down:
+	case err != nil || server.down():
 		http.Error(writer, "{}", http.StatusServiceUnavailable)
-	case found.trimmed:
+	case found.absent:
 		writer.WriteHeader(http.StatusGone)
 		reply(writer, map[string]uint64{"first": found.first})
 	default:
@@ -85,7 +87,8 @@
 
 func (server *Platform) newest(writer http.ResponseWriter, request *http.Request) {
 	name := partitionOf(request)
-	page, err := server.Store.newest(request.Context(), name, request.FormValue(platform.AfterParameter))
+	page, era, err := server.Store.newest(request.Context(), name, request.FormValue(platform.AfterParameter))
+	setEra(writer, era)
 	if err != nil {
 		http.Error(writer, "{}", http.StatusServiceUnavailable)
 		return
@@ -99,9 +102,12 @@
 }
 
 func (server *Platform) trim(writer http.ResponseWriter, request *http.Request) {
-	err := server.Store.do(request.Context(), func(state *storeState) {
-		state.partition(partitionOf(request)).trim(uintParameter(request, platform.BeforeParameter))
+	era, err := server.Store.do(request.Context(), func(state *storeState) {
+		state.changePartition(partitionOf(request), func(part *partition) {
+			part.trim(uintParameter(request, platform.BeforeParameter))
+		})
 	})
+	setEra(writer, era)
 	replyEmpty(writer, err)
 }
 
@@ -110,17 +116,20 @@
 	if !ok {
 		return
 	}
-	generation, rows, err := server.Store.join(request.Context(), call.Group, call.Member, call.Topics, time.Duration(call.LeaseMs)*time.Millisecond)
+	result, err := server.Store.join(request.Context(), call.Group, call.Member, call.Topics, time.Duration(call.LeaseMs)*time.Millisecond)
+	setEra(writer, result.era)
 	if err != nil {
 		replyEmpty(writer, err)
 		return
 	}
-	reply(writer, map[string]any{"generation": generation, "ttl_ms": call.LeaseMs, "parts": rows})
+	reply(writer, map[string]any{"generation": result.generation, "ttl_ms": call.LeaseMs, "parts": result.rows})
 }
 
 func (server *Platform) leave(writer http.ResponseWriter, request *http.Request) {
 	if call, ok := decodeGroupRequest(writer, request); ok {
-		replyEmpty(writer, server.Store.leave(request.Context(), call.Group, call.Member))
+		era, err := server.Store.leave(request.Context(), call.Group, call.Member)
+		setEra(writer, era)
+		replyEmpty(writer, err)
 	}
 }
 
@@ -130,7 +139,8 @@
 		return
 	}
 	part := partitionName{topic: call.Topic, part: call.Part}
-	accepted, err := server.Store.commit(request.Context(), call.Group, call.Member, call.Generation, part, call.Offset)
+	era, accepted, err := server.Store.commit(request.Context(), call.Group, call.Member, call.Generation, part, call.Offset)
+	setEra(writer, era)
 	if err == nil && !accepted {
 		writer.WriteHeader(statusConflict)
 	}
@@ -138,7 +148,8 @@
 }
 
 func (server *Platform) owners(writer http.ResponseWriter, request *http.Request) {
-	rows, err := server.Store.owners(request.Context(), request.FormValue(platform.GroupParameter))
+	era, rows, err := server.Store.owners(request.Context(), request.FormValue(platform.GroupParameter))
+	setEra(writer, era)
 	if err != nil {
 		replyEmpty(writer, err)
 		return
--- a/standin/newest.go
+++ b/standin/newest.go
@@ -12,10 +12,10 @@
 const maxPageItems = 500
 
 // newest returns one page of the newest record of each key, sorted by key, beginning with the first key after the
-// given one.
-func (store *Store) newest(ctx context.Context, name partitionName, after string) (platform.NewestPage, error) {
+// given one, and the store's era.
+func (store *Store) newest(ctx context.Context, name partitionName, after string) (platform.NewestPage, uint64, error) {
 	var page platform.NewestPage
-	err := store.do(ctx, func(state *storeState) {
+	era, err := store.do(ctx, func(state *storeState) {
 		part := state.partition(name)
 		page.End = part.end()
 		items := compact(part.compacted, part.first, part.records)
@@ -27,7 +27,7 @@
 			page.Items = append(page.Items, items[key])
 		}
 	})
-	return page, err
+	return page, era, err
 }
 
 // compact returns the newest record of each key, given those of earlier records and the further records, whose offsets
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -51,6 +51,8 @@
 	OnListChange func(ctx context.Context, change ListChange) error
 
 	outage atomic.Pointer[Outage]
+	// drill is the restore in progress; nil if there is none.
+	drill atomic.Pointer[drill]
 }
 
 // Run serves requests until the context ends.
@@ -68,14 +70,19 @@
 		"GET " + platform.OwnersPath:  server.owners,
 	}
 	for call, handler := range calls {
-		mux.HandleFunc(call, server.withOutage(handler))
+		handler = server.withOutage(handler)
+		if call == "POST "+platform.AppendPath {
+			handler = server.withLateAppends(handler)
+		}
+		mux.HandleFunc(call, handler)
 		// Instances may prefix each path with the name of their zone, to get their zone's view of the lists.
 		method, path, _ := strings.Cut(call, " ")
-		mux.HandleFunc(method+" /{zone}"+path, server.withOutage(handler))
+		mux.HandleFunc(method+" /{zone}"+path, handler)
 	}
 	mux.HandleFunc("POST "+ListPath, server.changeList)
 	mux.HandleFunc("POST "+OutagePath, server.setOutage)
-	return serve(ctx, server.Address, mux)
+	mux.HandleFunc("POST "+RestorePath, server.restore)
+	return serve(ctx, server.Address, server.withEra(mux))
 }
 
 // withOutage delays calls and refuses them while the platform is down, including those that were delayed until then.
@@ -84,7 +91,7 @@
 		if delay := server.outage.Load().SlowMillis; delay > 0 {
 			coltsfootlink.Sleep(request.Context(), millis(delay))
 		}
-		if server.outage.Load().Down {
+		if server.down() {
 			http.Error(writer, "{}", http.StatusServiceUnavailable)
 			return
 		}
@@ -112,6 +119,9 @@
 	server.SetOutage(*outage)
 }
 
+// down reports whether the store refuses all calls.
+func (server *Platform) down() bool { return server.outage.Load().Down || server.drill.Load() != nil }
+
 // SetOutage replaces the injected faults.
 func (server *Platform) SetOutage(outage Outage) { server.outage.Store(&outage) }
 
--- a/standin/store.go
+++ b/standin/store.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,12 +26,18 @@
 	AppendsPerSecond float64
 
 	inbox chan func(*storeState)
+	// era is the era of the state. The store's task writes it, and answers that say nothing of the state load it.
+	era atomic.Uint64
 }
 
 // storeState is the data of the store. Only the store's task accesses it.
 type storeState struct {
 	partitions map[partitionName]*partition
 	groups     map[string]*group
+	// era is the number of restores plus one.
+	era uint64
+	// changes are the changes of the last maxCopyAge, oldest first.
+	changes []change
 }
 
 type partitionName struct {
@@ -48,7 +56,8 @@
 	appended chan struct{}
 }
 
-// producer is the state of one producer in a partition: its highest epoch and the next expected sequence number.
+// producer is the state of one producer in a partition: its highest epoch and the next expected sequence number. It is
+// immutable, so that a restore can put an earlier one back.
 type producer struct {
 	epoch, nextSequence uint64
 	// offsets holds the offsets of the producer's latest appends by sequence number.
@@ -57,12 +66,14 @@
 
 // NewStore returns a store that keeps the given number of records in each partition; all if zero.
 func NewStore(retention int) *Store {
-	return &Store{Retention: retention, inbox: make(chan func(*storeState))}
+	store := &Store{Retention: retention, inbox: make(chan func(*storeState))}
+	store.era.Store(firstEra)
+	return store
 }
 
 // Run carries out the work that is sent to the store's task until the context ends.
 func (store *Store) Run(ctx context.Context) error {
-	state := &storeState{partitions: make(map[partitionName]*partition), groups: make(map[string]*group)}
+	state := &storeState{partitions: make(map[partitionName]*partition), groups: make(map[string]*group), era: store.era.Load()}
 	for {
 		select {
 		case <-ctx.Done():
@@ -73,15 +84,14 @@
 	}
 }
 
-// do runs work in the store's task and waits until it is done.
-func (store *Store) do(ctx context.Context, work func(*storeState)) error {
-	done := make(chan struct{})
+// do runs work in the store's task, waits until it is done and returns the era of the state that the work has seen.
+func (store *Store) do(ctx context.Context, work func(*storeState)) (uint64, error) {
+	done := make(chan uint64, 1)
 	select {
-	case store.inbox <- func(state *storeState) { work(state); close(done) }:
-		<-done
-		return nil
+	case store.inbox <- func(state *storeState) { work(state); done <- state.era }:
+		return <-done, nil
 	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "standin: store call not started")
+		return 0, errors.Wrap(ctx.Err(), "standin: store call not started")
 	}
 }
 
@@ -105,6 +115,7 @@
 // appendResult is the store's answer to an append. A status other than zero means that it was rejected; then reason and
 // expected, the expected sequence number, may be set.
 type appendResult struct {
+	era         uint64
 	offset, end uint64
 	status      int
 	reason      string
@@ -114,13 +125,14 @@
 // append adds all records or, if the conditions do not hold, none.
 func (store *Store) append(ctx context.Context, name partitionName, records [][]byte, required condition) (appendResult, error) {
 	var result appendResult
-	err := store.do(ctx, func(state *storeState) {
+	era, err := store.do(ctx, func(state *storeState) {
 		if store.AppendsPerSecond > 0 {
 			// The sleep blocks the store's task on purpose: appends are carried out one at a time.
 			time.Sleep(time.Duration(float64(time.Second) / store.AppendsPerSecond))
 		}
-		result = state.partition(name).append(records, required, store.retention(name))
+		result = state.append(name, records, required, store.retention(name))
 	})
+	result.era = era
 	return result, err
 }
 
@@ -162,7 +174,7 @@
 	known, found := partition.producers[required.producer]
 	if !found || required.epoch > known.epoch {
 		known = &producer{epoch: required.epoch, nextSequence: required.sequence, offsets: make(map[uint64]uint64)}
-		partition.producers[required.producer] = known
+		partition.setProducer(required.producer, known)
 	}
 	if required.epoch < known.epoch {
 		return appendResult{status: statusConflict, reason: reasonFenced}, true
@@ -176,12 +188,20 @@
 	if required.sequence != known.nextSequence {
 		return appendResult{status: statusConflict, reason: reasonSequence, expected: known.nextSequence}, true
 	}
-	known.offsets[required.sequence] = partition.end()
-	delete(known.offsets, required.sequence-deduplicationWindow)
-	known.nextSequence++
+	offsets := maps.Clone(known.offsets)
+	offsets[required.sequence] = partition.end()
+	delete(offsets, required.sequence-deduplicationWindow)
+	partition.setProducer(required.producer, &producer{epoch: known.epoch, nextSequence: known.nextSequence + 1, offsets: offsets})
 	return appendResult{}, false
 }
 
+// setProducer replaces the state of a producer in a copy of the map, since a recorded change may hold the map itself.
+func (partition *partition) setProducer(name string, known *producer) {
+	producers := maps.Clone(partition.producers)
+	producers[name] = known
+	partition.producers = producers
+}
+
 // trim removes the records before an offset.
 func (partition *partition) trim(before uint64) {
 	before = min(before, partition.end())
@@ -194,19 +214,23 @@
 // Forget trims all records of a topic, as the platform may do at any time; the newest record of each key remains readable
 // as such.
 func (store *Store) Forget(ctx context.Context, topic string) error {
-	return store.do(ctx, func(state *storeState) {
-		part := state.partition(partitionName{topic: topic})
-		part.compacted = compact(part.compacted, part.first, part.records)
-		part.trim(part.end())
+	_, err := store.do(ctx, func(state *storeState) {
+		state.changePartition(partitionName{topic: topic}, func(part *partition) {
+			part.compacted = compact(part.compacted, part.first, part.records)
+			part.trim(part.end())
+		})
 	})
+	return err
 }
 
 // batch is the result of a read.
 type batch struct {
+	era        uint64
 	end, first uint64
 	records    [][]byte
-	// trimmed indicates that the requested records have been trimmed.
-	trimmed bool
+	// absent indicates that the partition does not have the requested records: they have been trimmed, or the offset is
+	// beyond the end.
+	absent bool
 }
 
 // read returns the records from an offset on. If there are none yet, it waits for one until the given time.
@@ -216,12 +240,13 @@
 	for {
 		var found batch
 		var appended chan struct{}
-		err := store.do(ctx, func(state *storeState) {
+		era, err := store.do(ctx, func(state *storeState) {
 			part := state.partition(name)
 			found = part.read(from)
 			appended = part.appended
 		})
-		if err != nil || found.trimmed || len(found.records) > 0 {
+		found.era = era
+		if err != nil || found.absent || len(found.records) > 0 {
 			return found, err
 		}
 		select {
@@ -233,7 +258,7 @@
 }
 
 func (partition *partition) read(from uint64) batch {
-	found := batch{end: partition.end(), first: partition.first, trimmed: from < partition.first}
+	found := batch{end: partition.end(), first: partition.first, absent: from < partition.first || from > partition.end()}
 	if from >= partition.first && from < found.end {
 		found.records = partition.records[from-partition.first:]
 	}
@@ -246,12 +271,12 @@
 	return result.offset, err
 }
 
-// Read returns the records of one of this system's own streams from an offset on, or from the first that is kept if that
-// offset has been trimmed. If there are none yet, it waits for one until the given time.
+// Read returns the records of one of this system's own streams from an offset on, or from the first that is kept if the
+// stream does not have that offset. If there are none yet, it waits for one until the given time.
 func (store *Store) Read(ctx context.Context, stream coltsfootlink.Stream, from uint64, waitUntil time.Time) (coltsfootlink.Batch, error) {
 	name := partitionName{topic: string(stream)}
 	found, err := store.read(ctx, name, from, waitUntil)
-	if err == nil && found.trimmed {
+	if err == nil && found.absent {
 		from = found.first
 		found, err = store.read(ctx, name, from, waitUntil)
 	}
