Offsets of the store carry the era in which they are valid

Cause: nothing read the header Store-Era. After a restore of the store from an earlier copy its offsets are assigned again, so records, ends and conditions that were known by offset alone were compared with those of another history.

Change: the client decodes the era of every answer; results and errors carry it. Root records, the log, the catalog, the lease, the moves and the messages between instances hold a Position instead of an offset; new wire fields era, absent for zero. Decisions only compare positions where they compared offsets. A revision's gap check leaves out a log whose first record is retained, since the start of a stream is before every position of era 1. Fencing tokens and the identity of a move remain offsets. The calm path makes the same calls as before.

Tests are changed for the types alone; the stand-in's era is 1.

--- a/catalog.go
+++ b/catalog.go
@@ -22,9 +22,9 @@
 
 // CatalogRecord is the newest record of one key of a stream.
 type CatalogRecord struct {
-	Stream CatalogStream
-	Offset uint64
-	Key    string
+	Stream   CatalogStream
+	Position Position
+	Key      string
 	// Value is the record as the platform encodes it; empty if the key was removed.
 	Value []byte
 	// Removed indicates that the key was deleted.
@@ -171,20 +171,21 @@
 // CatalogBatch is the result of one read of a stream.
 type CatalogBatch struct {
 	Records []CatalogRecord
-	// End is the offset at which the next read starts.
-	End uint64
+	// End is the position at which the next read starts.
+	End Position
 	// Unreadable is the number of records that could not be decoded.
 	Unreadable int
 }
 
-// ErrRecordsGone indicates that the stream dropped records before they were read.
+// ErrRecordsGone indicates that the stream dropped records before they were read, or that the store was restored from an
+// earlier copy since the position from which they were to be read.
 var ErrRecordsGone = errors.New("records were dropped before they were read")
 
 // CatalogSource reads the platform's catalog streams.
 type CatalogSource interface {
 	// Newest returns the newest record of each key.
 	Newest(ctx context.Context, stream CatalogStream) (CatalogBatch, error)
-	// Follow returns the records from an offset on; if there are none, it waits for the first one, at most for the
-	// given duration. It returns ErrRecordsGone if records from that offset on are gone and Newest has to be read again.
-	Follow(ctx context.Context, stream CatalogStream, from uint64, wait time.Duration) (CatalogBatch, error)
+	// Follow returns the records from a position on; if there are none, it waits for the first one, at most for the
+	// given duration. It returns ErrRecordsGone if records from that position on are gone and Newest has to be read again.
+	Follow(ctx context.Context, stream CatalogStream, from Position, wait time.Duration) (CatalogBatch, error)
 }
--- a/catalog/reader.go
+++ b/catalog/reader.go
@@ -37,8 +37,8 @@
 	// phase is when the reader's waits end within each period of maxFollowWait, as a time.Duration. The catalog's task sets it.
 	phase *atomic.Int64
 
-	// next is the offset at which the next read starts. nextKnown is false while all keys have to be read with Newest first.
-	next      uint64
+	// next is the position at which the next read starts. nextKnown is false while all keys have to be read with Newest first.
+	next      coltsfootlink.Position
 	nextKnown bool
 	// down indicates that the last read failed.
 	down bool
@@ -56,9 +56,9 @@
 	coltsfootlink.Local
 	stream  coltsfootlink.CatalogStream
 	records []coltsfootlink.CatalogRecord
-	// complete indicates that the records are the newest ones of all keys before the offset end.
+	// complete indicates that the records are the newest ones of all keys before the position end.
 	complete bool
-	end      uint64
+	end      coltsfootlink.Position
 	readAt   time.Time
 }
 
@@ -171,7 +171,7 @@
 func (reader *reader) inGrace() bool { return reader.clock.Now().Before(reader.graceEndsAt) }
 
 // releasePostponed sends the deferred removals once the grace period is over, and has all keys read again if that was put
-// off. The removal of a target that has registered again has no effect, because its offset is lower than that of the new
+// off. The removal of a target that has registered again has no effect, because its position is before that of the new
 // record.
 func (reader *reader) releasePostponed() {
 	if reader.inGrace() {
--- a/catalog/state.go
+++ b/catalog/state.go
@@ -43,9 +43,9 @@
 	catalog coltsfootlink.Catalog
 	// table is the record of the routing table in force. Its key may have a newer record that cannot be decoded.
 	table coltsfootlink.CatalogRecord
-	// ends are the offsets up to which streams have been read completely: an older record of a key that is not known was
+	// ends are the positions up to which streams have been read completely: an older record of a key that is not known was
 	// removed before.
-	ends map[coltsfootlink.CatalogStream]uint64
+	ends map[coltsfootlink.CatalogStream]coltsfootlink.Position
 }
 
 // NewState returns a state without records.
@@ -76,7 +76,7 @@
 func (state State) WithRecord(now time.Time, record coltsfootlink.CatalogRecord) (State, Change, error) {
 	key := recordKey{stream: record.Stream, key: record.Key}
 	known, found := state.entries.Get(key)
-	if found && record.Offset <= known.record.Offset || !found && record.Offset < state.ends[record.Stream] {
+	if found && !known.record.Position.Before(record.Position) || !found && record.Position.Before(state.ends[record.Stream]) {
 		return state.withLateTable(record)
 	}
 	var fact coltsfootlink.Fact
@@ -103,7 +103,7 @@
 // withLateTable puts the routing table in an outdated record in force if none of its version or a later one is: the newer
 // record of its key may be one that cannot be decoded. Other outdated records are ignored.
 func (state State) withLateTable(record coltsfootlink.CatalogRecord) (State, Change, error) {
-	known := state.catalog.TableLoaded && (record.Key != state.table.Key || record.Offset == state.table.Offset)
+	known := state.catalog.TableLoaded && (record.Key != state.table.Key || record.Position == state.table.Position)
 	if record.Stream != coltsfootlink.OperatorStream || record.Removed || known {
 		return state, Ignored, nil
 	}
@@ -118,22 +118,24 @@
 	return state, Changed, nil
 }
 
-// WithEnd records that a stream has been read completely up to an offset, so that older records of keys that are not
+// WithEnd records that a stream has been read completely up to a position, so that older records of keys that are not
 // known are outdated.
-func (state State) WithEnd(stream coltsfootlink.CatalogStream, end uint64) State {
-	if end <= state.ends[stream] {
+func (state State) WithEnd(stream coltsfootlink.CatalogStream, end coltsfootlink.Position) State {
+	if !state.ends[stream].Before(end) {
 		return state
 	}
 	state.ends = maps.Clone(state.ends)
 	if state.ends == nil {
-		state.ends = make(map[coltsfootlink.CatalogStream]uint64)
+		state.ends = make(map[coltsfootlink.CatalogStream]coltsfootlink.Position)
 	}
 	state.ends[stream] = end
 	return state
 }
 
-// Ends returns the offsets up to which streams have been read completely.
-func (state State) Ends() map[coltsfootlink.CatalogStream]uint64 { return maps.Clone(state.ends) }
+// Ends returns the positions up to which streams have been read completely.
+func (state State) Ends() map[coltsfootlink.CatalogStream]coltsfootlink.Position {
+	return maps.Clone(state.ends)
+}
 
 // Records returns the newest record of each key, and the record of the routing table in force.
 func (state State) Records() []coltsfootlink.CatalogRecord {
@@ -143,15 +145,15 @@
 		records = append(records, stored.record)
 	}
 	stored, _ := state.entries.Get(recordKey{stream: state.table.Stream, key: state.table.Key})
-	if state.catalog.TableLoaded && stored.record.Offset != state.table.Offset {
+	if state.catalog.TableLoaded && stored.record.Position != state.table.Position {
 		records = append(records, state.table)
 	}
 	return records
 }
 
-// Missing returns removals for the keys of a stream whose known records are older than the offset end and that are not
-// among the newest records, which were read up to this offset. Their removal was not seen.
-func (state State) Missing(stream coltsfootlink.CatalogStream, newest []coltsfootlink.CatalogRecord, end uint64) []coltsfootlink.CatalogRecord {
+// Missing returns removals for the keys of a stream whose known records are older than the position end and that are not
+// among the newest records, which were read up to this position. Their removal was not seen.
+func (state State) Missing(stream coltsfootlink.CatalogStream, newest []coltsfootlink.CatalogRecord, end coltsfootlink.Position) []coltsfootlink.CatalogRecord {
 	listed := make(map[string]bool, len(newest))
 	for _, record := range newest {
 		listed[record.Key] = true
@@ -159,8 +161,8 @@
 	var missing []coltsfootlink.CatalogRecord
 	for iterator := state.entries.Iterator(); !iterator.Done(); {
 		key, stored, _ := iterator.Next()
-		if key.stream == stream && !listed[key.key] && !stored.record.Removed && stored.record.Offset < end {
-			removal := coltsfootlink.CatalogRecord{Stream: stream, Key: key.key, Removed: true, Offset: end - 1}
+		if key.stream == stream && !listed[key.key] && !stored.record.Removed && stored.record.Position.Before(end) {
+			removal := coltsfootlink.CatalogRecord{Stream: stream, Key: key.key, Removed: true, Position: end.Previous()}
 			missing = append(missing, removal)
 		}
 	}
--- a/catalog/state_test.go
+++ b/catalog/state_test.go
@@ -47,7 +47,7 @@
 
 // record returns a record; an empty value makes it a removal.
 func record(stream coltsfootlink.CatalogStream, offset uint64, key, value string) coltsfootlink.CatalogRecord {
-	return coltsfootlink.CatalogRecord{Stream: stream, Offset: offset, Key: key, Value: []byte(value), Removed: value == ""}
+	return coltsfootlink.CatalogRecord{Stream: stream, Position: coltsfootlink.Position{Offset: offset}, Key: key, Value: []byte(value), Removed: value == ""}
 }
 
 func operatorRecord(offset uint64, key, value string) coltsfootlink.CatalogRecord {
@@ -193,8 +193,8 @@
 		for _, record := range []coltsfootlink.CatalogRecord{targetRecord(1, "old", "target h:1"), targetRecord(2, "kept", "target h:2"), targetRecord(9, "new", "target h:3")} {
 			state, _, _ = state.WithRecord(baseTime, record)
 		}
-		missing := state.Missing(coltsfootlink.TargetStream, []coltsfootlink.CatalogRecord{targetRecord(2, "kept", "target h:2")}, 5)
-		So(missing, ShouldResemble, []coltsfootlink.CatalogRecord{{Stream: coltsfootlink.TargetStream, Offset: 4, Key: "old", Removed: true}})
+		missing := state.Missing(coltsfootlink.TargetStream, []coltsfootlink.CatalogRecord{targetRecord(2, "kept", "target h:2")}, coltsfootlink.Position{Offset: 5})
+		So(missing, ShouldResemble, []coltsfootlink.CatalogRecord{{Stream: coltsfootlink.TargetStream, Position: coltsfootlink.Position{Offset: 4}, Key: "old", Removed: true}})
 	})
 }
 
@@ -235,7 +235,7 @@
 	}
 	read := func(task *Task) {
 		for stream, records := range newest {
-			task.handle(coltsfootlink.Delivery{Message: readResult{stream: stream, records: records, complete: true, end: 9}})
+			task.handle(coltsfootlink.Delivery{Message: readResult{stream: stream, records: records, complete: true, end: coltsfootlink.Position{Offset: 9}}})
 		}
 	}
 	hear := func(task *Task) {
--- a/catalog/storm_test.go
+++ b/catalog/storm_test.go
@@ -28,7 +28,7 @@
 			So(sender.sent, ShouldHaveLength, 1)
 			var offsets []uint64
 			for _, record := range sender.sent[0].Message.(coltsfootlink.News).Records {
-				offsets = append(offsets, record.Offset)
+				offsets = append(offsets, record.Position.Offset)
 			}
 			So(offsets, ShouldResemble, test.sent)
 		})
--- a/catalog/task.go
+++ b/catalog/task.go
@@ -283,7 +283,7 @@
 
 // logChange logs a change of the catalog.
 func (task *Task) logChange(record coltsfootlink.CatalogRecord) {
-	line := task.Log.Info().Str("key", record.Key).Uint64("offset", record.Offset)
+	line := task.Log.Info().Str("key", record.Key).Uint64("offset", record.Position.Offset).Uint64("era", record.Position.Era)
 	if record.Removed {
 		line.Msg("catalog: key removed")
 		return
--- a/catalog/task_test.go
+++ b/catalog/task_test.go
@@ -158,7 +158,7 @@
 }
 
 // Follow always fails.
-func (source *failingSource) Follow(_ context.Context, _ coltsfootlink.CatalogStream, _ uint64, wait time.Duration) (coltsfootlink.CatalogBatch, error) {
+func (source *failingSource) Follow(_ context.Context, _ coltsfootlink.CatalogStream, _ coltsfootlink.Position, wait time.Duration) (coltsfootlink.CatalogBatch, error) {
 	source.waits = append(source.waits, wait)
 	return coltsfootlink.CatalogBatch{}, errors.New("no answer")
 }
@@ -233,7 +233,7 @@
 				asked += len(sender.sent)
 				if len(sender.sent) > 0 && test.replies {
 					task.handle(coltsfootlink.Delivery{From: sender.sent[0].From, Message: coltsfootlink.News{
-						Records: []coltsfootlink.CatalogRecord{operatorRecord(1, "config", "version 3")}, Ends: map[coltsfootlink.CatalogStream]uint64{coltsfootlink.OperatorStream: 2},
+						Records: []coltsfootlink.CatalogRecord{operatorRecord(1, "config", "version 3")}, Ends: map[coltsfootlink.CatalogStream]coltsfootlink.Position{coltsfootlink.OperatorStream: {Offset: 2}},
 					}})
 				}
 			}
--- a/claim/partition.go
+++ b/claim/partition.go
@@ -23,8 +23,8 @@
 // Partition is the state that an owner keeps for one partition of the keys. It is immutable.
 type Partition struct {
 	index Index
-	// nextOffset is the offset of the first record that has not been read.
-	nextOffset uint64
+	// next is the position of the first record that has not been read.
+	next coltsfootlink.Position
 	// lastRead is when the stream was last read.
 	lastRead time.Time
 	// outbox holds the entries that have not been appended to the log yet.
@@ -87,10 +87,10 @@
 	partition.lastRead = now
 	var answers []Answer
 	for _, stored := range batch.Records {
-		if stored.Offset < partition.nextOffset {
+		if stored.Position.Before(partition.next) {
 			continue
 		}
-		partition.nextOffset = stored.Offset + 1
+		partition.next = stored.Position.Next()
 		// A record that cannot be decoded has no entries and is skipped.
 		record, _ := decodeRecord(stored.Body)
 		for _, entry := range record.Entries {
--- a/claim/partition_test.go
+++ b/claim/partition_test.go
@@ -33,11 +33,11 @@
 
 func (log *stream) append(entries []Entry) {
 	body, _ := Record{Entries: entries}.Encode()
-	log.records = append(log.records, coltsfootlink.Record{Offset: uint64(len(log.records)), Body: body})
+	log.records = append(log.records, coltsfootlink.Record{Position: coltsfootlink.Position{Offset: uint64(len(log.records))}, Body: body})
 }
 
 func (log *stream) batch() coltsfootlink.Batch {
-	return coltsfootlink.Batch{Records: log.records, Next: uint64(len(log.records))}
+	return coltsfootlink.Batch{Records: log.records, Next: coltsfootlink.Position{Offset: uint64(len(log.records))}}
 }
 
 func claimOf(attempt string) Entry { return Entry{Key: key, Attempt: attempt} }
--- a/configuration.go
+++ b/configuration.go
@@ -15,21 +15,21 @@
 // Configuration is the operators' settings for teams, pools, zones and version moves; it is immutable.
 type Configuration struct {
 	Revision Revision
-	// Offset is the log offset of the record that made the revision.
-	Offset uint64
-	Teams  map[TeamName]Team
-	Pools  map[PoolName]Pool
-	Zones  map[ZoneName]AvailabilityZone
+	// Position is that of the log record that made the revision.
+	Position Position
+	Teams    map[TeamName]Team
+	Pools    map[PoolName]Pool
+	Zones    map[ZoneName]AvailabilityZone
 	// tokens maps the hash of a team's token to the team.
 	tokens map[string]TeamName
 	// Moves holds the newest version move of each pool.
 	Moves map[PoolName]Move
 }
 
-// WithRevision returns the configuration with another revision and log offset.
-func (configuration Configuration) WithRevision(revision Revision, offset uint64) Configuration {
+// WithRevision returns the configuration with another revision and the position of its log record.
+func (configuration Configuration) WithRevision(revision Revision, position Position) Configuration {
 	configuration.Revision = revision
-	configuration.Offset = offset
+	configuration.Position = position
 	return configuration
 }
 
--- a/duty.go
+++ b/duty.go
@@ -153,8 +153,8 @@
 	LeaseFound bool
 	// Windows are the recorded usage windows that the store still has, by index.
 	Windows map[uint64]UsageWindow
-	// End is the offset at which the next record has to be appended.
-	End uint64
+	// End is the position at which the next record has to be appended.
+	End Position
 }
 
 // NextWindow returns the first usage window that is not recorded yet. Windows are recorded in order, so that no earlier one
@@ -172,14 +172,14 @@
 type LeaseStore interface {
 	// Read returns the recorded state.
 	Read(ctx context.Context) (DutyRecords, error)
-	// AppendLease appends a lease record at an offset and returns the next offset; ErrDutyConflict if others have appended.
-	AppendLease(ctx context.Context, record LeaseRecord, at uint64) (uint64, error)
-	// AppendWindow appends the counts of a usage window at an offset and returns the next offset; ErrDutyConflict if
+	// AppendLease appends a lease record at a position and returns the next position; ErrDutyConflict if others have appended.
+	AppendLease(ctx context.Context, record LeaseRecord, at Position) (Position, error)
+	// AppendWindow appends the counts of a usage window at a position and returns the next position; ErrDutyConflict if
 	// others have appended.
-	AppendWindow(ctx context.Context, window UsageWindow, at uint64) (uint64, error)
-	// RemoveWindows removes recorded usage windows, with records at an offset, and returns the next offset; ErrDutyConflict
+	AppendWindow(ctx context.Context, window UsageWindow, at Position) (Position, error)
+	// RemoveWindows removes recorded usage windows, with records at a position, and returns the next position; ErrDutyConflict
 	// if others have appended.
-	RemoveWindows(ctx context.Context, indexes []uint64, at uint64) (uint64, error)
+	RemoveWindows(ctx context.Context, indexes []uint64, at Position) (Position, error)
 }
 
 // ScaleRange is the range within which the number of a pool's targets in each availability zone may be ordered.
--- a/duty/holder.go
+++ b/duty/holder.go
@@ -57,8 +57,8 @@
 	step        lease.Step
 	// records are what was read.
 	records coltsfootlink.DutyRecords
-	// next is the offset after what was appended: a lease record with reported, or a window, or the removal of windows.
-	next     uint64
+	// next is the position after what was appended: a lease record with reported, or a window, or the removal of windows.
+	next     coltsfootlink.Position
 	reported uint64
 	window   *coltsfootlink.UsageWindow
 	removed  []uint64
--- a/duty/task_test.go
+++ b/duty/task_test.go
@@ -97,9 +97,9 @@
 	return records, nil
 }
 
-func (endpoint endpoint) append(ctx context.Context, at uint64, count int, change func(records *coltsfootlink.DutyRecords)) (uint64, error) {
+func (endpoint endpoint) append(ctx context.Context, at coltsfootlink.Position, count int, change func(records *coltsfootlink.DutyRecords)) (coltsfootlink.Position, error) {
 	type result struct {
-		next uint64
+		next coltsfootlink.Position
 		err  error
 	}
 	answer := make(chan result, 1)
@@ -117,45 +117,45 @@
 	case result := <-answer:
 		return result.next, result.err
 	case <-ctx.Done():
-		return 0, ctx.Err()
+		return coltsfootlink.Position{}, ctx.Err()
 	}
 }
 
-func (endpoint endpoint) appendNow(at uint64, count int, change func(records *coltsfootlink.DutyRecords)) (uint64, error) {
+func (endpoint endpoint) appendNow(at coltsfootlink.Position, count int, change func(records *coltsfootlink.DutyRecords)) (coltsfootlink.Position, error) {
 	site := endpoint.site
 	site.mutex.Lock()
 	defer site.mutex.Unlock()
 	switch {
 	case site.down || site.cutStore[endpoint.name]:
-		return 0, errors.New("down")
+		return coltsfootlink.Position{}, errors.New("down")
 	case at != site.records.End:
-		return 0, coltsfootlink.ErrDutyConflict
+		return coltsfootlink.Position{}, coltsfootlink.ErrDutyConflict
 	}
-	site.records.End += uint64(count)
+	site.records.End = site.records.End.Plus(count)
 	change(&site.records)
 	if site.loseStore {
-		return 0, errors.New("no answer")
+		return coltsfootlink.Position{}, errors.New("no answer")
 	}
 	return site.records.End, nil
 }
 
 // AppendLease records a lease.
-func (endpoint endpoint) AppendLease(ctx context.Context, record coltsfootlink.LeaseRecord, at uint64) (uint64, error) {
+func (endpoint endpoint) AppendLease(ctx context.Context, record coltsfootlink.LeaseRecord, at coltsfootlink.Position) (coltsfootlink.Position, error) {
 	return endpoint.append(ctx, at, 1, func(records *coltsfootlink.DutyRecords) {
 		if record.Token == 0 {
-			record.Token = at + 1
+			record.Token = at.Offset + 1
 		}
 		records.Lease, records.LeaseFound = record, true
 	})
 }
 
 // AppendWindow records a window.
-func (endpoint endpoint) AppendWindow(ctx context.Context, window coltsfootlink.UsageWindow, at uint64) (uint64, error) {
+func (endpoint endpoint) AppendWindow(ctx context.Context, window coltsfootlink.UsageWindow, at coltsfootlink.Position) (coltsfootlink.Position, error) {
 	return endpoint.append(ctx, at, 1, func(records *coltsfootlink.DutyRecords) { records.Windows[window.Index] = window })
 }
 
 // RemoveWindows removes windows.
-func (endpoint endpoint) RemoveWindows(ctx context.Context, indexes []uint64, at uint64) (uint64, error) {
+func (endpoint endpoint) RemoveWindows(ctx context.Context, indexes []uint64, at coltsfootlink.Position) (coltsfootlink.Position, error) {
 	return endpoint.append(ctx, at, len(indexes), func(records *coltsfootlink.DutyRecords) {
 		for _, index := range indexes {
 			delete(records.Windows, index)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -220,6 +220,7 @@
 		Duties:     gateway.mailboxes.duties,
 	}
 	gateway.store = platform.NewStore("http://" + gateway.Settings.Store.Address)
+	gateway.store.Log = gateway.Log
 	gateway.gate = &ingress.Gate{Inbox: gateway.mailboxes.gate, Clock: gateway.clock, Log: gateway.Log}
 	gateway.probe = &web.Probe{Address: gateway.Settings.Listen.Callers, Clock: gateway.clock, Inbox: mailbox.NewDeliveries()}
 	gateway.prepareRelay()
--- a/ingress/keys_test.go
+++ b/ingress/keys_test.go
@@ -73,10 +73,10 @@
 	)
 	config := func(offset uint64, tenants string) coltsfootlink.CatalogRecord {
 		value := fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"h","path_prefix":"/a/","kind":"safe","timeout_ms":1000,"service":"p"}]%s}`, offset, tenants)
-		return coltsfootlink.CatalogRecord{Stream: coltsfootlink.OperatorStream, Offset: offset, Key: "config", Value: []byte(value)}
+		return coltsfootlink.CatalogRecord{Stream: coltsfootlink.OperatorStream, Position: coltsfootlink.Position{Offset: offset}, Key: "config", Value: []byte(value)}
 	}
 	unreadable := func(offset uint64) coltsfootlink.CatalogRecord {
-		return coltsfootlink.CatalogRecord{Stream: coltsfootlink.OperatorStream, Offset: offset, Key: "config", Value: []byte(`{"version":9,"tenants":"?"`)}
+		return coltsfootlink.CatalogRecord{Stream: coltsfootlink.OperatorStream, Position: coltsfootlink.Position{Offset: offset}, Key: "config", Value: []byte(`{"version":9,"tenants":"?"`)}
 	}
 	cases := map[string]struct {
 		records []coltsfootlink.CatalogRecord
@@ -89,7 +89,7 @@
 		"the newest record cannot be read":                     {[]coltsfootlink.CatalogRecord{config(1, bothKeys), config(2, noKeys), unreadable(3)}, nil},
 		"an old record comes after one that cannot be read":    {[]coltsfootlink.CatalogRecord{config(2, noKeys), unreadable(3), config(1, bothKeys)}, nil},
 		"the withdrawal comes after one that cannot be read":   {[]coltsfootlink.CatalogRecord{config(1, bothKeys), unreadable(3), config(2, noKeys)}, nil},
-		"the record of the configuration is removed":           {[]coltsfootlink.CatalogRecord{config(1, bothKeys), config(2, noKeys), {Stream: coltsfootlink.OperatorStream, Offset: 3, Key: "config", Removed: true}}, nil},
+		"the record of the configuration is removed":           {[]coltsfootlink.CatalogRecord{config(1, bothKeys), config(2, noKeys), {Stream: coltsfootlink.OperatorStream, Position: coltsfootlink.Position{Offset: 3}, Key: "config", Removed: true}}, nil},
 		"keys are given out again after all were withdrawn":    {[]coltsfootlink.CatalogRecord{config(1, bothKeys), config(2, noKeys), config(3, secondKey)}, map[string]bool{"k2": true}},
 		"the withdrawal arrives again before the old one does": {[]coltsfootlink.CatalogRecord{config(2, noKeys), config(2, noKeys), config(1, bothKeys)}, nil},
 	}
--- a/lease/state.go
+++ b/lease/state.go
@@ -49,9 +49,9 @@
 	record coltsfootlink.LeaseRecord
 	found  bool
 	seenAt time.Time
-	// end is the offset at which the next record has to be appended. It is out of date unless settled is set: an append has
+	// end is the position at which the next record has to be appended. It is out of date unless settled is set: an append has
 	// failed, and it is unknown whether it has taken effect, or nothing has been read yet.
-	end     uint64
+	end     coltsfootlink.Position
 	settled bool
 	// conflicted indicates that another instance has appended a record that has not been read yet.
 	conflicted bool
@@ -152,9 +152,9 @@
 	return state
 }
 
-// Proposal returns the lease record that the step in progress appends, and the offset at which every step appends. The
+// Proposal returns the lease record that the step in progress appends, and the position at which every step appends. The
 // fencing token of an acquisition is its offset plus one, so that it exceeds all earlier ones.
-func (state State) Proposal(reported uint64) (coltsfootlink.LeaseRecord, uint64) {
+func (state State) Proposal(reported uint64) (coltsfootlink.LeaseRecord, coltsfootlink.Position) {
 	record := coltsfootlink.LeaseRecord{Holder: state.holder, Incarnation: state.incarnation, Renewal: state.attempt, Reported: reported}
 	if state.step == Renew {
 		record.Token = state.record.Token
@@ -184,11 +184,11 @@
 	return state
 }
 
-// WithAppended returns the state after the records of the step in progress were appended; next is the offset after them.
-func (state State) WithAppended(now time.Time, next, reported uint64) State {
+// WithAppended returns the state after the records of the step in progress were appended; next is the position after them.
+func (state State) WithAppended(now time.Time, next coltsfootlink.Position, reported uint64) State {
 	record, _ := state.Proposal(reported)
 	if state.step == Acquire {
-		record.Token = next
+		record.Token = next.Offset
 	}
 	if state.step == Acquire || state.step == Renew {
 		state.record, state.found, state.seenAt, state.renewedAt = record, true, now, state.attemptAt
--- a/lease/state_test.go
+++ b/lease/state_test.go
@@ -22,7 +22,7 @@
 type store struct {
 	lease coltsfootlink.LeaseRecord
 	found bool
-	end   uint64
+	end   coltsfootlink.Position
 }
 
 func (store *store) read() coltsfootlink.DutyRecords {
@@ -31,15 +31,15 @@
 
 // append appends a lease record, or another record if there is none, and returns the next offset; false if the offset is not
 // the end.
-func (store *store) append(record *coltsfootlink.LeaseRecord, at uint64) (uint64, bool) {
+func (store *store) append(record *coltsfootlink.LeaseRecord, at coltsfootlink.Position) (coltsfootlink.Position, bool) {
 	if at != store.end {
-		return 0, false
+		return coltsfootlink.Position{}, false
 	}
-	store.end++
+	store.end = store.end.Next()
 	if record != nil {
 		store.lease, store.found = *record, true
 		if store.lease.Token == 0 {
-			store.lease.Token = store.end
+			store.lease.Token = store.end.Offset
 		}
 	}
 	return store.end, true
@@ -255,11 +255,11 @@
 type storeCall struct {
 	step   Step
 	record coltsfootlink.LeaseRecord
-	at     uint64
+	at     coltsfootlink.Position
 	// effectAt is when the store carries out the call, and answeredAt when its answer arrives; never if negative.
 	effectAt, answeredAt, timeoutAt int
 	done, appended                  bool
-	next                            uint64
+	next                            coltsfootlink.Position
 	records                         coltsfootlink.DutyRecords
 }
 
--- a/message.go
+++ b/message.go
@@ -222,7 +222,8 @@
 // RevisionReply is the reply to RevisionRequest and carries the configuration as TOML.
 type RevisionReply struct {
 	Revision Revision
-	Offset   uint64
+	// Position is that of the log record that made the revision.
+	Position Position
 	Document string
 }
 
--- a/message_gateway.go
+++ b/message_gateway.go
@@ -222,8 +222,8 @@
 	ReadAt time.Time
 	// Signature is the signature of the sender's catalog.
 	Signature uint64
-	// Ends is set if the records are all that the sender has: the offsets up to which it has read streams completely.
-	Ends map[CatalogStream]uint64
+	// Ends is set if the records are all that the sender has: the positions up to which it has read streams completely.
+	Ends map[CatalogStream]Position
 }
 
 // NewsRequest asks a peer for all its catalog records; the reply is News.
--- a/move.go
+++ b/move.go
@@ -66,10 +66,10 @@
 
 // MoveRecords stores the state of moves on the platform.
 type MoveRecords interface {
-	// Moves returns the record of each pool, and the offset at which the next change has to be recorded.
-	Moves(ctx context.Context) (map[PoolName]MoveRecord, uint64, error)
-	// Record stores a move's state at an offset returned by Moves; it fails if anything was recorded in between.
-	Record(ctx context.Context, move Move, at uint64) error
+	// Moves returns the record of each pool, and the position at which the next change has to be recorded.
+	Moves(ctx context.Context) (map[PoolName]MoveRecord, Position, error)
+	// Record stores a move's state at a position returned by Moves; it fails if anything was recorded in between.
+	Record(ctx context.Context, move Move, at Position) error
 }
 
 // Rollout decides what share of a shard's traffic goes to the new version of a move; its values are immutable.
--- a/move/stale_test.go
+++ b/move/stale_test.go
@@ -37,7 +37,7 @@
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	store.known["p"] = record
-	store.end++
+	store.end = store.end.Next()
 }
 
 // setUnreadable makes the next reads fail.
--- a/move/task.go
+++ b/move/task.go
@@ -236,7 +236,7 @@
 	ctx, cancel := context.WithDeadline(ctx, task.Clock.Now().Add(recordTimeout))
 	defer cancel()
 	result := recordResult{pool: move.Pool, started: move.Started, attempt: attempt}
-	records, offset, err := task.Records.Moves(ctx)
+	records, next, err := task.Records.Moves(ctx)
 	existing := records[move.Pool]
 	switch {
 	case err != nil:
@@ -247,7 +247,7 @@
 		result.state = existing.State
 	default:
 		result.state = move.State
-		result.err = task.Records.Record(ctx, move, offset)
+		result.err = task.Records.Record(ctx, move, next)
 	}
 	task.Inbox.Put(coltsfootlink.Delivery{Message: result})
 }
--- a/move/task_test.go
+++ b/move/task_test.go
@@ -18,7 +18,7 @@
 type recordStore struct {
 	mutex sync.Mutex
 	known map[coltsfootlink.PoolName]coltsfootlink.MoveRecord
-	end   uint64
+	end   coltsfootlink.Position
 	// unreadable is the number of reads that fail from now on, and conflicts the number of writes that fail because
 	// another writer comes first.
 	unreadable, conflicts int
@@ -29,12 +29,12 @@
 var errDown = errors.New("down")
 
 // Moves returns all records and the offset of the next one.
-func (store *recordStore) Moves(context.Context) (map[coltsfootlink.PoolName]coltsfootlink.MoveRecord, uint64, error) {
+func (store *recordStore) Moves(context.Context) (map[coltsfootlink.PoolName]coltsfootlink.MoveRecord, coltsfootlink.Position, error) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	if store.unreadable > 0 {
 		store.unreadable--
-		return nil, 0, errDown
+		return nil, coltsfootlink.Position{}, errDown
 	}
 	known := make(map[coltsfootlink.PoolName]coltsfootlink.MoveRecord)
 	for pool, record := range store.known {
@@ -44,17 +44,17 @@
 }
 
 // Record records a state; it fails if anything was recorded since the offset.
-func (store *recordStore) Record(_ context.Context, move coltsfootlink.Move, at uint64) error {
+func (store *recordStore) Record(_ context.Context, move coltsfootlink.Move, at coltsfootlink.Position) error {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	if store.conflicts > 0 {
 		store.conflicts--
-		store.end++
+		store.end = store.end.Next()
 	}
 	if at != store.end {
 		return errors.New("condition failed")
 	}
-	store.end++
+	store.end = store.end.Next()
 	store.known[move.Pool] = coltsfootlink.MoveRecord{To: move.To, State: move.State}
 	store.written = append(store.written, move.State)
 	return nil
--- a/node/node.go
+++ b/node/node.go
@@ -133,6 +133,7 @@
 
 func (node *Node) addPlatform(branch *supervisor.Branch) {
 	store := platform.NewStore(node.Settings.Platform.Address)
+	store.Log = node.Log
 	client := platform.Log{Store: store}
 	branch.Add("watch", &platform.ListWatcher{
 		Self:        node.self.Name,
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -127,7 +127,7 @@
 	case *peerpb.Message_RevisionReply:
 		return coltsfootlink.RevisionReply{
 			Revision: coltsfootlink.Revision(kind.RevisionReply.GetRevision()),
-			Offset:   kind.RevisionReply.GetOffset(),
+			Position: coltsfootlink.Position{Era: kind.RevisionReply.GetEra(), Offset: kind.RevisionReply.GetOffset()},
 			Document: kind.RevisionReply.GetDocument(),
 		}, nil
 	case *peerpb.Message_ClaimRequest:
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -86,7 +86,7 @@
 	"offered":          coltsfootlink.Offered{Pool: "p", Attempted: 128, RefusedFull: 64, Teams: []coltsfootlink.TeamLoad{{Team: "x", Tokens: 1000, Requests: 7, Granted: 250}}},
 	"shares":           coltsfootlink.Shares{Pool: "p", MaxWaitFraction: 0.25, Zones: []coltsfootlink.ZoneDemand{{Zone: "z", Fraction: 0.75}}, Teams: []coltsfootlink.TeamShare{{Team: "x", Entitled: 0.25, Bearable: 0.5, Surplus: 1}}},
 	"revision request": coltsfootlink.RevisionRequest{},
-	"revision reply":   coltsfootlink.RevisionReply{Revision: 3, Offset: 4, Document: "[[team]]"},
+	"revision reply":   coltsfootlink.RevisionReply{Revision: 3, Position: coltsfootlink.Position{Era: 2, Offset: 4}, Document: "[[team]]"},
 }
 
 func TestMessagesSurviveEncodingAndDecoding(t *testing.T) {
@@ -109,8 +109,8 @@
 // clocks of instances differ, are restored to within 50 ms.
 func TestTimesAreSentRelativeToNow(t *testing.T) {
 	now := time.Now()
-	ends := map[coltsfootlink.CatalogStream]uint64{coltsfootlink.TargetStream: 4, coltsfootlink.OperatorStream: 9}
-	record := coltsfootlink.CatalogRecord{Stream: coltsfootlink.TargetStream, Offset: 3, Key: "k", Value: []byte("v"), Removed: true}
+	ends := map[coltsfootlink.CatalogStream]coltsfootlink.Position{coltsfootlink.TargetStream: {Era: 2, Offset: 4}, coltsfootlink.OperatorStream: {Offset: 9}}
+	record := coltsfootlink.CatalogRecord{Stream: coltsfootlink.TargetStream, Position: coltsfootlink.Position{Era: 2, Offset: 3}, Key: "k", Value: []byte("v"), Removed: true}
 	cases := map[string]struct {
 		message coltsfootlink.Message
 		at      func(coltsfootlink.Message) time.Time
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -175,7 +175,8 @@
 func (encoder *encoder) encodeRevisionReply(reply coltsfootlink.RevisionReply) *peerpb.RevisionReply {
 	return &peerpb.RevisionReply{
 		Revision: uint64(reply.Revision),
-		Offset:   reply.Offset,
+		Offset:   reply.Position.Offset,
+		Era:      reply.Position.Era,
 		Document: reply.Document,
 	}
 }
--- a/peer/gateway.go
+++ b/peer/gateway.go
@@ -172,7 +172,8 @@
 		Records: convertAll(news.Records, func(record coltsfootlink.CatalogRecord) *peerpb.NewsRecord {
 			return &peerpb.NewsRecord{
 				StreamRef: encoder.ref(string(record.Stream)),
-				Offset:    record.Offset,
+				Offset:    record.Position.Offset,
+				Era:       record.Position.Era,
 				Key:       record.Key,
 				Value:     record.Value,
 				Removed:   record.Removed,
@@ -184,21 +185,21 @@
 	}
 }
 
-func (encoder *encoder) encodeEnds(ends map[coltsfootlink.CatalogStream]uint64) []*peerpb.StreamEnd {
+func (encoder *encoder) encodeEnds(ends map[coltsfootlink.CatalogStream]coltsfootlink.Position) []*peerpb.StreamEnd {
 	var encoded []*peerpb.StreamEnd
 	for stream, end := range ends {
-		encoded = append(encoded, &peerpb.StreamEnd{StreamRef: encoder.ref(string(stream)), End: end})
+		encoded = append(encoded, &peerpb.StreamEnd{StreamRef: encoder.ref(string(stream)), End: end.Offset, Era: end.Era})
 	}
 	return encoded
 }
 
-func (decoder *decoder) decodeEnds(encoded []*peerpb.StreamEnd) map[coltsfootlink.CatalogStream]uint64 {
+func (decoder *decoder) decodeEnds(encoded []*peerpb.StreamEnd) map[coltsfootlink.CatalogStream]coltsfootlink.Position {
 	if len(encoded) == 0 {
 		return nil
 	}
-	ends := make(map[coltsfootlink.CatalogStream]uint64, len(encoded))
+	ends := make(map[coltsfootlink.CatalogStream]coltsfootlink.Position, len(encoded))
 	for _, end := range encoded {
-		ends[coltsfootlink.CatalogStream(decoder.name(end.GetStreamRef()))] = end.GetEnd()
+		ends[coltsfootlink.CatalogStream(decoder.name(end.GetStreamRef()))] = coltsfootlink.Position{Era: end.GetEra(), Offset: end.GetEnd()}
 	}
 	return ends
 }
@@ -207,11 +208,11 @@
 	return coltsfootlink.News{
 		Records: convertAll(news.GetRecords(), func(record *peerpb.NewsRecord) coltsfootlink.CatalogRecord {
 			return coltsfootlink.CatalogRecord{
-				Stream:  coltsfootlink.CatalogStream(decoder.name(record.GetStreamRef())),
-				Offset:  record.GetOffset(),
-				Key:     record.GetKey(),
-				Value:   record.GetValue(),
-				Removed: record.GetRemoved(),
+				Stream:   coltsfootlink.CatalogStream(decoder.name(record.GetStreamRef())),
+				Position: coltsfootlink.Position{Era: record.GetEra(), Offset: record.GetOffset()},
+				Key:      record.GetKey(),
+				Value:    record.GetValue(),
+				Removed:  record.GetRemoved(),
 			}
 		}),
 		ReadAt:    time.Now().Add(-time.Duration(news.GetAgeMillis()) * time.Millisecond),
--- a/platform.go
+++ b/platform.go
@@ -13,25 +13,27 @@
 
 // Record is one entry of a stream.
 type Record struct {
-	Offset uint64
-	Body   []byte
+	Position Position
+	Body     []byte
 }
 
-// Batch is a sequence of consecutive records, with the oldest offset that the stream still retains.
+// Batch is a sequence of consecutive records, with the oldest position that the stream still retains. The records are
+// consecutive within the batch only: if Next is of a later era than the position from which the batch was read, the store was
+// restored in between, and records before the batch may have been replaced.
 type Batch struct {
 	Records []Record
-	// First is the oldest offset retained; earlier records have been dropped.
-	First uint64
-	// Next is the offset after the newest record.
-	Next uint64
+	// First is the oldest position retained; earlier records have been dropped.
+	First Position
+	// Next is the position after the newest record.
+	Next Position
 }
 
 // Log is the platform's append-only log service.
 type Log interface {
-	// Append adds a record and returns its offset. After an error it is unknown whether the record was added.
-	Append(ctx context.Context, stream Stream, body []byte) (uint64, error)
-	// Read returns the records from an offset on; if there are none, it waits for one until the given time.
-	Read(ctx context.Context, stream Stream, from uint64, waitUntil time.Time) (Batch, error)
+	// Append adds a record and returns its position. After an error it is unknown whether the record was added.
+	Append(ctx context.Context, stream Stream, body []byte) (Position, error)
+	// Read returns the records from a position on; if there are none, it waits for one until the given time.
+	Read(ctx context.Context, stream Stream, from Position, waitUntil time.Time) (Batch, error)
 }
 
 // Listing is the content of the instance list.
--- a/revision/state.go
+++ b/revision/state.go
@@ -35,8 +35,8 @@
 	Configuration coltsfootlink.Configuration
 	// author is the author of the present revision.
 	author string
-	// nextOffset is the offset of the first record that has not been applied.
-	nextOffset uint64
+	// next is the position of the first record that has not been applied.
+	next coltsfootlink.Position
 	// gap indicates that the log has dropped records that were not read. Changes are refused until a snapshot or a
 	// peer's configuration closes the gap.
 	gap bool
@@ -44,22 +44,22 @@
 
 // WithBatch applies records in log order and returns the verdict on each.
 func (state State) WithBatch(batch coltsfootlink.Batch) (State, []Verdict) {
-	if batch.First > state.nextOffset {
+	if batch.First.Offset > 0 && state.next.Before(batch.First) {
 		state.gap = true
 	}
 	var verdicts []Verdict
 	for _, entry := range batch.Records {
-		if entry.Offset < state.nextOffset {
+		if entry.Position.Before(state.next) {
 			continue
 		}
-		state.nextOffset = entry.Offset + 1
+		state.next = entry.Position.Next()
 		record, err := decodeRecord(entry.Body)
 		if err != nil {
 			verdicts = append(verdicts, Verdict{Err: err})
 			continue
 		}
 		var verdict Verdict
-		state, verdict = state.withRecord(entry.Offset, record)
+		state, verdict = state.withRecord(entry.Position, record)
 		verdicts = append(verdicts, verdict)
 	}
 	return state, verdicts
@@ -74,8 +74,10 @@
 	if err != nil {
 		return state, false, errors.Wrap(err, "revision: parse the configuration of a peer")
 	}
-	state.Configuration = configuration.WithRevision(reply.Revision, reply.Offset)
-	state.nextOffset = max(state.nextOffset, reply.Offset+1)
+	state.Configuration = configuration.WithRevision(reply.Revision, reply.Position)
+	if next := reply.Position.Next(); state.next.Before(next) {
+		state.next = next
+	}
 	state.gap = false
 	state.author = "an operator"
 	return state, true, nil
@@ -83,15 +85,15 @@
 
 // Check returns why a change would be refused at the present revision; nil if it would be accepted.
 func (state State) Check(record Record) error {
-	_, verdict := state.withRecord(state.nextOffset, record)
+	_, verdict := state.withRecord(state.next, record)
 	return verdict.Err
 }
 
-func (state State) withRecord(offset uint64, record Record) (State, Verdict) {
+func (state State) withRecord(position coltsfootlink.Position, record Record) (State, Verdict) {
 	present := state.Configuration.Revision
 	verdict := Verdict{Record: record, Revision: present}
 	if record.Kind == Snapshot {
-		return state.withSnapshot(offset, record)
+		return state.withSnapshot(position, record)
 	}
 	if state.gap {
 		verdict.Err = errors.New("revision: the log has dropped records that were not read; changes are refused until a snapshot or the configuration of a peer is read")
@@ -106,14 +108,14 @@
 		verdict.Err = err
 		return state, verdict
 	}
-	state.Configuration = configuration.WithRevision(present+1, offset)
+	state.Configuration = configuration.WithRevision(present+1, position)
 	state.author = record.Author
 	verdict.Revision = present + 1
 	return state, verdict
 }
 
 // withSnapshot replaces the configuration with that of a snapshot, unless the snapshot's revision is not newer.
-func (state State) withSnapshot(offset uint64, record Record) (State, Verdict) {
+func (state State) withSnapshot(position coltsfootlink.Position, record Record) (State, Verdict) {
 	verdict := Verdict{Record: record, Revision: state.Configuration.Revision}
 	if record.Base <= state.Configuration.Revision {
 		return state, verdict
@@ -123,7 +125,7 @@
 		verdict.Err = err
 		return state, verdict
 	}
-	state.Configuration = configuration.WithRevision(record.Base, offset)
+	state.Configuration = configuration.WithRevision(record.Base, position)
 	state.author = record.Author
 	state.gap = false
 	verdict.Revision = record.Base
--- a/revision/state_test.go
+++ b/revision/state_test.go
@@ -40,10 +40,10 @@
 
 // log returns a batch of records with consecutive offsets from first on.
 func log(first uint64, records ...Record) coltsfootlink.Batch {
-	batch := coltsfootlink.Batch{First: first, Next: first + uint64(len(records))}
+	batch := coltsfootlink.Batch{First: coltsfootlink.Position{Offset: first}, Next: coltsfootlink.Position{Offset: first + uint64(len(records))}}
 	for index, record := range records {
 		body, _ := record.Encode()
-		batch.Records = append(batch.Records, coltsfootlink.Record{Offset: first + uint64(index), Body: body})
+		batch.Records = append(batch.Records, coltsfootlink.Record{Position: coltsfootlink.Position{Offset: first + uint64(index)}, Body: body})
 	}
 	return batch
 }
@@ -66,7 +66,7 @@
 		"a snapshot where records were dropped": {log(5, apply("6", 6, 2), Record{ID: "s", Base: 7, Kind: Snapshot, Document: document(3)}, apply("8", 7, 4)), 8, nil},
 		"records were dropped and no snapshot":  {log(5, apply("1", 0, 1)), 0, errors.New("")},
 		"an old snapshot has no effect":         {log(0, apply("1", 0, 1), apply("2", 1, 1), Record{ID: "s", Base: 1, Kind: Snapshot, Document: document(9)}), 2, nil},
-		"a record that is not valid JSON":       {coltsfootlink.Batch{Records: []coltsfootlink.Record{{Body: []byte("{")}}, Next: 1}, 0, errors.New("")},
+		"a record that is not valid JSON":       {coltsfootlink.Batch{Records: []coltsfootlink.Record{{Body: []byte("{")}}, Next: coltsfootlink.Position{Offset: 1}}, 0, errors.New("")},
 	}
 	for name, test := range cases {
 		Convey(name, t, func() {
@@ -104,7 +104,7 @@
 		newer    bool
 		fails    bool
 	}{
-		"a newer revision":    {coltsfootlink.RevisionReply{Revision: 4, Offset: 9, Document: document(2)}, 4, true, false},
+		"a newer revision":    {coltsfootlink.RevisionReply{Revision: 4, Position: coltsfootlink.Position{Offset: 9}, Document: document(2)}, 4, true, false},
 		"the same revision":   {coltsfootlink.RevisionReply{Revision: 1, Document: document(2)}, 1, false, false},
 		"an invalid document": {coltsfootlink.RevisionReply{Revision: 4, Document: "["}, 1, false, true},
 	}
@@ -118,7 +118,7 @@
 		})
 	}
 	Convey("records already included in the peer's revision are not applied again", t, func() {
-		state, _, _ := State{}.WithPeer(coltsfootlink.RevisionReply{Revision: 2, Offset: 1, Document: document(2)})
+		state, _, _ := State{}.WithPeer(coltsfootlink.RevisionReply{Revision: 2, Position: coltsfootlink.Position{Offset: 1}, Document: document(2)})
 		state, _ = state.WithBatch(log(0, apply("1", 0, 1), apply("2", 1, 2), apply("3", 2, 3)))
 		So(state.Configuration.Revision, ShouldEqual, coltsfootlink.Revision(3))
 	})
@@ -136,10 +136,10 @@
 		full := log(0, records...)
 		left, _ := State{}.WithBatch(full)
 		var right State
-		for right.nextOffset < full.Next {
+		for right.next.Before(full.Next) {
 			before := right.Configuration.Revision
-			upTo := rapid.Uint64Range(right.nextOffset+1, full.Next).Draw(t, "up to")
-			right, _ = right.WithBatch(coltsfootlink.Batch{Records: full.Records[:upTo], Next: upTo})
+			upTo := rapid.Uint64Range(right.next.Offset+1, full.Next.Offset).Draw(t, "up to")
+			right, _ = right.WithBatch(coltsfootlink.Batch{Records: full.Records[:upTo], Next: coltsfootlink.Position{Offset: upTo}})
 			if right.Configuration.Revision < before {
 				t.Fatalf("revision decreased from %d to %d", before, right.Configuration.Revision)
 			}
--- a/revision/task.go
+++ b/revision/task.go
@@ -189,7 +189,7 @@
 	}
 	task.Sender.Send(to, coltsfootlink.RevisionReply{
 		Revision: task.state.Configuration.Revision,
-		Offset:   task.state.Configuration.Offset,
+		Position: task.state.Configuration.Position,
 		Document: document,
 	})
 }
--- a/standin/restore.go
+++ b/standin/restore.go
@@ -61,7 +61,7 @@
 		// The store is back before the reads that the restore wakes look whether it is.
 		server.drill.Store(nil)
 	})
-	server.drill.Store(nil)
+	server.drill.CompareAndSwap(current, nil)
 	close(current.over)
 	if err != nil {
 		return err
--- a/standin/store.go
+++ b/standin/store.go
@@ -265,27 +265,28 @@
 	return found
 }
 
-// Append adds a record to one of this system's own streams and returns its offset.
-func (store *Store) Append(ctx context.Context, stream coltsfootlink.Stream, body []byte) (uint64, error) {
+// Append adds a record to one of this system's own streams and returns its position.
+func (store *Store) Append(ctx context.Context, stream coltsfootlink.Stream, body []byte) (coltsfootlink.Position, error) {
 	result, err := store.append(ctx, partitionName{topic: string(stream)}, [][]byte{body}, condition{})
-	return result.offset, err
+	return coltsfootlink.Position{Era: result.era, Offset: result.offset}, err
 }
 
-// Read returns the records of one of this system's own streams from an offset on, or from the first that is kept if the
+// Read returns the records of one of this system's own streams from a position on, or from the first that is kept if the
 // stream does not have that offset. If there are none yet, it waits for one until the given time.
-func (store *Store) Read(ctx context.Context, stream coltsfootlink.Stream, from uint64, waitUntil time.Time) (coltsfootlink.Batch, error) {
+func (store *Store) Read(ctx context.Context, stream coltsfootlink.Stream, from coltsfootlink.Position, waitUntil time.Time) (coltsfootlink.Batch, error) {
 	name := partitionName{topic: string(stream)}
-	found, err := store.read(ctx, name, from, waitUntil)
+	found, err := store.read(ctx, name, from.Offset, waitUntil)
 	if err == nil && found.absent {
-		from = found.first
-		found, err = store.read(ctx, name, from, waitUntil)
+		from.Offset = found.first
+		found, err = store.read(ctx, name, from.Offset, waitUntil)
 	}
 	if err != nil {
 		return coltsfootlink.Batch{}, err
 	}
-	read := coltsfootlink.Batch{First: found.first, Next: from + uint64(len(found.records))}
+	from.Era = found.era
+	read := coltsfootlink.Batch{First: coltsfootlink.Position{Era: found.era, Offset: found.first}, Next: from.Plus(len(found.records))}
 	for index, body := range found.records {
-		read.Records = append(read.Records, coltsfootlink.Record{Offset: from + uint64(index), Body: body})
+		read.Records = append(read.Records, coltsfootlink.Record{Position: from.Plus(index), Body: body})
 	}
 	return read, nil
 }
