--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -105,6 +105,57 @@
 	}
 }
 
+// TestPositionsOfOlderBuilds guards against messages of builds without eras that are not understood, and against messages with
+// other bytes than theirs as long as the store reports no era.
+func TestPositionsOfOlderBuilds(t *testing.T) {
+	position := coltsfootlink.Position{Offset: 7}
+	cases := map[string]struct {
+		older   proto.Message
+		newer   func(encoder *encoder) proto.Message
+		decoded func(decoder *decoder) any
+		content any
+	}{
+		"a catalog record": {
+			&peerpb.News{Records: []*peerpb.NewsRecord{{StreamRef: 1, Offset: 7, Key: "k"}}, Ends: []*peerpb.StreamEnd{{StreamRef: 1, End: 7}}},
+			func(encoder *encoder) proto.Message {
+				return encoder.encodeNews(coltsfootlink.News{
+					Records: []coltsfootlink.CatalogRecord{{Stream: "s", Position: position, Key: "k"}},
+					Ends:    map[coltsfootlink.CatalogStream]coltsfootlink.Position{"s": position}, ReadAt: time.Now().Add(time.Hour),
+				})
+			},
+			func(decoder *decoder) any {
+				news := decoder.decodeNews(&peerpb.News{Records: []*peerpb.NewsRecord{{StreamRef: 1, Offset: 7, Key: "k"}}, Ends: []*peerpb.StreamEnd{{StreamRef: 1, End: 7}}})
+				return []coltsfootlink.Position{news.Records[0].Position, news.Ends["s"]}
+			},
+			[]coltsfootlink.Position{position, position},
+		},
+		"a revision": {
+			&peerpb.RevisionReply{Revision: 3, Offset: 7, Document: "d"},
+			func(encoder *encoder) proto.Message {
+				return encoder.encodeRevisionReply(coltsfootlink.RevisionReply{Revision: 3, Position: position, Document: "d"})
+			},
+			func(decoder *decoder) any {
+				message, err := decoder.decode(&peerpb.Message{Kind: &peerpb.Message_RevisionReply{RevisionReply: &peerpb.RevisionReply{Revision: 3, Offset: 7, Document: "d"}}})
+				So(err, ShouldBeNil)
+				return message.(coltsfootlink.RevisionReply).Position
+			},
+			position,
+		},
+	}
+	for name, test := range cases {
+		Convey(name, t, func() {
+			out, in := newEncoder(), new(decoder)
+			sent, err := proto.Marshal(test.newer(out))
+			So(err, ShouldBeNil)
+			expected, err := proto.Marshal(test.older)
+			So(err, ShouldBeNil)
+			So(sent, ShouldResemble, expected)
+			So(in.addNames([]string{"s"}), ShouldBeNil)
+			So(test.decoded(in), ShouldResemble, test.content)
+		})
+	}
+}
+
 // TestTimesAreSentRelativeToNow checks that times which are sent as a number of milliseconds from now, because the
 // clocks of instances differ, are restored to within 50 ms.
 func TestTimesAreSentRelativeToNow(t *testing.T) {
