Lease: no two holders after the store has lost lease records

Cause: a candidate that found no lease record acquired the lease at once, and one that found the record it knew acquired it when that had expired, although a restore of the store may have lost a record or a renewal whose holder may call for up to 2.7 s more (lease of 3 s). An append of the era before may also take effect after the restore, if the log happens to end at its offset: its sender took the lease for its own when it read the record, beside the holder of the new era and with a lower token.

Change: a lease record has the era that its sender knew (field era, absent without eras; builds before this one ignore it). - Only a record that was sent in the era in which it is read makes its sender the holder. - A candidate waits for a lease and a margin from when it has first read a new era, also if there is no record. An empty log in era 1 counts as restored too, because the number of the first era is not published: the first acquisition in a new log of a store with eras comes 3.3 s later. Nothing else changes in era 1 or without eras. - A holder that finds no record of the present era while it may still call keeps the lease, since nobody can have acquired it: it makes no call until it has written the record again, with its token. One whose lease has expired waits and acquires anew. - An append whose answer is of a later era than its condition is undecided until the records are read.

--- a/duty.go
+++ b/duty.go
@@ -144,6 +144,9 @@
 	Renewal uint64
 	// Reported is the first usage window that the platform has not confirmed yet.
 	Reported uint64
+	// Era is the era of the store that the holder knew when it sent the record. A record that is read in a later era was kept
+	// by a restore, or took effect after it by accident.
+	Era uint64
 }
 
 // eraTokenBits is the number of bits of a fencing token below the era. The platform's limit of a token is not published; JSON
--- a/duty/task_test.go
+++ b/duty/task_test.go
@@ -128,12 +128,16 @@
 	switch {
 	case site.down || site.cutStore[endpoint.name]:
 		return coltsfootlink.Position{}, errors.New("down")
-	case at != site.records.End:
+	case at.Offset != site.records.End.Offset:
 		return coltsfootlink.Position{}, coltsfootlink.ErrDutyConflict
 	}
+	restored := at.Era != site.records.End.Era
 	site.records.End = site.records.End.Plus(count)
 	change(&site.records)
-	if site.loseStore {
+	switch {
+	case restored:
+		return coltsfootlink.Position{}, errors.New("appended in another era")
+	case site.loseStore:
 		return coltsfootlink.Position{}, errors.New("no answer")
 	}
 	return site.records.End, nil
@@ -143,7 +147,7 @@
 func (endpoint endpoint) AppendLease(ctx context.Context, record coltsfootlink.LeaseRecord, at coltsfootlink.Position) (coltsfootlink.Position, error) {
 	return endpoint.append(ctx, at, 1, func(records *coltsfootlink.DutyRecords) {
 		if record.Token == 0 {
-			record.Token = coltsfootlink.FencingToken(at)
+			record.Token = coltsfootlink.FencingToken(coltsfootlink.Position{Era: records.End.Era, Offset: at.Offset})
 		}
 		records.Lease, records.LeaseFound = record, true
 	})
--- a/lease/state.go
+++ b/lease/state.go
@@ -3,7 +3,9 @@
 // calls are in progress: at no time may two instances act.
 //
 // The lease is a record in the platform's store that is changed only by appends at the offset at which the record was read,
-// so that an append fails if another instance has appended in the meantime.
+// so that an append fails if another instance has appended in the meantime. After a restore of the store that is not enough: records
+// may be gone, and an append may take effect at an offset that was assigned again. The state therefore trusts only records that
+// were sent in the era in which they are read, and a candidate waits for a whole lease after each restore.
 package lease
 
 import (
@@ -49,6 +51,10 @@
 	record coltsfootlink.LeaseRecord
 	found  bool
 	seenAt time.Time
+	// unwritten indicates that this instance could call when it learned that the store does not have its record any more, and has
+	// not written it again yet. The record is then its own, and stored the one in the store, zero if there is none.
+	unwritten bool
+	stored    coltsfootlink.LeaseRecord
 	// end is the position at which the next record has to be appended. It is out of date unless settled is set: an append has
 	// failed, and it is unknown whether it has taken effect, or nothing has been read yet.
 	end     coltsfootlink.Position
@@ -74,11 +80,15 @@
 }
 
 // Holds reports whether the newest lease record that is known is this instance's own. Whether it may act is decided by
-// CallDeadline.
+// CallDeadline. An own record of an earlier era doesn't count: it may have replaced the record of a holder of the present era.
 func (state State) Holds() bool {
-	return state.found && state.record.Holder == state.holder && state.record.Incarnation == state.incarnation
+	own := state.found && state.record.Holder == state.holder && state.record.Incarnation == state.incarnation
+	return own && (state.unwritten || state.record.Era == state.end.Era)
 }
 
+// Unwritten reports whether this instance holds the lease, but has to write its record again after a restore of the store.
+func (state State) Unwritten() bool { return state.unwritten }
+
 // Record returns the newest lease record that is known, and false if there is none.
 func (state State) Record() (coltsfootlink.LeaseRecord, bool) { return state.record, state.found }
 
@@ -89,13 +99,21 @@
 // when its newest record that was appended had been sent. No other instance can have known this record earlier, and none
 // acquires the lease before it has known it for longer than it is valid.
 func (state State) CallDeadline(now time.Time) (time.Time, bool) {
-	if !state.Holds() || state.conflicted || state.renewedAt.IsZero() {
+	if !state.Holds() || state.conflicted || state.unwritten {
 		return time.Time{}, false
 	}
-	left := state.length - state.margin() - coltsfootlink.Elapsed(state.renewedAt, now)
+	left := state.left(now)
 	return now.Add(left), left > 0
 }
 
+// left returns the time for which the newest record that was appended is still valid.
+func (state State) left(now time.Time) time.Duration {
+	if state.renewedAt.IsZero() {
+		return 0
+	}
+	return state.length - state.margin() - coltsfootlink.Elapsed(state.renewedAt, now)
+}
+
 func (state State) margin() time.Duration { return state.length / marginsPerLease }
 
 // Next returns the step that is due. The candidate is the instance that should hold the lease; others touch the records only
@@ -112,7 +130,7 @@
 		return Read
 	case !state.settled:
 		return Wait
-	case !state.found || !now.Before(state.expectedExpiry()):
+	case !now.Before(state.expectedExpiry()):
 		return Acquire
 	default:
 		return Wait
@@ -125,7 +143,7 @@
 		return Wait
 	case !state.settled:
 		return Read
-	case state.renewedAt.IsZero() || coltsfootlink.Elapsed(state.renewedAt, now) >= state.length/renewalsPerLease:
+	case state.unwritten || state.renewedAt.IsZero() || coltsfootlink.Elapsed(state.renewedAt, now) >= state.length/renewalsPerLease:
 		return Renew
 	default:
 		return Wait
@@ -133,8 +151,15 @@
 }
 
 // expectedExpiry returns when this instance may acquire the lease if the record does not change. Only the steady clock counts:
-// time for which this machine was suspended is no evidence that the holder has stopped.
-func (state State) expectedExpiry() time.Time { return state.seenAt.Add(state.length + state.margin()) }
+// time for which this machine was suspended is no evidence that the holder has stopped. Without a record it may acquire at once
+// unless a restore may have lost the record of a holder. The number of the first era is not published, so an empty log of any
+// era may be a restored one; the lease is the first record of its topic.
+func (state State) expectedExpiry() time.Time {
+	if lost := state.end.Era > 1 || state.end.Era > 0 && state.end.Offset == 0; !state.found && !lost {
+		return state.seenAt
+	}
+	return state.seenAt.Add(state.length + state.margin())
+}
 
 // MayUse reports whether the holder may append a record other than the lease now.
 func (state State) MayUse(now time.Time) bool {
@@ -155,19 +180,28 @@
 // Proposal returns the lease record that the step in progress appends, and the position at which every step appends. The
 // fencing token of an acquisition follows from its position, so that it exceeds all earlier ones.
 func (state State) Proposal(reported uint64) (coltsfootlink.LeaseRecord, coltsfootlink.Position) {
-	record := coltsfootlink.LeaseRecord{Holder: state.holder, Incarnation: state.incarnation, Renewal: state.attempt, Reported: reported}
+	record := coltsfootlink.LeaseRecord{Holder: state.holder, Incarnation: state.incarnation, Renewal: state.attempt, Reported: reported, Era: state.end.Era}
 	if state.step == Renew {
 		record.Token = state.record.Token
 	}
 	return record, state.end
 }
 
-// WithRead returns the state after the records were read.
+// WithRead returns the state after the records were read. In a later era than before the records may lack a newer renewal of
+// their holder, so the time from which they are known begins anew.
 func (state State) WithRead(now time.Time, records coltsfootlink.DutyRecords) State {
-	if state.found != records.LeaseFound || state.record != records.Lease || state.seenAt.IsZero() {
+	if records.End.Era < state.end.Era {
+		return state.WithFailure(now)
+	}
+	if state.found != records.LeaseFound || state.record != records.Lease || state.end.Era != records.End.Era || state.seenAt.IsZero() {
 		state.seenAt = now
 	}
-	state.record, state.found, state.end = records.Lease, records.LeaseFound, records.End
+	if state.unwritten = state.keeps(now, records); state.unwritten {
+		state.stored = records.Lease
+	} else {
+		state.record, state.found, state.stored = records.Lease, records.LeaseFound, coltsfootlink.LeaseRecord{}
+	}
+	state.end = records.End
 	state.settled, state.conflicted, state.step = true, false, Wait
 	state.dueAt = now.Add(readInterval)
 	if expiry := state.expectedExpiry(); expiry.After(now) && expiry.Before(state.dueAt) {
@@ -176,7 +210,7 @@
 	switch {
 	case !state.Holds():
 		state.renewedAt = time.Time{}
-	case state.record.Renewal == state.attempt:
+	case !state.unwritten && state.record.Renewal == state.attempt:
 		// The append had no answer, but has taken effect. It is not known any more when a record of an earlier attempt was
 		// sent; such a record extends nothing.
 		state.renewedAt = state.attemptAt
@@ -184,14 +218,30 @@
 	return state
 }
 
-// WithAppended returns the state after the records of the step in progress were appended; next is the position after them.
+// keeps reports whether this instance holds the lease although the store has no lease record that was sent in the present era.
+// While the instance could still call, no other one has acquired the lease: in an earlier era others wait for the expiry of the
+// newest renewal, in a later one for as long after they have seen the era. So the record is one that a restore has kept, or an
+// append of an earlier era that took effect by accident. From then on each acquisition changes the record.
+func (state State) keeps(now time.Time, records coltsfootlink.DutyRecords) bool {
+	if records.Lease.Era == records.End.Era || !state.Holds() {
+		return false
+	}
+	return state.left(now) > 0 || state.unwritten && state.end.Era == records.End.Era && state.stored == records.Lease
+}
+
+// WithAppended returns the state after the records of the step in progress were appended; next is the position after them. An
+// append that took effect in a later era than that of its condition is undecided: other records may have come before.
 func (state State) WithAppended(now time.Time, next coltsfootlink.Position, reported uint64) State {
+	if next.Era != state.end.Era {
+		return state.WithFailure(now)
+	}
 	record, at := state.Proposal(reported)
 	if state.step == Acquire {
 		record.Token = coltsfootlink.FencingToken(at)
 	}
 	if state.step == Acquire || state.step == Renew {
 		state.record, state.found, state.seenAt, state.renewedAt = record, true, now, state.attemptAt
+		state.unwritten, state.stored = false, coltsfootlink.LeaseRecord{}
 	}
 	state.end, state.step = next, Wait
 	return state
--- a/lease/state_test.go
+++ b/lease/state_test.go
@@ -23,6 +23,8 @@
 	lease coltsfootlink.LeaseRecord
 	found bool
 	end   coltsfootlink.Position
+	// acquired is the offset of the lease record if it is an acquisition, whose token follows from its position.
+	acquired *uint64
 }
 
 func (store *store) read() coltsfootlink.DutyRecords {
@@ -30,15 +32,17 @@
 }
 
 // append appends a lease record, or another record if there is none, and returns the next offset; false if the offset is not
-// the end.
+// the end. As the platform's store it checks no era.
 func (store *store) append(record *coltsfootlink.LeaseRecord, at coltsfootlink.Position) (coltsfootlink.Position, bool) {
-	if at != store.end {
+	if at.Offset != store.end.Offset {
 		return coltsfootlink.Position{}, false
 	}
+	at = store.end
 	store.end = store.end.Next()
 	if record != nil {
-		store.lease, store.found = *record, true
+		store.lease, store.found, store.acquired = *record, true, nil
 		if store.lease.Token == 0 {
+			store.acquired = &at.Offset
 			store.lease.Token = coltsfootlink.FencingToken(at)
 		}
 	}
@@ -233,6 +237,13 @@
 	// holders has the instance that has used each token, and highest the highest one used.
 	holders map[uint64]string
 	highest uint64
+	// draw returns a number of a range, for what happens at random.
+	draw func(name string, least, most int) int
+}
+
+// failer ends a test.
+type failer interface {
+	Fatalf(format string, args ...any)
 }
 
 // instance is one instance of a world.
@@ -275,7 +286,7 @@
 
 const stepMillis = 50
 
-func (world *world) step(t *rapid.T) {
+func (world *world) step(t failer) {
 	world.millis += stepMillis
 	for _, call := range world.calls {
 		if call.done || call.effectAt < 0 || world.millis < call.effectAt {
@@ -293,13 +304,13 @@
 	}
 	for _, instance := range world.instances {
 		if world.millis >= instance.suspendedUntil {
-			world.advance(t, instance)
+			world.advance(instance)
 		}
 	}
 	world.check(t)
 }
 
-func (world *world) advance(t *rapid.T, instance *instance) {
+func (world *world) advance(instance *instance) {
 	now := instance.now(world.millis)
 	if call := instance.call; call != nil {
 		switch {
@@ -317,7 +328,7 @@
 		instance.call = nil
 	}
 	step := instance.Next(now, instance.candidate)
-	if step == Wait && instance.MayUse(now) && rapid.IntRange(0, 9).Draw(t, "use") == 0 {
+	if step == Wait && instance.MayUse(now) && world.draw("use", 0, 9) == 0 {
 		step = Use
 	}
 	if step == Wait {
@@ -327,14 +338,14 @@
 	call := &storeCall{step: step, timeoutAt: world.millis + 1000}
 	call.record, call.at = instance.Proposal(0)
 	call.effectAt, call.answeredAt = world.millis, world.millis
-	switch rapid.IntRange(0, 9).Draw(t, "network") {
+	switch world.draw("network", 0, 9) {
 	case 0:
 		call.effectAt, call.answeredAt = -1, -1
 	case 1:
 		call.answeredAt = -1
 	case 2:
-		call.effectAt += rapid.IntRange(0, 4000).Draw(t, "effect")
-		call.answeredAt = call.effectAt + rapid.IntRange(0, 1000).Draw(t, "answer")
+		call.effectAt += world.draw("effect", 0, 4000)
+		call.answeredAt = call.effectAt + world.draw("answer", 0, 1000)
 	}
 	world.calls = append(world.calls, call)
 	instance.call = call
@@ -342,7 +353,7 @@
 
 // check fails if two instances may call at the same time, counting calls that are on their way, if a token has two holders, or
 // if a lower token is used after a higher one.
-func (world *world) check(t *rapid.T) {
+func (world *world) check(t failer) {
 	for _, instance := range world.instances {
 		deadline, valid := instance.CallDeadline(instance.now(world.millis))
 		if !valid {
@@ -372,6 +383,7 @@
 	acquisitions := 0
 	rapid.Check(t, func(t *rapid.T) {
 		world := &world{holders: make(map[uint64]string)}
+		world.draw = func(name string, least, most int) int { return rapid.IntRange(least, most).Draw(t, name) }
 		for number := range rapid.IntRange(2, 3).Draw(t, "instances") {
 			instance := &instance{
 				name: fmt.Sprint("i-", number), candidate: number == 0,
