Usage windows: one set of counts for a window across a restore of the store

Cause: a successor computed all windows that the store did not show as recorded. After a restore these include windows that were recorded and reported and whose records are lost, so that the platform could get other counts for them. A window that was recorded but not confirmed was lost with its record if its holder died then.

What the store lacks, or has with other counts after a late append, is written again together with the lease record, in one append, before any call is made. - An instance that acquires the lease and finds no lease record of the present era refuses to record the windows that had ended when it first read the era, unless they are known as recorded: an earlier holder may have reported them. The lease record keeps the first window that is not refused (field refused, absent if there is none), so that later holders refuse them as well. - A holder that keeps its lease across the restore refuses none. Counters duty-restores, duty-records-replaced, duty-rewrites and usage-refusals, each with a log line. No call is made in the calm path that was not made before; lease records have the fields era and refused only with eras and after a restore, respectively. In a rolling upgrade of a deployment with eras the first holder of this build refuses the windows that had ended when it first read the records of an earlier build.

--- a/duty.go
+++ b/duty.go
@@ -147,6 +147,9 @@
 	// Era is the era of the store that the holder knew when it sent the record. A record that is read in a later era was kept
 	// by a restore, or took effect after it by accident.
 	Era uint64
+	// Refused is the first window after those that must not be recorded any more unless the store has them: their records may
+	// have been lost in a restore after they were reported. It is zero if there are none.
+	Refused uint64
 }
 
 // eraTokenBits is the number of bits of a fencing token below the era. The platform's limit of a token is not published; JSON
@@ -174,7 +177,7 @@
 // NextWindow returns the first usage window that is not recorded yet. Windows are recorded in order, so that no earlier one
 // may be recorded any more.
 func (records DutyRecords) NextWindow() uint64 {
-	next := records.Lease.Reported
+	next := max(records.Lease.Reported, records.Lease.Refused)
 	for index := range records.Windows {
 		next = max(next, index+1)
 	}
@@ -186,8 +189,9 @@
 type LeaseStore interface {
 	// Read returns the recorded state.
 	Read(ctx context.Context) (DutyRecords, error)
-	// AppendLease appends a lease record at a position and returns the next position; ErrDutyConflict if others have appended.
-	AppendLease(ctx context.Context, record LeaseRecord, at Position) (Position, error)
+	// AppendLease appends a lease record at a position, together with usage windows that the store has lost, and returns the
+	// next position; ErrDutyConflict if others have appended.
+	AppendLease(ctx context.Context, record LeaseRecord, lost []UsageWindow, at Position) (Position, error)
 	// AppendWindow appends the counts of a usage window at a position and returns the next position; ErrDutyConflict if
 	// others have appended.
 	AppendWindow(ctx context.Context, window UsageWindow, at Position) (Position, error)
--- a/duty/holder.go
+++ b/duty/holder.go
@@ -62,7 +62,9 @@
 	reported uint64
 	window   *coltsfootlink.UsageWindow
 	removed  []uint64
-	err      error
+	// rewritten are the lost windows that were appended with the lease record.
+	rewritten []coltsfootlink.UsageWindow
+	err       error
 }
 
 // callResult is the result of a call to the platform.
@@ -78,16 +80,20 @@
 // the one before.
 func (task *Task) useStore(ctx context.Context, now time.Time) {
 	step := task.lease.Next(now, task.candidate(now))
+	if step == lease.Wait && task.held != nil && len(task.lost) > 0 && task.lease.MayUse(now) {
+		step = lease.Renew
+	}
 	result := storeResult{step: step, incarnation: task.incarnation}
 	switch {
 	case step == lease.Read:
 	case step == lease.Acquire:
 		// What the earlier holders have reported stays on record.
-		result.reported = task.records.Lease.Reported
+		result.reported, result.rewritten = task.records.Lease.Reported, task.lost
+		task.lease = task.lease.WithRefused(task.refused())
 	case step == lease.Renew && now.Before(task.held.yieldUntil):
 		return
 	case step == lease.Renew:
-		result.reported = task.held.calls.FirstUnconfirmed(task.held.next)
+		result.reported, result.rewritten = task.held.calls.FirstUnconfirmed(task.held.next), task.lost
 	case task.held == nil || !task.lease.MayUse(now):
 		return
 	default:
@@ -111,7 +117,7 @@
 		case result.step == lease.Use:
 			result.next, result.err = task.Store.RemoveWindows(ctx, result.removed, at)
 		default:
-			result.next, result.err = task.Store.AppendLease(ctx, record, at)
+			result.next, result.err = task.Store.AppendLease(ctx, record, result.rewritten, at)
 		}
 		task.Inbox.Put(coltsfootlink.Delivery{Message: result})
 	}()
@@ -174,8 +180,7 @@
 		}
 		task.lease = task.lease.WithFailure(now)
 	case result.step == lease.Read:
-		task.records = result.records
-		task.lease = task.lease.WithRead(now, result.records)
+		task.handleRead(now, result.records)
 	default:
 		task.lease = task.lease.WithAppended(now, result.next, result.reported)
 	}
@@ -187,20 +192,54 @@
 		task.loseLease()
 		return
 	case task.held == nil || task.held.token != task.lease.Token():
-		task.hold(now)
+		task.hold(now, result)
 	case result.err == nil:
 		task.applyStored(now, result)
 	}
 }
 
+// handleRead takes over the records that were read, and finds what a restore of the store has lost.
+func (task *Task) handleRead(now time.Time, records coltsfootlink.DutyRecords) {
+	era, read := task.recordedWindows.Era()
+	restored := read && records.End.Era > era
+	task.records = records
+	task.lease = task.lease.WithRead(now, records)
+	// After a suspension the steady clock lags behind, until checkClock finds it.
+	current := max(task.counter.Index(task.steady(now)), task.counter.Index(now.Round(0)))
+	task.recordedWindows = task.recordedWindows.WithRead(current, task.lease.Holds(), records)
+	from := records.Lease.Reported
+	if task.held != nil && task.lease.Holds() {
+		from = max(from, task.held.calls.FirstUnconfirmed(task.held.next))
+	}
+	if task.lost = nil; task.Usage {
+		task.lost = task.recordedWindows.Lost(from, records)
+	}
+	switch {
+	case restored:
+		metrics.Count("duty-restores")
+		task.Log.Warn().Uint64("era-before", era).Uint64("era", records.End.Era).Bool("holds-lease", task.lease.Holds()).Int("lost-windows", len(task.lost)).
+			Msg("duty: the store was restored from an earlier copy, the holder writes what is lost again before any call")
+	case task.lease.Holds() && (len(task.lost) > 0 || task.lease.Unwritten()):
+		metrics.Count("duty-records-replaced")
+		task.Log.Warn().Bool("lease", task.lease.Unwritten()).Int("windows", len(task.lost)).
+			Msg("duty: an append of before the restore has replaced records, this holder writes its own again before any call")
+	}
+}
+
 // hold begins the duties after the lease was acquired. Recorded windows that are not confirmed are reported again.
-func (task *Task) hold(now time.Time) {
+func (task *Task) hold(now time.Time, result storeResult) {
 	task.drop()
 	held := &holding{token: task.lease.Token(), ledger: usage.NewLedger(task.Window, task.Lateness), planner: scaling.NewPlanner(), stored: make(map[uint64]bool)}
 	held.ctx, held.cancel = context.WithCancel(context.Background())
 	task.held = held
-	task.recordedUntil(task.records.NextWindow())
+	task.logRefused()
+	task.recordedUntil(max(task.records.NextWindow(), task.refused()))
+	task.records.Windows = maps.Clone(task.records.Windows)
+	for _, window := range result.rewritten {
+		task.records.Windows[window.Index] = window
+	}
 	task.adopt(now, task.records)
+	task.countRewritten(result)
 	if task.Usage && task.holderReport.Incarnation != 0 {
 		held.ledger = held.ledger.WithReport(task.steady(now), task.announcer, task.holderReport)
 	}
@@ -210,10 +249,36 @@
 		Str("previous-holder", task.records.Lease.Holder).Msg("duty: this instance holds the lease of the singleton duties")
 }
 
+// refused returns the first window that this instance may record if it is not known as recorded.
+func (task *Task) refused() uint64 { return task.recordedWindows.Refused(task.records) }
+
+// countRewritten counts what was written again after a restore, and forgets that it was lost.
+func (task *Task) countRewritten(result storeResult) {
+	task.lost = nil
+	if len(result.rewritten) > 0 {
+		metrics.Count("duty-rewrites")
+		task.Log.Info().Uint64("first", result.rewritten[0].Index).Int("windows", len(result.rewritten)).Uint64("token", task.held.token).
+			Msg("duty: lost usage windows were written again with the lease")
+	}
+}
+
+// logRefused logs which windows a new holder refuses to record, because an earlier one may have reported them before a restore.
+func (task *Task) logRefused() {
+	first, refused := task.records.NextWindow(), task.refused()
+	if refused <= first+uint64(len(task.lost)) || !task.Usage {
+		return
+	}
+	metrics.Count("usage-refusals")
+	task.Log.Warn().Uint64("first", first).Uint64("next", refused).Int("written-again", len(task.lost)).
+		Msg("duty: usage windows are not recorded any more, because their records may have been lost after they were reported")
+}
+
 // adopt takes over the windows that are recorded in the store.
 func (task *Task) adopt(now time.Time, records coltsfootlink.DutyRecords) {
 	held := task.held
 	held.reported = max(held.reported, records.Lease.Reported)
+	// The store may have been restored, and then has windows again that were removed.
+	held.stored = make(map[uint64]bool, len(records.Windows))
 	for _, index := range slices.Sorted(maps.Keys(records.Windows)) {
 		task.recorded(now, records.Windows[index])
 	}
@@ -245,6 +310,7 @@
 		task.adopt(now, result.records)
 	case result.window != nil:
 		metrics.Count("usage-windows-recorded")
+		task.recordedWindows = task.recordedWindows.WithWindow(*result.window)
 		task.recorded(now, *result.window)
 	case result.step == lease.Use:
 		for _, index := range result.removed {
@@ -252,6 +318,10 @@
 		}
 	case result.step == lease.Renew:
 		held.reported = result.reported
+		for _, window := range result.rewritten {
+			task.recorded(now, window)
+		}
+		task.countRewritten(result)
 		held.calls = held.calls.WithoutBefore(held.reported)
 	}
 }
@@ -263,8 +333,11 @@
 	}
 	record, _ := task.lease.Record()
 	metrics.Count("duty-leases-lost")
-	task.Log.Warn().Uint64("token", task.held.token).Str("holder", record.Holder).Uint64("new-token", record.Token).
-		Msg("duty: another instance holds the lease, this one makes no more calls")
+	text := "duty: another instance holds the lease, this one makes no more calls"
+	if task.recordedWindows.Restored() && record.Era != task.records.End.Era {
+		text = "duty: the store was restored after the lease had expired, this instance makes no more calls"
+	}
+	task.Log.Warn().Uint64("token", task.held.token).Str("holder", record.Holder).Uint64("new-token", record.Token).Msg(text)
 	task.drop()
 }
 
@@ -280,6 +353,8 @@
 func (task *Task) checkValidity(now time.Time) {
 	_, valid := task.lease.CallDeadline(now)
 	switch {
+	case task.held.valid && task.lease.Unwritten():
+		// What the restore has lost was logged when the records were read.
 	case task.held.valid && !valid:
 		metrics.Count("duty-lease-expiries")
 		task.Log.Warn().Uint64("token", task.held.token).Msg("duty: the lease could not be renewed in time, calls wait")
@@ -350,6 +425,9 @@
 
 // call makes the calls that are due, as far as the platform accepts them.
 func (task *Task) call(ctx context.Context, now time.Time) {
+	if len(task.lost) > 0 {
+		return
+	}
 	for call, due := task.held.calls.Due(now); due; call, due = task.held.calls.Due(now) {
 		if !task.limiter.AllowN(now, 1) {
 			return
--- a/duty/task.go
+++ b/duty/task.go
@@ -105,6 +105,10 @@
 	lease        lease.State
 	// records are the records that were read last.
 	records coltsfootlink.DutyRecords
+	// recordedWindows is what this instance knows of recorded windows, and lost are those that have to be written again with the next
+	// lease record.
+	recordedWindows usage.Recorded
+	lost            []coltsfootlink.UsageWindow
 	// storeFailures is the number of calls of the store that have failed since the last one that succeeded.
 	storeFailures int
 	limiter       *rate.Limiter
@@ -114,6 +118,7 @@
 
 // Run handles messages and makes the calls that are due until the context ends.
 func (task *Task) Run(ctx context.Context) error {
+	task.recordedWindows = usage.NewRecorded()
 	task.reset()
 	defer task.drop()
 	ticker := time.NewTicker(tickInterval)
@@ -139,6 +144,7 @@
 	task.limiter = rate.NewLimiter(rate.Limit(task.CallsPerSecond*rateFraction), max(1, int(task.CallsPerSecond*burstFraction)))
 	task.announced, task.announcer, task.announcedAt, task.reportAt = coltsfootlink.DutyHolder{}, "", time.Time{}, time.Time{}
 	task.records, task.loads, task.held, task.holderReport = coltsfootlink.DutyRecords{}, nil, nil, coltsfootlink.DutyReport{}
+	task.lost = nil
 }
 
 // run handles the messages that have arrived and does what is due.
--- a/lease/state.go
+++ b/lease/state.go
@@ -55,6 +55,8 @@
 	// not written it again yet. The record is then its own, and stored the one in the store, zero if there is none.
 	unwritten bool
 	stored    coltsfootlink.LeaseRecord
+	// refused is the first usage window after those that an acquisition excludes from being recorded.
+	refused uint64
 	// end is the position at which the next record has to be appended. It is out of date unless settled is set: an append has
 	// failed, and it is unknown whether it has taken effect, or nothing has been read yet.
 	end     coltsfootlink.Position
@@ -167,6 +169,12 @@
 	return valid && state.settled && state.step == Wait
 }
 
+// WithRefused returns the state whose acquisition keeps usage windows before an index from being recorded.
+func (state State) WithRefused(before uint64) State {
+	state.refused = before
+	return state
+}
+
 // WithBegun returns the state after a step was begun. Until it has ended, no other step is due.
 func (state State) WithBegun(now time.Time, step Step) State {
 	state.step = step
@@ -180,9 +188,9 @@
 // Proposal returns the lease record that the step in progress appends, and the position at which every step appends. The
 // fencing token of an acquisition follows from its position, so that it exceeds all earlier ones.
 func (state State) Proposal(reported uint64) (coltsfootlink.LeaseRecord, coltsfootlink.Position) {
-	record := coltsfootlink.LeaseRecord{Holder: state.holder, Incarnation: state.incarnation, Renewal: state.attempt, Reported: reported, Era: state.end.Era}
+	record := coltsfootlink.LeaseRecord{Holder: state.holder, Incarnation: state.incarnation, Renewal: state.attempt, Reported: reported, Era: state.end.Era, Refused: state.refused}
 	if state.step == Renew {
-		record.Token = state.record.Token
+		record.Token, record.Refused = state.record.Token, state.record.Refused
 	}
 	return record, state.end
 }
