Test of the hold on calls while the store has other windows than its holder

Guards against a report of a window before its counts are written again after a late append has replaced them in the store: a successor of the holder would report those. No product code changes.

--- a/duty/restore_test.go
+++ b/duty/restore_test.go
@@ -271,3 +271,37 @@
 		})
 	}
 }
+
+// TestNoReportBeforeWindowsAreWrittenAgain guards against a report of a window whose record in the store has other counts: if the
+// holder dies after that, its successor reports those.
+func TestNoReportBeforeWindowsAreWrittenAgain(t *testing.T) {
+	for step := range time.Duration(20) {
+		synctest.Test(t, func(t *testing.T) {
+			site := newSite()
+			site.records.End.Era = 1
+			site.start("a", "b")
+			site.play(14 * time.Second)
+			site.set(func() { site.throttle = true })
+			site.play(8*time.Second + step*copyInterval)
+			index := site.copied().NextWindow() - 1
+			site.set(func() {
+				site.records.Windows[index] = coltsfootlink.UsageWindow{Index: index}
+				site.records.End = site.records.End.Next()
+				site.refuseAppends = true
+			})
+			// The holder's next renewal, a second after the one before, fails, and it reads the records.
+			site.play(1300 * time.Millisecond)
+			site.set(func() { site.throttle = false })
+			site.play(1400 * time.Millisecond)
+			early := site.received[index]
+			site.set(func() { site.refuseAppends = false })
+			site.play(10 * time.Second)
+			site.stopAll()
+			Convey(fmt.Sprint("step ", int(step)), t, func() {
+				So(site.violations, ShouldBeEmpty)
+				So(early, ShouldBeNil)
+				So(site.received[index], ShouldNotBeEmpty)
+			})
+		})
+	}
+}
--- a/duty/task_test.go
+++ b/duty/task_test.go
@@ -35,6 +35,8 @@
 	records         coltsfootlink.DutyRecords
 	lost            map[uint64]bool
 	down, loseStore bool
+	// refuseAppends lets appends fail while reads are answered.
+	refuseAppends bool
 	// lateStore delays some appends, which may then take effect after their caller has given up.
 	lateStore bool
 
@@ -129,7 +131,7 @@
 	site.mutex.Lock()
 	defer site.mutex.Unlock()
 	switch {
-	case site.down || site.cutStore[endpoint.name]:
+	case site.down || site.cutStore[endpoint.name] || site.refuseAppends:
 		return coltsfootlink.Position{}, errors.New("down")
 	case at.Offset != site.records.End.Offset:
 		return coltsfootlink.Position{}, coltsfootlink.ErrDutyConflict
