--- a/duty.go
+++ b/duty.go
@@ -136,14 +136,31 @@
 	// Holder is the name of the instance that acquired the lease, and Incarnation its incarnation.
 	Holder      string
 	Incarnation uint64
-	// Token is the fencing token of the acquisition; zero in the record of the acquisition itself, whose token is its
-	// offset plus one.
+	// Token is the fencing token of the acquisition; zero in the record of the acquisition itself, whose token follows from
+	// its position.
 	Token uint64
 	// Renewal counts the lease records that the incarnation has tried to append, so that each record differs from the one
 	// before, and its writer knows when it sent the record.
 	Renewal uint64
 	// Reported is the first usage window that the platform has not confirmed yet.
 	Reported uint64
+	// Era is the era of the store that the holder knew when it sent the record. A record that is read in a later era was kept
+	// by a restore, or took effect after it by accident.
+	Era uint64
+	// Refused is the first window after those that must not be recorded any more unless the store has them: their records may
+	// have been lost in a restore after they were reported. It is zero if there are none.
+	Refused uint64
+}
+
+// eraTokenBits is the number of bits of a fencing token below the era. The platform's limit of a token is not published; JSON
+// numbers are exact up to 2^53, which leaves room for 2^36 records (1,500 years at 1.4 a second) and 2^17 restores.
+const eraTokenBits = 36
+
+// FencingToken returns the fencing token of a lease whose record was appended at a position. It rises with the position, also
+// from one era to the next. In the first era, 1, and with a store that reports none, it is the offset plus one, as in builds
+// that know no eras.
+func FencingToken(acquired Position) uint64 {
+	return (max(acquired.Era, 1)-1)<<eraTokenBits + acquired.Offset + 1
 }
 
 // DutyRecords is the recorded state of the singleton duties.
@@ -153,14 +170,14 @@
 	LeaseFound bool
 	// Windows are the recorded usage windows that the store still has, by index.
 	Windows map[uint64]UsageWindow
-	// End is the offset at which the next record has to be appended.
-	End uint64
+	// End is the position at which the next record has to be appended.
+	End Position
 }
 
 // NextWindow returns the first usage window that is not recorded yet. Windows are recorded in order, so that no earlier one
 // may be recorded any more.
 func (records DutyRecords) NextWindow() uint64 {
-	next := records.Lease.Reported
+	next := max(records.Lease.Reported, records.Lease.Refused)
 	for index := range records.Windows {
 		next = max(next, index+1)
 	}
@@ -172,14 +189,15 @@
 type LeaseStore interface {
 	// Read returns the recorded state.
 	Read(ctx context.Context) (DutyRecords, error)
-	// AppendLease appends a lease record at an offset and returns the next offset; ErrDutyConflict if others have appended.
-	AppendLease(ctx context.Context, record LeaseRecord, at uint64) (uint64, error)
-	// AppendWindow appends the counts of a usage window at an offset and returns the next offset; ErrDutyConflict if
+	// AppendLease appends a lease record at a position, together with usage windows that the store has lost, and returns the
+	// next position; ErrDutyConflict if others have appended.
+	AppendLease(ctx context.Context, record LeaseRecord, lost []UsageWindow, at Position) (Position, error)
+	// AppendWindow appends the counts of a usage window at a position and returns the next position; ErrDutyConflict if
 	// others have appended.
-	AppendWindow(ctx context.Context, window UsageWindow, at uint64) (uint64, error)
-	// RemoveWindows removes recorded usage windows, with records at an offset, and returns the next offset; ErrDutyConflict
+	AppendWindow(ctx context.Context, window UsageWindow, at Position) (Position, error)
+	// RemoveWindows removes recorded usage windows, with records at a position, and returns the next position; ErrDutyConflict
 	// if others have appended.
-	RemoveWindows(ctx context.Context, indexes []uint64, at uint64) (uint64, error)
+	RemoveWindows(ctx context.Context, indexes []uint64, at Position) (Position, error)
 }
 
 // ScaleRange is the range within which the number of a pool's targets in each availability zone may be ordered.
