Fencing tokens rise whichever era the store begins with

Cause: eras 0 and 1 had the same weight, so on a store whose first era is 0 a token could fall in the first restore. The number of the first era is not published. Change: each era has weight; without eras the token is the offset plus one as before.

--- a/duty.go
+++ b/duty.go
@@ -157,10 +157,9 @@
 const eraTokenBits = 36
 
 // FencingToken returns the fencing token of a lease whose record was appended at a position. It rises with the position, also
-// from one era to the next. In the first era, 1, and with a store that reports none, it is the offset plus one, as in builds
-// that know no eras.
+// from one era to the next, whichever era the store begins with. With a store that reports no era, it is the offset plus one.
 func FencingToken(acquired Position) uint64 {
-	return (max(acquired.Era, 1)-1)<<eraTokenBits + acquired.Offset + 1
+	return acquired.Era<<eraTokenBits + acquired.Offset + 1
 }
 
 // DutyRecords is the recorded state of the singleton duties.
