--- a/ingress/quarantine.go
+++ b/ingress/quarantine.go
@@ -75,6 +75,8 @@
 	}
 	crashedAt := current.service.Clock.Now()
 	if !current.service.Client.Unreachable(ctx, choice.Target) {
+		current.service.Log.Warn().Str("request", string(current.head.ID)).Str("target", string(choice.Target.Name)).Bool("trial", current.trial != 0).
+			Bool("context-ended", ctx.Err() != nil).Msg("ingress: target is still reachable after the break, which is not counted as a crash under the prompt")
 		return
 	}
 	suspects := make([]coltsfootlink.Suspect, 0, len(current.sharedParts))
--- a/integration/crashing_test.go
+++ b/integration/crashing_test.go
@@ -29,17 +29,23 @@
 	// crashing are the parts that crash it.
 	crashing []string
 	crash    chan struct{}
+	// slowExitFrom is the number of crashes from which on the listener of a target that crashes closes only slowExitTime after
+	// its connections, as that of a process on a busy machine; zero if it never does.
+	slowExitFrom int
 
 	mutex sync.Mutex
 	// arrivals are the times at which requests with each crashing part arrived, and crashes the times of crashes.
 	arrivals map[string][]time.Time
 	crashes  []time.Time
+	// connections are those that were accepted and have not been closed.
+	connections map[net.Conn]bool
 }
 
 const (
 	fragileDownTime   = 1500 * time.Millisecond
 	fragileFirstEvent = 40 * time.Millisecond
 	fragileEvents     = 5
+	slowExitTime      = 150 * time.Millisecond
 )
 
 // Run serves until the context ends; it registers each incarnation of the target.
@@ -53,7 +59,7 @@
 		bed.put(t, platform.TargetTopic, target.name, platform.TargetDocument{
 			Service: "p", Address: target.address, Zone: target.zone, Version: "v1", Slots: 64, State: platform.ReadyState, Born: uint64(time.Now().UnixMilli()),
 		})
-		server := &http.Server{Handler: target, ReadHeaderTimeout: time.Second}
+		server := &http.Server{Handler: target, ReadHeaderTimeout: time.Second, ConnState: target.track}
 		served := make(chan struct{})
 		go func() {
 			defer close(served)
@@ -63,12 +69,44 @@
 		case <-target.crash:
 		case <-ctx.Done():
 		}
+		if target.exitsSlowly() {
+			target.breakConnections()
+			coltsfootlink.Sleep(ctx, slowExitTime)
+		}
 		_ = server.Close()
 		<-served
 		coltsfootlink.Sleep(ctx, fragileDownTime)
 	}
 }
 
+// track keeps connections up to date.
+func (target *fragileTarget) track(connection net.Conn, state http.ConnState) {
+	target.mutex.Lock()
+	defer target.mutex.Unlock()
+	switch state {
+	case http.StateNew:
+		target.connections[connection] = true
+	case http.StateClosed, http.StateHijacked:
+		delete(target.connections, connection)
+	}
+}
+
+// exitsSlowly reports whether the listener outlives the connections in the newest crash.
+func (target *fragileTarget) exitsSlowly() bool {
+	target.mutex.Lock()
+	defer target.mutex.Unlock()
+	return target.slowExitFrom > 0 && len(target.crashes) >= target.slowExitFrom
+}
+
+// breakConnections closes all connections that are open.
+func (target *fragileTarget) breakConnections() {
+	target.mutex.Lock()
+	defer target.mutex.Unlock()
+	for connection := range target.connections {
+		_ = connection.Close()
+	}
+}
+
 // ServeHTTP sends the head of an answer, and then either crashes the target or streams events.
 func (target *fragileTarget) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	_, _ = io.Copy(io.Discard, request.Body)
@@ -108,7 +146,7 @@
 }
 
 // startFragileTestbed starts four gateways in two zones before six fragile targets.
-func startFragileTestbed(t *testing.T, crashing []string) (*testbed, []*fragileTarget) {
+func startFragileTestbed(t *testing.T, crashing []string, slowExitFrom int) (*testbed, []*fragileTarget) {
 	t.Helper()
 	bed := newTestbed(t)
 	var targets []*fragileTarget
@@ -117,7 +155,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		target := &fragileTarget{name: fmt.Sprint("t-", index), zone: zones[index%2], address: address, crashing: crashing, crash: make(chan struct{}, 1), arrivals: make(map[string][]time.Time)}
+		target := &fragileTarget{name: fmt.Sprint("t-", index), zone: zones[index%2], address: address, crashing: crashing, slowExitFrom: slowExitFrom, crash: make(chan struct{}, 1), arrivals: make(map[string][]time.Time), connections: make(map[net.Conn]bool)}
 		ctx := t.Context()
 		go target.Run(ctx, t, bed)
 		targets = append(targets, target)
@@ -174,13 +212,35 @@
 	return answer.Rows
 }
 
+const (
+	// contact, crashesUntil and mostLate are the bound that the users state: at most mostLate requests with a part that crashes targets
+	// reach targets later than contact after the fifth crash.
+	contact      = 3 * time.Second
+	crashesUntil = 5
+	mostLate     = 3
+)
+
+// lateArrivals returns the number of requests with a part that reached targets too late, and of all with the part.
+func lateArrivals(targets []*fragileTarget, part string) (late, all int) {
+	var arrivals []time.Time
+	for _, target := range targets {
+		target.mutex.Lock()
+		arrivals = append(arrivals, target.arrivals[part]...)
+		target.mutex.Unlock()
+	}
+	slices.SortFunc(arrivals, time.Time.Compare)
+	for _, at := range arrivals {
+		if len(arrivals) > crashesUntil && at.After(arrivals[crashesUntil-1].Add(contact)) {
+			late++
+		}
+	}
+	return late, len(arrivals)
+}
+
 func TestPromptPartsThatCrashTargetsStopReachingThem(t *testing.T) {
 	const (
-		contact      = 3 * time.Second
-		duration     = 12 * time.Second
-		interval     = 60 * time.Millisecond
-		crashesUntil = 5
-		mostAfter    = 3
+		duration = 12 * time.Second
+		interval = 60 * time.Millisecond
 	)
 	cases := map[string]struct {
 		crashing []string
@@ -194,7 +254,7 @@
 	}
 	for name, test := range cases {
 		Convey("requests whose prompts crash targets are held back, and sound ones beside them served: "+name, t, func() {
-			bed, targets := startFragileTestbed(t, test.crashing)
+			bed, targets := startFragileTestbed(t, test.crashing, 0)
 			var served, asked int
 			var mutex sync.Mutex
 			var group sync.WaitGroup
@@ -220,20 +280,8 @@
 			}
 			group.Wait()
 			for _, part := range test.crashing {
-				var arrivals []time.Time
-				for _, target := range targets {
-					target.mutex.Lock()
-					arrivals = append(arrivals, target.arrivals[part]...)
-					target.mutex.Unlock()
-				}
-				slices.SortFunc(arrivals, time.Time.Compare)
-				late := 0
-				for _, at := range arrivals {
-					if len(arrivals) > crashesUntil && at.After(arrivals[crashesUntil-1].Add(contact)) {
-						late++
-					}
-				}
-				So(late, ShouldBeLessThanOrEqualTo, mostAfter)
+				late, _ := lateArrivals(targets, part)
+				So(late, ShouldBeLessThanOrEqualTo, mostLate)
 			}
 			So(asked, ShouldBeGreaterThan, 20)
 			So(served, ShouldBeGreaterThan, asked*3/4)
@@ -249,3 +297,44 @@
 		})
 	}
 }
+
+// Probes of a barred part went on every five seconds as long as their crashes were not noticed.
+func TestProbesOfCrashingPartsAreBoundedOverALongRun(t *testing.T) {
+	const (
+		duration = 45 * time.Second
+		interval = 100 * time.Millisecond
+	)
+	cases := map[string]struct {
+		// slowExitFrom is the crash of a target from which on it exits slowly.
+		slowExitFrom int
+		// soundGateways is the number of gateways that get sound requests.
+		soundGateways int
+		// prompts returns the parts of the crashing request of a number.
+		prompts func(number int) string
+	}{
+		"processes that exit slowly after a while": {2, 4, func(number int) string { return fmt.Sprintf("c:10,d:10,own%d:10", number) }},
+		"gateways that have seen different answers": {0, 1, func(number int) string {
+			return fmt.Sprintf("c:10,d:10,x%d:10,own%d:10", number%3, number)
+		}},
+	}
+	for name, test := range cases {
+		Convey("few requests whose prompts crash targets reach them late: "+name, t, func() {
+			bed, targets := startFragileTestbed(t, []string{"d"}, test.slowExitFrom)
+			var group sync.WaitGroup
+			begun := time.Now()
+			for number := 0; time.Since(begun) < duration; number++ {
+				group.Go(func() {
+					_, _, _ = bed.callWithPrompt(number%4, fmt.Sprint("crashing-", number), test.prompts(number))
+				})
+				group.Go(func() {
+					_, _, _ = bed.callWithPrompt(number%test.soundGateways, fmt.Sprint("sound-", number), fmt.Sprintf("c:10,x%d:10,own-%d:10", number%20, number))
+				})
+				time.Sleep(interval)
+			}
+			group.Wait()
+			late, all := lateArrivals(targets, "d")
+			t.Logf("%s: %d requests with the part reached targets, %d of them late", name, all, late)
+			So(late, ShouldBeLessThanOrEqualTo, mostLate)
+		})
+	}
+}
