A probe of barred parts puts the next one off from the moment it is sent

What callers saw: requests with a part that crashes targets went on reaching targets, one every five seconds, as long as such requests came.

Cause: the next probe was put off by the crash that the instance had seen. A probe that ended in another way (the target's listener outlived its connections by more than 30 ms, the crash came before the first byte, the caller left, the instance ended) put nothing off. A request that waited for a target as a probe was sent, too, although another probe had begun since.

Change: a probe is announced to all instances when it is sent and counts as a crash until it is answered. Before it is sent, a probe is checked against the bars once more.

--- a/ingress/quarantine.go
+++ b/ingress/quarantine.go
@@ -39,13 +39,14 @@
 	return !found
 }
 
-// barredPrompt returns the refusal of a request whose prompt is held back and that is no trial; nil otherwise.
+// barredPrompt returns the refusal of a request whose prompt is held back and that is no trial, or whose trial was put off by
+// another one while it waited; nil otherwise.
 func (current *exchange) barredPrompt() *coltsfootlink.Refusal {
-	if len(current.sharedParts) == 0 || current.trial != 0 {
+	if len(current.sharedParts) == 0 {
 		return nil
 	}
 	bar, found := current.service.Gate.Barred().Bar(current.pool, current.sharedParts)
-	if !found {
+	if !found || current.trial != 0 && !current.service.Clock.Now().Before(bar.TrialAt) {
 		return nil
 	}
 	return current.barredBy(bar)
@@ -79,16 +80,9 @@
 			Bool("context-ended", ctx.Err() != nil).Msg("ingress: target is still reachable after the break, which is not counted as a crash under the prompt")
 		return
 	}
-	suspects := make([]coltsfootlink.Suspect, 0, len(current.sharedParts))
-	for _, part := range current.sharedParts {
-		suspects = append(suspects, coltsfootlink.Suspect{Part: part})
-	}
 	reply := make(chan bool, 1)
 	current.service.Quarantine.Put(coltsfootlink.Delivery{Message: quarantine.Crashed{
-		Crash: coltsfootlink.PromptCrash{
-			Pool: current.pool, Request: current.head.ID, Target: choice.Target.Name, Incarnation: choice.Target.Incarnation,
-			Suspects: suspects, SentAt: sentAt, CrashedAt: crashedAt,
-		},
+		Crash: current.promptCrash(choice, sentAt, crashedAt),
 		Reply: reply,
 	}})
 	select {
@@ -97,3 +91,22 @@
 	case <-time.After(quarantineTimeout):
 	}
 }
+
+// reportProbe reports that the request is being sent as a trial, before a target can crash under it.
+func (current *exchange) reportProbe(choice dispatch.Choice, sentAt time.Time) {
+	if current.trial != 0 {
+		current.service.Quarantine.Put(coltsfootlink.Delivery{Message: quarantine.Probed{Probe: current.promptCrash(choice, sentAt, sentAt)}})
+	}
+}
+
+// promptCrash returns the crash of a target under the request.
+func (current *exchange) promptCrash(choice dispatch.Choice, sentAt, crashedAt time.Time) coltsfootlink.PromptCrash {
+	suspects := make([]coltsfootlink.Suspect, 0, len(current.sharedParts))
+	for _, part := range current.sharedParts {
+		suspects = append(suspects, coltsfootlink.Suspect{Part: part})
+	}
+	return coltsfootlink.PromptCrash{
+		Pool: current.pool, Request: current.head.ID, Target: choice.Target.Name, Incarnation: choice.Target.Incarnation,
+		Suspects: suspects, SentAt: sentAt, CrashedAt: crashedAt,
+	}
+}
--- a/ingress/quarantine_test.go
+++ b/ingress/quarantine_test.go
@@ -84,6 +84,8 @@
 				case quarantine.Crashed:
 					crashes = append(crashes, message.Crash)
 					message.Reply <- mayRepeat
+				case quarantine.Probed:
+					crashes = append(crashes, message.Probe)
 				case quarantine.Answered:
 					answered++
 				}
@@ -226,18 +228,23 @@
 		}
 		return quarantine.View{}.WithSynced(true).WithBars("p", state.Bars())
 	}
+	putOff := bar(now.Add(time.Minute))
 	cases := map[string]struct {
-		view          quarantine.View
-		parts         string
-		status, tries int
+		view  quarantine.View
+		parts string
+		// status is that of the answer, tries the number of requests that the target gets, and probes those that are reported as such.
+		status, tries, probes int
+		// later are the bars that are announced while the request waits for a target.
+		later *quarantine.View
 	}{
-		"it has the part":                                {bar(now.Add(time.Minute)), "c:10,d:10,own:10", 503, 0},
-		"it has the part in another place":               {bar(now.Add(time.Minute)), "d:7,x:10,own:10", 503, 0},
-		"it has other parts":                             {bar(now.Add(time.Minute)), "c:10,e:10,own:10", 200, 1},
-		"the part is its own one":                        {bar(now.Add(time.Minute)), "c:10,d:10", 200, 1},
-		"a trial is due":                                 {bar(now.Add(-time.Second)), "c:10,d:10,own:10", 200, 1},
-		"it is not known yet what others know":           {quarantine.View{}, "c:10,e:10,own:10", 503, 0},
-		"it has no shared parts, and others are unknown": {quarantine.View{}, "own:10", 200, 1},
+		"it has the part":                                {bar(now.Add(time.Minute)), "c:10,d:10,own:10", 503, 0, 0, nil},
+		"it has the part in another place":               {bar(now.Add(time.Minute)), "d:7,x:10,own:10", 503, 0, 0, nil},
+		"it has other parts":                             {bar(now.Add(time.Minute)), "c:10,e:10,own:10", 200, 1, 0, nil},
+		"the part is its own one":                        {bar(now.Add(time.Minute)), "c:10,d:10", 200, 1, 0, nil},
+		"a trial is due":                                 {bar(now.Add(-time.Second)), "c:10,d:10,own:10", 200, 1, 1, nil},
+		"a trial is due, and another one has just begun": {bar(now.Add(-time.Second)), "c:10,d:10,own:10", 503, 0, 0, &putOff},
+		"it is not known yet what others know":           {quarantine.View{}, "c:10,e:10,own:10", 503, 0, 0, nil},
+		"it has no shared parts, and others are unknown": {quarantine.View{}, "own:10", 200, 1, 0, nil},
 	}
 	for name, test := range cases {
 		Convey("a request whose prompt is held back takes no place and does not count for its team: "+name, t, func() {
@@ -246,6 +253,9 @@
 			service := newService(t, dispatcher, true)
 			reported := startQuarantine(t, service, false)
 			service.Gate.barred.Store(&test.view)
+			if test.later != nil {
+				dispatcher.beforeReply = func() { service.Gate.barred.Store(test.later) }
+			}
 			server := httptest.NewServer(service)
 			defer server.Close()
 			status, header, _, err := requestWith(t, server.URL, "/stream/a", "plan", promptHeader(test.parts))
@@ -254,7 +264,8 @@
 			So(target.received(), ShouldHaveLength, test.tries)
 			So(header.Get("Retry-After") != "", ShouldEqual, status == 503)
 			So(dispatcher.waitForSheds(0), ShouldBeEmpty)
-			reported()
+			probes, _ := reported()
+			So(probes, ShouldHaveLength, test.probes)
 		})
 	}
 }
--- a/quarantine/messages.go
+++ b/quarantine/messages.go
@@ -16,6 +16,15 @@
 	Reply chan<- bool
 }
 
+// Probed reports that a request of this instance whose prompt is barred is being sent to a target as a probe. Until it is answered,
+// it counts as a crash: its end may never be seen.
+type Probed struct {
+	coltsfootlink.Local
+
+	// Probe has the time of sending as the time of the crash.
+	Probe coltsfootlink.PromptCrash
+}
+
 // Answered reports that a target has answered a request of this instance.
 type Answered struct {
 	coltsfootlink.Local
--- a/quarantine/task.go
+++ b/quarantine/task.go
@@ -72,6 +72,8 @@
 	switch message := delivery.Message.(type) {
 	case Crashed:
 		task.handleCrash(message)
+	case Probed:
+		task.handleProbe(message)
 	case Answered:
 		task.handleAnswer(message)
 	case coltsfootlink.QuarantineNews:
@@ -89,20 +91,39 @@
 
 // handleCrash records a crash that this instance has seen and tells all others of it.
 func (task *Task) handleCrash(message Crashed) {
-	crash, state := message.Crash, task.state(message.Crash.Pool)
-	crash.Suspects = slices.Clone(crash.Suspects)
-	for index, suspect := range crash.Suspects {
-		crash.Suspects[index].AnsweredAt = state.AnsweredAt(suspect.Part)
-	}
+	crash := task.withAnswers(message.Crash)
 	metrics.Count("prompt-crashes")
 	task.Log.Warn().Str("request", string(crash.Request)).Str("pool", string(crash.Pool)).Str("target", string(crash.Target)).
 		Str("parts", task.describe(crash.Suspects)).Int64("sent-ms-ago", task.age(crash.SentAt)).
 		Msg("quarantine: target crashed when it began to answer; the parts of the prompt are suspected, with the time since each was last answered")
-	task.update(crash.Pool, state.WithCrash(task.Clock.Now(), crash))
-	task.broadcast(coltsfootlink.QuarantineNews{Crashes: []coltsfootlink.PromptCrash{crash}})
+	task.announce(crash)
 	message.Reply <- task.state(crash.Pool).MayRepeat(crash.Request, partsOf(crash), crash.SentAt)
 }
 
+// handleProbe puts the next probe off on all instances, whatever becomes of this one.
+func (task *Task) handleProbe(message Probed) {
+	probe := task.withAnswers(message.Probe)
+	task.Log.Warn().Str("request", string(probe.Request)).Str("pool", string(probe.Pool)).Str("target", string(probe.Target)).
+		Str("parts", task.describe(probe.Suspects)).Msg("quarantine: a request whose prompt is held back is sent as a probe; it counts as a crash until it is answered")
+	task.announce(probe)
+}
+
+// withAnswers fills in when the suspects of a crash were last answered.
+func (task *Task) withAnswers(crash coltsfootlink.PromptCrash) coltsfootlink.PromptCrash {
+	state := task.state(crash.Pool)
+	crash.Suspects = slices.Clone(crash.Suspects)
+	for index, suspect := range crash.Suspects {
+		crash.Suspects[index].AnsweredAt = state.AnsweredAt(suspect.Part)
+	}
+	return crash
+}
+
+// announce records a crash and tells all other instances of it.
+func (task *Task) announce(crash coltsfootlink.PromptCrash) {
+	task.update(crash.Pool, task.state(crash.Pool).WithCrash(task.Clock.Now(), crash))
+	task.broadcast(coltsfootlink.QuarantineNews{Crashes: []coltsfootlink.PromptCrash{crash}})
+}
+
 // handleAnswer records an answer, and tells all other instances of it if it ends a bar.
 func (task *Task) handleAnswer(message Answered) {
 	barred := task.state(message.Pool).Bars()
--- a/quarantine/task_test.go
+++ b/quarantine/task_test.go
@@ -186,3 +186,68 @@
 		})
 	}
 }
+
+// probe sends a request with the letters as shared parts on an instance, if it is not held back or a probe is due, and reports
+// whether it was sent. The crash of its target is reported if it is seen.
+func (fleet *fleet) probe(name coltsfootlink.InstanceName, request, letters string, seen bool) bool {
+	bar, held := fleet.tasks[name].view.Bar("p", prompt(letters))
+	if held && fleet.now.Before(bar.TrialAt) {
+		return false
+	}
+	if held {
+		probe := crashOf(request, letters, 0, 0)
+		probe.SentAt, probe.CrashedAt = fleet.now, fleet.now
+		fleet.tasks[name].handle(coltsfootlink.Delivery{Message: Probed{Probe: probe}})
+	}
+	if seen {
+		fleet.crash(name, request, letters)
+	}
+	return true
+}
+
+// Probes whose crashes were not seen put nothing off, so that one followed the other for as long as requests came.
+func TestProbesAreFewWhateverBecomesOfThem(t *testing.T) {
+	cases := map[string]struct {
+		// seen is the number of crashes that are noticed.
+		seen     int
+		duration time.Duration
+	}{
+		"their crashes are seen":           {1000, 5 * time.Minute},
+		"the crashes of probes are not":    {2, 5 * time.Minute},
+		"the crashes of later ones aren't": {4, 5 * time.Minute},
+	}
+	for name, test := range cases {
+		Convey("few requests with a part that crashes targets are sent after the fifth crash: "+name, t, func() {
+			fleet := newFleet(4)
+			var sent []time.Time
+			for number := 0; fleet.now.Sub(start) < test.duration; number++ {
+				fleet.now = fleet.now.Add(time.Second)
+				instance := coltsfootlink.InstanceName(fmt.Sprint("i-", number%4))
+				if fleet.probe(instance, fmt.Sprint(number), string(rune('a'+number%3))+"d", len(sent) < test.seen) {
+					sent = append(sent, fleet.now)
+				}
+				for _, task := range fleet.tasks {
+					task.tick()
+				}
+			}
+			late := 0
+			for _, at := range sent {
+				if len(sent) > 5 && at.After(sent[4].Add(3*time.Second)) {
+					late++
+				}
+			}
+			So(late, ShouldBeLessThanOrEqualTo, 3)
+		})
+	}
+	Convey("a probe that is answered ends the bar on all instances", t, func() {
+		fleet := newFleet(4)
+		fleet.crash("i-0", "1", "cd")
+		fleet.crash("i-1", "2", "xd")
+		fleet.now = fleet.now.Add(firstTrialDelay)
+		So(fleet.probe("i-2", "3", "cd", false), ShouldBeTrue)
+		So(fleet.barring("d"), ShouldEqual, 4)
+		fleet.now = fleet.now.Add(time.Second)
+		fleet.tasks["i-2"].handle(coltsfootlink.Delivery{Message: Answered{Pool: "p", Parts: prompt("cd"), At: fleet.now}})
+		So(fleet.barring("d"), ShouldEqual, 0)
+	})
+}
