--- a/integration/crashing_test.go
+++ b/integration/crashing_test.go
@@ -309,11 +309,13 @@
 		slowExitFrom int
 		// soundGateways is the number of gateways that get sound requests.
 		soundGateways int
+		// atOnce is the number of gateways that get a crashing request at the same moment.
+		atOnce int
 		// prompts returns the parts of the crashing request of a number.
 		prompts func(number int) string
 	}{
-		"processes that exit slowly after a while": {2, 4, func(number int) string { return fmt.Sprintf("c:10,d:10,own%d:10", number) }},
-		"gateways that have seen different answers": {0, 1, func(number int) string {
+		"processes that exit slowly after a while": {2, 4, 1, func(number int) string { return fmt.Sprintf("c:10,d:10,own%d:10", number) }},
+		"gateways that have seen different answers": {0, 1, 4, func(number int) string {
 			return fmt.Sprintf("c:10,d:10,x%d:10,own%d:10", number%3, number)
 		}},
 	}
@@ -323,9 +325,11 @@
 			var group sync.WaitGroup
 			begun := time.Now()
 			for number := 0; time.Since(begun) < duration; number++ {
-				group.Go(func() {
-					_, _, _ = bed.callWithPrompt(number%4, fmt.Sprint("crashing-", number), test.prompts(number))
-				})
+				for other := range test.atOnce {
+					group.Go(func() {
+						_, _, _ = bed.callWithPrompt((number+other)%4, fmt.Sprint("crashing-", number, "-", other), test.prompts(number))
+					})
+				}
 				group.Go(func() {
 					_, _, _ = bed.callWithPrompt(number%test.soundGateways, fmt.Sprint("sound-", number), fmt.Sprintf("c:10,x%d:10,own-%d:10", number%20, number))
 				})
