--- a/quarantine/bar.go
+++ b/quarantine/bar.go
@@ -19,10 +19,17 @@
 	minCrashesAnswered = 3
 	minAnswered        = 8
 	// firstTrialDelay is the time from the last crash until a request is let through as a trial; it is short because parts may
-	// be blamed wrongly. It grows by trialBackoff with each further crash, up to maxTrialDelay.
+	// be blamed wrongly. It grows by trialBackoff with each further crash.
 	firstTrialDelay = 2 * time.Second
 	trialBackoff    = 4
-	maxTrialDelay   = 10 * time.Minute
+	// Users accept three requests with a part that reach targets later than lateAfter after crash number countedCrashes, however long
+	// such requests come. So trials come after lateTrialDelay at the earliest once one such request has crashed a target, then
+	// by lateTrialBackoff later with each further one, up to maxTrialDelay.
+	countedCrashes   = 5
+	lateAfter        = 3 * time.Second
+	lateTrialDelay   = 512 * time.Second
+	lateTrialBackoff = 16
+	maxTrialDelay    = 24 * time.Hour
 )
 
 // Bar holds back the requests whose prompts contain all of some parts.
@@ -158,7 +165,7 @@
 		Crashes: len(best.all),
 		FirstAt: first,
 		LastAt:  last,
-		TrialAt: last.Add(trialDelay(best.excess())),
+		TrialAt: last.Add(best.trialDelay()),
 	}, true
 }
 
@@ -190,12 +197,33 @@
 	return slices.Compact(common)
 }
 
-// trialDelay returns the time from the last crash to the next trial after a number of crashes beyond those that are needed for
-// a bar.
-func trialDelay(further int) time.Duration {
+// trialDelay returns the time from the last crash to the next trial. The first trial comes soon in any case.
+func (one candidate) trialDelay() time.Duration {
+	if one.excess() == 0 {
+		return firstTrialDelay
+	}
 	delay := firstTrialDelay
-	for range further {
+	for range one.excess() {
 		delay = min(trialBackoff*delay, maxTrialDelay)
 	}
-	return delay
+	late := one.late()
+	if late == 0 {
+		return delay
+	}
+	least := lateTrialDelay
+	for range late - 1 {
+		least = min(lateTrialBackoff*least, maxTrialDelay)
+	}
+	return max(delay, least)
+}
+
+// late returns the number of requests that were sent later than lateAfter after crash number countedCrashes.
+func (one candidate) late() int {
+	count := 0
+	for _, found := range one.all[min(countedCrashes, len(one.all)):] {
+		if found.crash.SentAt.After(one.all[countedCrashes-1].crash.CrashedAt.Add(lateAfter)) {
+			count++
+		}
+	}
+	return count
 }
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -14,7 +14,7 @@
 	MaxParts = 64
 	// maxCrashes is the number of crashes that are kept for a pool.
 	maxCrashes = 64
-	// crashTTL is how long a crash is kept.
+	// crashTTL is how long a crash is kept; one that a bar rests on is kept until the bar's trial has been due for as long.
 	crashTTL = time.Hour
 )
 
@@ -34,9 +34,27 @@
 // WithCrash adds a crash that is not known yet, and when its suspects were last answered. A crash without suspects changes
 // nothing.
 func (state State) WithCrash(now time.Time, crash coltsfootlink.PromptCrash) State {
-	for _, suspect := range crash.Suspects {
-		state = state.WithAnswered(suspect.AnsweredAt, []coltsfootlink.PartID{suspect.Part})
+	return state.WithCrashes(now, []coltsfootlink.PromptCrash{crash})
+}
+
+// WithCrashes does what WithCrash does, for several crashes. They are added together because old ones are kept only as long
+// as a bar rests on them, which each of them alone does not show.
+func (state State) WithCrashes(now time.Time, crashes []coltsfootlink.PromptCrash) State {
+	before := len(state.crashes)
+	for _, crash := range crashes {
+		for _, suspect := range crash.Suspects {
+			state = state.WithAnswered(suspect.AnsweredAt, []coltsfootlink.PartID{suspect.Part})
+		}
+		state = state.withNewCrash(crash)
 	}
+	if len(state.crashes) == before {
+		return state
+	}
+	return state.withBars().WithTime(now).withoutExcess()
+}
+
+// withNewCrash inserts a crash with suspects unless it is known; the bars are not derived anew.
+func (state State) withNewCrash(crash coltsfootlink.PromptCrash) State {
 	known := slices.ContainsFunc(state.crashes, func(known coltsfootlink.PromptCrash) bool { return sameCrash(known, crash) })
 	if known || len(crash.Suspects) == 0 {
 		return state
@@ -45,7 +63,7 @@
 		return known.CrashedAt.Compare(at)
 	})
 	state.crashes = slices.Insert(slices.Clone(state.crashes), position, crash)
-	return state.withBars().WithTime(now).withoutExcess()
+	return state
 }
 
 // WithAnswered records that a target has answered a request with the given parts, which clears them of the crashes before.
@@ -74,10 +92,22 @@
 	if len(state.crashes) == 0 || !state.crashes[0].CrashedAt.Before(oldest) {
 		return state
 	}
-	state.crashes = slices.DeleteFunc(slices.Clone(state.crashes), func(crash coltsfootlink.PromptCrash) bool { return crash.CrashedAt.Before(oldest) })
+	kept := slices.DeleteFunc(slices.Clone(state.crashes), func(crash coltsfootlink.PromptCrash) bool { return state.expired(crash, oldest) })
+	if len(kept) == len(state.crashes) {
+		return state
+	}
+	state.crashes = kept
 	return state.withBars()
 }
 
+// expired reports whether a crash happened before a time, and no trial has become due since then for a bar that rests on it.
+// Without that, a bar would lose its crashes one by one, and its trials would come sooner again.
+func (state State) expired(crash coltsfootlink.PromptCrash, oldest time.Time) bool {
+	return crash.CrashedAt.Before(oldest) && !slices.ContainsFunc(state.bars, func(bar Bar) bool {
+		return !bar.TrialAt.Before(oldest) && bar.Holds(partsOf(crash))
+	})
+}
+
 // withoutExcess drops the oldest crashes beyond maxCrashes, those that no bar rests on first.
 func (state State) withoutExcess() State {
 	for len(state.crashes) > maxCrashes {
--- a/quarantine/state_test.go
+++ b/quarantine/state_test.go
@@ -111,13 +111,12 @@
 		})
 	}
 	Convey("trials come later with each further crash", t, func() {
-		state := knownState()
-		for number := range 12 {
-			at := number * 1000
-			state = state.WithCrash(start, crashOf(fmt.Sprint(number), "d", at, at+100))
-			if number > 0 {
-				So(state.Bars()[0].TrialAt.Sub(state.Bars()[0].LastAt), ShouldEqual, min(maxTrialDelay, firstTrialDelay<<(2*(number-1))))
-			}
+		state := knownState().WithCrash(start, crashOf("first", "d", -1000, -900))
+		at := 0
+		for number, seconds := range []int{2, 8, 32, 128, 512, 8192, 86_400, 86_400, 86_400} {
+			state = state.WithCrash(start.Add(time.Duration(at)*time.Millisecond), crashOf(fmt.Sprint(number), "d", at, at+100))
+			So(state.Bars()[0].TrialAt.Sub(state.Bars()[0].LastAt), ShouldEqual, time.Duration(seconds)*time.Second)
+			at += seconds*1000 + 100
 		}
 	})
 	Convey("the crashes that bars rest on are kept, however many others follow", t, func() {
--- a/quarantine/task.go
+++ b/quarantine/task.go
@@ -154,9 +154,13 @@
 
 // handleNews records what another instance knows.
 func (task *Task) handleNews(news coltsfootlink.QuarantineNews) {
+	crashes := make(map[coltsfootlink.PoolName][]coltsfootlink.PromptCrash)
 	for _, crash := range news.Crashes {
 		crash.Suspects = crash.Suspects[:min(len(crash.Suspects), MaxParts)]
-		task.update(crash.Pool, task.state(crash.Pool).WithCrash(task.Clock.Now(), crash))
+		crashes[crash.Pool] = append(crashes[crash.Pool], crash)
+	}
+	for pool, found := range crashes {
+		task.update(pool, task.state(pool).WithCrashes(task.Clock.Now(), found))
 	}
 	for _, answer := range news.Answered {
 		task.update(answer.Pool, task.state(answer.Pool).WithAnswered(answer.At, []coltsfootlink.PartID{answer.Part}))
--- a/quarantine/task_test.go
+++ b/quarantine/task_test.go
@@ -207,23 +207,41 @@
 
 // Probes whose crashes were not seen put nothing off, so that one followed the other for as long as requests came.
 func TestProbesAreFewWhateverBecomesOfThem(t *testing.T) {
+	const day = 24 * time.Hour
 	cases := map[string]struct {
-		// seen is the number of crashes that are noticed.
-		seen     int
-		duration time.Duration
+		// atOnce is the number of targets that crash at the same moment, before anything is known.
+		atOnce int
+		// seen is the number of crashes after that which are noticed.
+		seen               int
+		interval, duration time.Duration
+		// restarts indicates that an instance starts anew every quarter of an hour.
+		restarts bool
 	}{
-		"their crashes are seen":           {1000, 5 * time.Minute},
-		"the crashes of probes are not":    {2, 5 * time.Minute},
-		"the crashes of later ones aren't": {4, 5 * time.Minute},
+		"their crashes are seen":                              {0, 100_000, time.Second, 5 * time.Minute, false},
+		"the crashes of probes are not seen":                  {0, 2, time.Second, 5 * time.Minute, false},
+		"the crashes of later probes are not seen":            {0, 4, time.Second, 5 * time.Minute, false},
+		"their crashes are seen, over a day":                  {0, 100_000, 10 * time.Second, day, false},
+		"the crashes of probes are not seen, over a day":      {0, 2, 10 * time.Second, day, false},
+		"one instance after the other starts anew over a day": {0, 100_000, 10 * time.Second, day, true},
+		"many targets crash at first, over a day":             {8, 100_000, 10 * time.Second, day, false},
 	}
 	for name, test := range cases {
 		Convey("few requests with a part that crashes targets are sent after the fifth crash: "+name, t, func() {
 			fleet := newFleet(4)
 			var sent []time.Time
+			for number := range test.atOnce {
+				instance := coltsfootlink.InstanceName(fmt.Sprint("i-", number%4))
+				fleet.tasks[instance].handle(coltsfootlink.Delivery{Message: Crashed{Crash: crashOf(fmt.Sprint("first-", number), "cd", 0, 100+number), Reply: make(chan bool, 1)}})
+				sent = append(sent, start)
+			}
 			for number := 0; fleet.now.Sub(start) < test.duration; number++ {
-				fleet.now = fleet.now.Add(time.Second)
+				fleet.now = fleet.now.Add(test.interval)
+				if test.restarts && number%90 == 45 {
+					fleet.start(coltsfootlink.InstanceName(fmt.Sprint("i-", number/90%4)))
+					fleet.announce()
+				}
 				instance := coltsfootlink.InstanceName(fmt.Sprint("i-", number%4))
-				if fleet.probe(instance, fmt.Sprint(number), string(rune('a'+number%3))+"d", len(sent) < test.seen) {
+				if fleet.probe(instance, fmt.Sprint(number), string(rune('a'+number%3))+"d", len(sent)-test.atOnce < test.seen) {
 					sent = append(sent, fleet.now)
 				}
 				for _, task := range fleet.tasks {
