Parts that crash targets of one pool are held back in the others, too

What callers saw: on a route that is divided among pools, requests with a part that crashes targets went on crashing them, since each pool spent two crashes of its own and its own probes on the part.

Cause: crashes and bars were kept for each pool alone. The class: counting by an identity that the cause does not depend on.

Change: quarantine.Pools; each pool's state takes the crashes in others into account, with the suspects that the answers of the crash's pool have left. An answer of a pool clears a part for that pool, and the crashes of that pool for all.

Each pool may still send a probe at the same moment as another one.

--- a/integration/crashing_test.go
+++ b/integration/crashing_test.go
@@ -25,7 +25,7 @@
 // fragileTarget is a target that crashes whenever it begins to answer a request with one of some parts in its prompt. A
 // crash breaks all of its connections, and it is down for a while.
 type fragileTarget struct {
-	name, zone, address string
+	name, pool, zone, address string
 	// crashing are the parts that crash it.
 	crashing []string
 	crash    chan struct{}
@@ -57,7 +57,7 @@
 			return
 		}
 		bed.put(t, platform.TargetTopic, target.name, platform.TargetDocument{
-			Service: "p", Address: target.address, Zone: target.zone, Version: "v1", Slots: 64, State: platform.ReadyState, Born: uint64(time.Now().UnixMilli()),
+			Service: target.pool, Address: target.address, Zone: target.zone, Version: "v1", Slots: 64, State: platform.ReadyState, Born: uint64(time.Now().UnixMilli()),
 		})
 		server := &http.Server{Handler: target, ReadHeaderTimeout: time.Second, ConnState: target.track}
 		served := make(chan struct{})
@@ -145,17 +145,19 @@
 	}
 }
 
-// startFragileTestbed starts four gateways in two zones before six fragile targets.
-func startFragileTestbed(t *testing.T, crashing []string, slowExitFrom int) (*testbed, []*fragileTarget) {
+// startFragileTestbed starts four gateways in two zones before six fragile targets, which the pools take in turn. Streams are
+// divided among the pools.
+func startFragileTestbed(t *testing.T, crashing []string, slowExitFrom int, pools ...string) (*testbed, []*fragileTarget) {
 	t.Helper()
 	bed := newTestbed(t)
+	bed.configureSplit(t, "key", pools)
 	var targets []*fragileTarget
 	for index := range 6 {
 		address, err := loopback.FreeAddress()
 		if err != nil {
 			t.Fatal(err)
 		}
-		target := &fragileTarget{name: fmt.Sprint("t-", index), zone: zones[index%2], address: address, crashing: crashing, slowExitFrom: slowExitFrom, crash: make(chan struct{}, 1), arrivals: make(map[string][]time.Time), connections: make(map[net.Conn]bool)}
+		target := &fragileTarget{name: fmt.Sprint("t-", index), pool: pools[index/2%len(pools)], zone: zones[index%2], address: address, crashing: crashing, slowExitFrom: slowExitFrom, crash: make(chan struct{}, 1), arrivals: make(map[string][]time.Time), connections: make(map[net.Conn]bool)}
 		ctx := t.Context()
 		go target.Run(ctx, t, bed)
 		targets = append(targets, target)
@@ -254,7 +256,7 @@
 	}
 	for name, test := range cases {
 		Convey("requests whose prompts crash targets are held back, and sound ones beside them served: "+name, t, func() {
-			bed, targets := startFragileTestbed(t, test.crashing, 0)
+			bed, targets := startFragileTestbed(t, test.crashing, 0, "p")
 			var served, asked int
 			var mutex sync.Mutex
 			var group sync.WaitGroup
@@ -311,17 +313,20 @@
 		soundGateways int
 		// atOnce is the number of gateways that get a crashing request at the same moment.
 		atOnce int
+		// pools are those among which the requests are divided.
+		pools []string
 		// prompts returns the parts of the crashing request of a number.
 		prompts func(number int) string
 	}{
-		"processes that exit slowly after a while": {2, 4, 1, func(number int) string { return fmt.Sprintf("c:10,d:10,own%d:10", number) }},
-		"gateways that have seen different answers": {0, 1, 4, func(number int) string {
+		"processes that exit slowly after a while": {2, 4, 1, []string{"p"}, func(number int) string { return fmt.Sprintf("c:10,d:10,own%d:10", number) }},
+		"gateways that have seen different answers": {0, 1, 4, []string{"p"}, func(number int) string {
 			return fmt.Sprintf("c:10,d:10,x%d:10,own%d:10", number%3, number)
 		}},
+		"a route that is divided among pools": {0, 4, 1, []string{"p", "q", "r"}, func(number int) string { return fmt.Sprintf("c:10,d:10,own%d:10", number) }},
 	}
 	for name, test := range cases {
 		Convey("few requests whose prompts crash targets reach them late: "+name, t, func() {
-			bed, targets := startFragileTestbed(t, []string{"d"}, test.slowExitFrom)
+			bed, targets := startFragileTestbed(t, []string{"d"}, test.slowExitFrom, test.pools...)
 			var group sync.WaitGroup
 			begun := time.Now()
 			for number := 0; time.Since(begun) < duration; number++ {
--- a/integration/gateways_test.go
+++ b/integration/gateways_test.go
@@ -238,6 +238,12 @@
 
 // configure writes the next version of the configuration, with one team and one API key for it.
 func (bed *testbed) configure(t *testing.T, key string) {
+	t.Helper()
+	bed.configureSplit(t, key, []string{"p"})
+}
+
+// configureSplit does what configure does, with the streams divided evenly among some pools.
+func (bed *testbed) configureSplit(t *testing.T, key string, pools []string) {
 	t.Helper()
 	bed.configVersion++
 	route := func(name, kind string) map[string]any {
@@ -246,10 +252,17 @@
 			"service": "p", "max_attempts": 2,
 		}
 	}
+	streams := route("stream", "streaming")
+	var splits, services []any
+	for _, pool := range pools {
+		splits = append(splits, map[string]any{"service": pool, "weight": 1})
+		services = append(services, map[string]any{"name": pool, "connection_limit": 100})
+	}
+	streams["traffic_split"] = splits
 	bed.put(t, platform.OperatorTopic, "config", map[string]any{
 		"version":  bed.configVersion,
-		"routes":   []any{route("safe", "safe"), route("unsafe", "unsafe"), route("stream", "streaming")},
-		"services": []any{map[string]any{"name": "p", "connection_limit": 100}},
+		"routes":   []any{route("safe", "safe"), route("unsafe", "unsafe"), streams},
+		"services": services,
 		"limits":   map[string]any{"max_body_bytes": 10000, "idle_timeout_ms": 15000},
 		"tenants":  []any{map[string]any{"name": "team", "api_keys": []string{key}}},
 	})
--- a/quarantine/bar.go
+++ b/quarantine/bar.go
@@ -68,17 +68,39 @@
 	return slices.ContainsFunc(found.parts, func(part coltsfootlink.PartID) bool { return slices.Contains(parts, part) })
 }
 
+// compare orders evidence by the time of the crash.
+func (found evidence) compare(other evidence) int {
+	return cmp.Or(found.crash.CrashedAt.Compare(other.crash.CrashedAt), cmp.Compare(found.crash.Request, other.crash.Request), cmp.Compare(found.crash.Target, other.crash.Target))
+}
+
+// sameEvidence reports whether two pieces of evidence are of the same crash and leave the same suspects.
+func sameEvidence(one, other evidence) bool {
+	return sameCrash(one.crash, other.crash) && slices.Equal(one.parts, other.parts)
+}
+
+// left returns the suspects of a crash that were not answered after it.
+func (state State) left(crash coltsfootlink.PromptCrash, parts []coltsfootlink.PartID) []coltsfootlink.PartID {
+	return slices.DeleteFunc(slices.Clone(parts), func(part coltsfootlink.PartID) bool { return state.answered.At(part).After(crash.CrashedAt) })
+}
+
 // withBars derives the bars from the crashes and answers. The part that explains most crashes is barred first, together with
 // the parts that all prompts with it have in common; the crashes that this explains count against no other part.
 func (state State) withBars() State {
-	state.unexplained = nil
+	state.suspected = nil
 	for _, crash := range state.crashes {
-		parts := partsOf(crash)
-		parts = slices.DeleteFunc(parts, func(part coltsfootlink.PartID) bool { return state.answered.At(part).After(crash.CrashedAt) })
-		if len(parts) > 0 {
-			state.unexplained = append(state.unexplained, evidence{crash: crash, parts: parts})
+		if parts := state.left(crash, partsOf(crash)); len(parts) > 0 {
+			state.suspected = append(state.suspected, evidence{crash: crash, parts: parts})
+		}
+	}
+	state.unexplained = slices.Clone(state.suspected)
+	for _, found := range state.elsewhere {
+		if parts := state.left(found.crash, found.parts); len(parts) > 0 {
+			state.unexplained = append(state.unexplained, evidence{crash: found.crash, parts: parts})
 		}
 	}
+	if len(state.elsewhere) > 0 {
+		slices.SortStableFunc(state.unexplained, evidence.compare)
+	}
 	state.bars = nil
 	for {
 		bar, found := state.nextBar()
@@ -98,7 +120,7 @@
 		if !bar.Holds(parts) {
 			continue
 		}
-		for _, crash := range state.crashes {
+		for _, crash := range state.allCrashes() {
 			if bar.Holds(partsOf(crash)) {
 				found = append(found, state.partsWithoutBar(crash)...)
 			}
--- a/quarantine/describe.go
+++ b/quarantine/describe.go
@@ -44,7 +44,10 @@
 // table returns the bars for the operators' query.
 func (task *Task) table() coltsfootlink.Table {
 	table := coltsfootlink.Table{Columns: []string{"pool", "parts", "crashes", "first-crash", "last-crash", "next-trial"}}
-	for pool, state := range task.states {
+	for pool, state := range task.pools.states {
+		if pool == anyPool {
+			continue
+		}
 		for _, bar := range state.Bars() {
 			table = table.WithRow(string(pool), join(bar.Parts), strconv.Itoa(bar.Crashes), stamp(bar.FirstAt), stamp(bar.LastAt), stamp(bar.TrialAt))
 		}
--- a/quarantine/fleet.go
+++ b/quarantine/fleet.go
@@ -69,7 +69,7 @@
 // news returns the newest crashes of each pool, up to a number, those that bars rest on first.
 func (task *Task) news(limit int) coltsfootlink.QuarantineNews {
 	var news coltsfootlink.QuarantineNews
-	for _, state := range task.states {
+	for _, state := range task.pools.states {
 		crashes := state.Crashes()
 		slices.SortStableFunc(crashes, func(one, other coltsfootlink.PromptCrash) int {
 			return cmp.Or(cmp.Compare(state.rank(one), state.rank(other)), other.CrashedAt.Compare(one.CrashedAt))
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -24,7 +24,9 @@
 	crashes  []coltsfootlink.PromptCrash
 	answered answered
 	bars     []Bar
-	// unexplained are the crashes that no bar explains, with the suspects that are left.
+	// suspected are the crashes of the pool with the suspects that its answers leave, and elsewhere those of other pools.
+	suspected, elsewhere []evidence
+	// unexplained are the crashes, here and elsewhere, that no bar explains, with the suspects that are left.
 	unexplained []evidence
 }
 
@@ -81,9 +83,25 @@
 // clears reports whether an answer clears the part of a crash that it was not cleared of before.
 func (state State) clears(part coltsfootlink.PartID, at time.Time) bool {
 	known := state.answered.At(part)
-	return slices.ContainsFunc(state.crashes, func(crash coltsfootlink.PromptCrash) bool {
-		return !known.After(crash.CrashedAt) && at.After(crash.CrashedAt) && slices.Contains(partsOf(crash), part)
-	})
+	clears := func(crash coltsfootlink.PromptCrash) bool {
+		return !known.After(crash.CrashedAt) && at.After(crash.CrashedAt) && slices.ContainsFunc(crash.Suspects, func(suspect coltsfootlink.Suspect) bool { return suspect.Part == part })
+	}
+	return slices.ContainsFunc(state.crashes, clears) || slices.ContainsFunc(state.elsewhere, func(found evidence) bool { return clears(found.crash) })
+}
+
+// withElsewhere replaces the evidence of the crashes in other pools.
+func (state State) withElsewhere(found []evidence) State {
+	state.elsewhere = found
+	return state.withBars()
+}
+
+// allCrashes returns the crashes that count for the pool, here and elsewhere.
+func (state State) allCrashes() []coltsfootlink.PromptCrash {
+	all := slices.Clone(state.crashes)
+	for _, found := range state.elsewhere {
+		all = append(all, found.crash)
+	}
+	return all
 }
 
 // WithTime drops the crashes that are too old.
--- a/quarantine/task.go
+++ b/quarantine/task.go
@@ -33,9 +33,9 @@
 	// Subscribers receive a Changed for each new view.
 	Subscribers []*mailbox.Deliveries
 
-	states map[coltsfootlink.PoolName]State
-	view   View
-	fleet  coltsfootlink.View
+	pools Pools
+	view  View
+	fleet coltsfootlink.View
 	// syncBy is until when the task waits for what others know.
 	syncBy time.Time
 	// gossipAt is when the next random instance is told of crashes.
@@ -62,7 +62,7 @@
 }
 
 func (task *Task) reset() {
-	task.states = make(map[coltsfootlink.PoolName]State)
+	task.pools = Pools{}
 	task.view = View{}
 	task.syncBy = task.Clock.Now().Add(syncTimeout)
 	task.publish()
@@ -97,7 +97,7 @@
 		Str("parts", task.describe(crash.Suspects)).Int64("sent-ms-ago", task.age(crash.SentAt)).
 		Msg("quarantine: target crashed when it began to answer; the parts of the prompt are suspected, with the time since each was last answered")
 	task.announce(crash)
-	message.Reply <- task.state(crash.Pool).MayRepeat(crash.Request, partsOf(crash), crash.SentAt)
+	message.Reply <- task.pools.State(crash.Pool).MayRepeat(crash.Request, partsOf(crash), crash.SentAt)
 }
 
 // handleProbe puts the next probe off on all instances, whatever becomes of this one.
@@ -110,7 +110,7 @@
 
 // withAnswers fills in when the suspects of a crash were last answered.
 func (task *Task) withAnswers(crash coltsfootlink.PromptCrash) coltsfootlink.PromptCrash {
-	state := task.state(crash.Pool)
+	state := task.pools.State(crash.Pool)
 	crash.Suspects = slices.Clone(crash.Suspects)
 	for index, suspect := range crash.Suspects {
 		crash.Suspects[index].AnsweredAt = state.AnsweredAt(suspect.Part)
@@ -120,21 +120,21 @@
 
 // announce records a crash and tells all other instances of it.
 func (task *Task) announce(crash coltsfootlink.PromptCrash) {
-	task.update(crash.Pool, task.state(crash.Pool).WithCrash(task.Clock.Now(), crash))
+	task.update(crash.Pool, task.pools.State(crash.Pool).WithCrash(task.Clock.Now(), crash))
 	task.broadcast(coltsfootlink.QuarantineNews{Crashes: []coltsfootlink.PromptCrash{crash}})
 }
 
 // handleAnswer records an answer, and tells all other instances of it if it ends a bar.
 func (task *Task) handleAnswer(message Answered) {
-	barred := task.state(message.Pool).Bars()
-	task.update(message.Pool, task.state(message.Pool).WithAnswered(message.At, message.Parts))
+	barred := task.pools.State(message.Pool).Bars()
+	task.update(message.Pool, task.pools.State(message.Pool).WithAnswered(message.At, message.Parts))
 	var news coltsfootlink.QuarantineNews
 	for _, part := range message.Parts {
 		if slices.ContainsFunc(barred, func(bar Bar) bool { return slices.Contains(bar.Parts, part) }) {
 			news.Answered = append(news.Answered, coltsfootlink.PartAnswered{Pool: message.Pool, Part: part, At: message.At})
 		}
 	}
-	if len(news.Answered) > 0 && !equal(barred, task.state(message.Pool).Bars()) {
+	if len(news.Answered) > 0 && !equal(barred, task.pools.State(message.Pool).Bars()) {
 		task.broadcast(news)
 	}
 }
@@ -145,7 +145,7 @@
 	task.Log.Warn().Str("pool", string(order.Pool)).Str("parts", join(order.Parts)).Msg("quarantine: an operator lifts the bar on prompts with these parts")
 	now := task.Clock.Now()
 	var news coltsfootlink.QuarantineNews
-	for _, part := range task.state(order.Pool).partsToLift(order.Parts) {
+	for _, part := range task.pools.State(order.Pool).partsToLift(order.Parts) {
 		news.Answered = append(news.Answered, coltsfootlink.PartAnswered{Pool: order.Pool, Part: part, At: now})
 	}
 	task.handleNews(news)
@@ -160,10 +160,10 @@
 		crashes[crash.Pool] = append(crashes[crash.Pool], crash)
 	}
 	for pool, found := range crashes {
-		task.update(pool, task.state(pool).WithCrashes(task.Clock.Now(), found))
+		task.update(pool, task.pools.State(pool).WithCrashes(task.Clock.Now(), found))
 	}
 	for _, answer := range news.Answered {
-		task.update(answer.Pool, task.state(answer.Pool).WithAnswered(answer.At, []coltsfootlink.PartID{answer.Part}))
+		task.update(answer.Pool, task.pools.State(answer.Pool).WithAnswered(answer.At, []coltsfootlink.PartID{answer.Part}))
 	}
 	task.setSynced(true)
 }
@@ -175,8 +175,9 @@
 		task.requestNews()
 		task.setSynced(!now.Before(task.syncBy))
 	}
-	for pool, state := range task.states {
-		task.update(pool, state.WithTime(now))
+	for pool := range task.pools.states {
+		// An update may change the states of other pools.
+		task.update(pool, task.pools.State(pool).WithTime(now))
 	}
 	if now.Before(task.gossipAt) {
 		return
@@ -188,34 +189,40 @@
 	}
 }
 
-func (task *Task) state(pool coltsfootlink.PoolName) State {
-	if state, found := task.states[pool]; found {
-		return state
+// update replaces the state of a pool, and publishes the bars of all pools that have changed.
+func (task *Task) update(pool coltsfootlink.PoolName, state State) {
+	before, changed := task.pools, false
+	task.pools = before.With(pool, state)
+	for name, next := range task.pools.states {
+		_, known := before.states[name]
+		if known && equal(before.State(name).Bars(), next.Bars()) {
+			continue
+		}
+		task.logChanges(name, before.State(name).Bars(), next.Bars())
+		task.view, changed = task.view.WithBars(name, next.Bars()), true
+	}
+	if changed {
+		task.publish()
 	}
-	return NewState()
 }
 
-// update replaces the state of a pool, logs which bars are new or gone, and publishes the bars if they have changed.
-func (task *Task) update(pool coltsfootlink.PoolName, state State) {
-	before := task.state(pool).Bars()
-	task.states[pool] = state
-	if equal(before, state.Bars()) {
+// logChanges logs which bars of a pool are new or gone.
+func (task *Task) logChanges(pool coltsfootlink.PoolName, before, after []Bar) {
+	if pool == anyPool {
 		return
 	}
 	for _, bar := range before {
-		if !contains(state.Bars(), bar) {
+		if !contains(after, bar) {
 			task.logBar(pool, bar).Msg("quarantine: requests with these parts are no longer held back")
 		}
 	}
-	for _, bar := range state.Bars() {
+	for _, bar := range after {
 		if contains(before, bar) {
 			continue
 		}
 		metrics.Count("prompt-bars")
 		task.logBar(pool, bar).Msg("quarantine: targets crash under prompts with these parts; requests with all of them are held back")
 	}
-	task.view = task.view.WithBars(pool, state.Bars())
-	task.publish()
 }
 
 func contains(bars []Bar, bar Bar) bool {
--- a/quarantine/task_test.go
+++ b/quarantine/task_test.go
@@ -51,7 +51,7 @@
 func (fleet *fleet) start(name coltsfootlink.InstanceName) {
 	task := &Task{Self: name, Clock: fleet, Sender: link{fleet, name}, Log: zerolog.Nop(), Inbox: mailbox.NewDeliveries()}
 	task.reset()
-	task.states["p"] = knownState()
+	task.pools = Pools{}.With("p", knownState())
 	fleet.tasks[name] = task
 }
 
@@ -70,10 +70,15 @@
 
 // crash reports a crash that an instance has seen.
 func (fleet *fleet) crash(name coltsfootlink.InstanceName, request, letters string) {
+	fleet.crashIn("p", name, request, letters)
+}
+
+// crashIn does what crash does, for a target of another pool.
+func (fleet *fleet) crashIn(pool coltsfootlink.PoolName, name coltsfootlink.InstanceName, request, letters string) {
 	sentAt := fleet.now
 	fleet.now = fleet.now.Add(100 * time.Millisecond)
 	crash := crashOf(request, letters, 0, 0)
-	crash.SentAt, crash.CrashedAt = sentAt, fleet.now
+	crash.Pool, crash.SentAt, crash.CrashedAt = pool, sentAt, fleet.now
 	fleet.tasks[name].handle(coltsfootlink.Delivery{Message: Crashed{Crash: crash, Reply: make(chan bool, 1)}})
 }
 
@@ -110,7 +115,7 @@
 			}
 		}, count},
 		"one missed the news, and others tell of it now and then": {func(fleet *fleet) {
-			fleet.tasks["i-3"].states = map[coltsfootlink.PoolName]State{"p": knownState()}
+			fleet.tasks["i-3"].pools = Pools{}.With("p", knownState())
 			for range 200 {
 				fleet.now = fleet.now.Add(gossipInterval)
 				for _, task := range fleet.tasks {
@@ -181,7 +186,7 @@
 			fleet.tasks["i-2"].handle(coltsfootlink.Delivery{Message: coltsfootlink.BarLift{Pool: "p", Parts: prompt("d")}})
 			So(fleet.barring("cdx"), ShouldEqual, 0)
 			for _, task := range fleet.tasks {
-				So(task.states["p"].Bars(), ShouldHaveLength, test.kept)
+				So(task.pools.State("p").Bars(), ShouldHaveLength, test.kept)
 			}
 		})
 	}
@@ -189,18 +194,18 @@
 
 // probe sends a request with the letters as shared parts on an instance, if it is not held back or a probe is due, and reports
 // whether it was sent. The crash of its target is reported if it is seen.
-func (fleet *fleet) probe(name coltsfootlink.InstanceName, request, letters string, seen bool) bool {
-	bar, held := fleet.tasks[name].view.Bar("p", prompt(letters))
+func (fleet *fleet) probe(pool coltsfootlink.PoolName, name coltsfootlink.InstanceName, request, letters string, seen bool) bool {
+	bar, held := fleet.tasks[name].view.Bar(pool, prompt(letters))
 	if held && fleet.now.Before(bar.TrialAt) {
 		return false
 	}
 	if held {
 		probe := crashOf(request, letters, 0, 0)
-		probe.SentAt, probe.CrashedAt = fleet.now, fleet.now
+		probe.Pool, probe.SentAt, probe.CrashedAt = pool, fleet.now, fleet.now
 		fleet.tasks[name].handle(coltsfootlink.Delivery{Message: Probed{Probe: probe}})
 	}
 	if seen {
-		fleet.crash(name, request, letters)
+		fleet.crashIn(pool, name, request, letters)
 	}
 	return true
 }
@@ -216,14 +221,18 @@
 		interval, duration time.Duration
 		// restarts indicates that an instance starts anew every quarter of an hour.
 		restarts bool
+		// pools is the number of pools among which the requests are divided.
+		pools int
 	}{
-		"their crashes are seen":                              {0, 100_000, time.Second, 5 * time.Minute, false},
-		"the crashes of probes are not seen":                  {0, 2, time.Second, 5 * time.Minute, false},
-		"the crashes of later probes are not seen":            {0, 4, time.Second, 5 * time.Minute, false},
-		"their crashes are seen, over a day":                  {0, 100_000, 10 * time.Second, day, false},
-		"the crashes of probes are not seen, over a day":      {0, 2, 10 * time.Second, day, false},
-		"one instance after the other starts anew over a day": {0, 100_000, 10 * time.Second, day, true},
-		"many targets crash at first, over a day":             {8, 100_000, 10 * time.Second, day, false},
+		"their crashes are seen":                              {0, 100_000, time.Second, 5 * time.Minute, false, 1},
+		"the crashes of probes are not seen":                  {0, 2, time.Second, 5 * time.Minute, false, 1},
+		"the crashes of later probes are not seen":            {0, 4, time.Second, 5 * time.Minute, false, 1},
+		"their crashes are seen, over a day":                  {0, 100_000, 10 * time.Second, day, false, 1},
+		"the crashes of probes are not seen, over a day":      {0, 2, 10 * time.Second, day, false, 1},
+		"one instance after the other starts anew over a day": {0, 100_000, 10 * time.Second, day, true, 1},
+		"many targets crash at first, over a day":             {8, 100_000, 10 * time.Second, day, false, 1},
+		"three pools":             {0, 100_000, time.Second, 5 * time.Minute, false, 3},
+		"three pools, over a day": {0, 2, 10 * time.Second, day, false, 3},
 	}
 	for name, test := range cases {
 		Convey("few requests with a part that crashes targets are sent after the fifth crash: "+name, t, func() {
@@ -241,7 +250,8 @@
 					fleet.announce()
 				}
 				instance := coltsfootlink.InstanceName(fmt.Sprint("i-", number%4))
-				if fleet.probe(instance, fmt.Sprint(number), string(rune('a'+number%3))+"d", len(sent)-test.atOnce < test.seen) {
+				pool := []coltsfootlink.PoolName{"p", "q", "r"}[number/4%max(1, test.pools)]
+				if fleet.probe(pool, instance, fmt.Sprint(number), string(rune('a'+number%3))+"d", len(sent)-test.atOnce < test.seen) {
 					sent = append(sent, fleet.now)
 				}
 				for _, task := range fleet.tasks {
@@ -262,7 +272,7 @@
 		fleet.crash("i-0", "1", "cd")
 		fleet.crash("i-1", "2", "xd")
 		fleet.now = fleet.now.Add(firstTrialDelay)
-		So(fleet.probe("i-2", "3", "cd", false), ShouldBeTrue)
+		So(fleet.probe("p", "i-2", "3", "cd", false), ShouldBeTrue)
 		So(fleet.barring("d"), ShouldEqual, 4)
 		fleet.now = fleet.now.Add(time.Second)
 		fleet.tasks["i-2"].handle(coltsfootlink.Delivery{Message: Answered{Pool: "p", Parts: prompt("cd"), At: fleet.now}})
--- a/quarantine/view.go
+++ b/quarantine/view.go
@@ -36,7 +36,11 @@
 func (view View) Bar(pool coltsfootlink.PoolName, parts []coltsfootlink.PartID) (Bar, bool) {
 	var latest Bar
 	found := false
-	for _, bar := range view.bars[pool] {
+	bars, known := view.bars[pool]
+	if !known {
+		bars = view.bars[anyPool]
+	}
+	for _, bar := range bars {
 		if bar.Holds(parts) && (!found || bar.TrialAt.After(latest.TrialAt)) {
 			latest, found = bar, true
 		}
