--- a/integration/crashing_test.go
+++ b/integration/crashing_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -305,6 +306,8 @@
 	const (
 		duration = 45 * time.Second
 		interval = 100 * time.Millisecond
+		// learnTime is the time from the first request on after which at least half of the sound requests have to be answered.
+		learnTime = 2 * contact
 	)
 	cases := map[string]struct {
 		// slowExitFrom is the crash of a target from which on it exits slowly.
@@ -327,6 +330,7 @@
 	for name, test := range cases {
 		Convey("few requests whose prompts crash targets reach them late: "+name, t, func() {
 			bed, targets := startFragileTestbed(t, []string{"d"}, test.slowExitFrom, test.pools...)
+			var asked, served atomic.Int64
 			var group sync.WaitGroup
 			begun := time.Now()
 			for number := 0; time.Since(begun) < duration; number++ {
@@ -336,14 +340,22 @@
 					})
 				}
 				group.Go(func() {
-					_, _, _ = bed.callWithPrompt(number%test.soundGateways, fmt.Sprint("sound-", number), fmt.Sprintf("c:10,x%d:10,own-%d:10", number%20, number))
+					status, _, err := bed.callWithPrompt(number%test.soundGateways, fmt.Sprint("sound-", number), fmt.Sprintf("c:10,x%d:10,own-%d:10", number%20, number))
+					if time.Since(begun) > learnTime {
+						asked.Add(1)
+						if status == http.StatusOK && err == nil {
+							served.Add(1)
+						}
+					}
 				})
 				time.Sleep(interval)
 			}
 			group.Wait()
 			late, all := lateArrivals(targets, "d")
-			t.Logf("%s: %d requests with the part reached targets, %d of them late", name, all, late)
+			t.Logf("%s: %d requests with the part reached targets, %d of them late; %d of %d sound ones answered", name, all, late, served.Load(), asked.Load())
 			So(late, ShouldBeLessThanOrEqualTo, mostLate)
+			So(asked.Load(), ShouldBeGreaterThan, 20)
+			So(2*served.Load(), ShouldBeGreaterThan, asked.Load())
 		})
 	}
 }
