--- a/quarantine/bar.go
+++ b/quarantine/bar.go
@@ -19,10 +19,17 @@
 	minCrashesAnswered = 3
 	minAnswered        = 8
 	// firstTrialDelay is the time from the last crash until a request is let through as a trial; it is short because parts may
-	// be blamed wrongly. It grows by trialBackoff with each further crash, up to maxTrialDelay.
+	// be blamed wrongly. It grows by trialBackoff with each further crash.
 	firstTrialDelay = 2 * time.Second
 	trialBackoff    = 4
-	maxTrialDelay   = 10 * time.Minute
+	// Users accept three requests with a part that reach targets later than lateAfter after crash number countedCrashes, however long
+	// such requests come. So trials come after lateTrialDelay at the earliest once one such request has crashed a target, then
+	// by lateTrialBackoff later with each further one, up to maxTrialDelay.
+	countedCrashes   = 5
+	lateAfter        = 3 * time.Second
+	lateTrialDelay   = 512 * time.Second
+	lateTrialBackoff = 16
+	maxTrialDelay    = 24 * time.Hour
 )
 
 // Bar holds back the requests whose prompts contain all of some parts.
@@ -61,17 +68,39 @@
 	return slices.ContainsFunc(found.parts, func(part coltsfootlink.PartID) bool { return slices.Contains(parts, part) })
 }
 
+// compare orders evidence by the time of the crash.
+func (found evidence) compare(other evidence) int {
+	return cmp.Or(found.crash.CrashedAt.Compare(other.crash.CrashedAt), cmp.Compare(found.crash.Request, other.crash.Request), cmp.Compare(found.crash.Target, other.crash.Target))
+}
+
+// sameEvidence reports whether two pieces of evidence are of the same crash and leave the same suspects.
+func sameEvidence(one, other evidence) bool {
+	return sameCrash(one.crash, other.crash) && slices.Equal(one.parts, other.parts)
+}
+
+// left returns the suspects of a crash that were not answered after it.
+func (state State) left(crash coltsfootlink.PromptCrash, parts []coltsfootlink.PartID) []coltsfootlink.PartID {
+	return slices.DeleteFunc(slices.Clone(parts), func(part coltsfootlink.PartID) bool { return state.answered.At(part).After(crash.CrashedAt) })
+}
+
 // withBars derives the bars from the crashes and answers. The part that explains most crashes is barred first, together with
 // the parts that all prompts with it have in common; the crashes that this explains count against no other part.
 func (state State) withBars() State {
-	state.unexplained = nil
+	state.suspected = nil
 	for _, crash := range state.crashes {
-		parts := partsOf(crash)
-		parts = slices.DeleteFunc(parts, func(part coltsfootlink.PartID) bool { return state.answered.At(part).After(crash.CrashedAt) })
-		if len(parts) > 0 {
-			state.unexplained = append(state.unexplained, evidence{crash: crash, parts: parts})
+		if parts := state.left(crash, partsOf(crash)); len(parts) > 0 {
+			state.suspected = append(state.suspected, evidence{crash: crash, parts: parts})
+		}
+	}
+	state.unexplained = slices.Clone(state.suspected)
+	for _, found := range state.elsewhere {
+		if parts := state.left(found.crash, found.parts); len(parts) > 0 {
+			state.unexplained = append(state.unexplained, evidence{crash: found.crash, parts: parts})
 		}
 	}
+	if len(state.elsewhere) > 0 {
+		slices.SortStableFunc(state.unexplained, evidence.compare)
+	}
 	state.bars = nil
 	for {
 		bar, found := state.nextBar()
@@ -91,7 +120,7 @@
 		if !bar.Holds(parts) {
 			continue
 		}
-		for _, crash := range state.crashes {
+		for _, crash := range state.allCrashes() {
 			if bar.Holds(partsOf(crash)) {
 				found = append(found, state.partsWithoutBar(crash)...)
 			}
@@ -158,7 +187,7 @@
 		Crashes: len(best.all),
 		FirstAt: first,
 		LastAt:  last,
-		TrialAt: last.Add(trialDelay(best.excess())),
+		TrialAt: last.Add(best.trialDelay()),
 	}, true
 }
 
@@ -190,12 +219,33 @@
 	return slices.Compact(common)
 }
 
-// trialDelay returns the time from the last crash to the next trial after a number of crashes beyond those that are needed for
-// a bar.
-func trialDelay(further int) time.Duration {
+// trialDelay returns the time from the last crash to the next trial. The first trial comes soon in any case.
+func (one candidate) trialDelay() time.Duration {
+	if one.excess() == 0 {
+		return firstTrialDelay
+	}
 	delay := firstTrialDelay
-	for range further {
+	for range one.excess() {
 		delay = min(trialBackoff*delay, maxTrialDelay)
 	}
-	return delay
+	late := one.late()
+	if late == 0 {
+		return delay
+	}
+	least := lateTrialDelay
+	for range late - 1 {
+		least = min(lateTrialBackoff*least, maxTrialDelay)
+	}
+	return max(delay, least)
+}
+
+// late returns the number of requests that were sent later than lateAfter after crash number countedCrashes.
+func (one candidate) late() int {
+	count := 0
+	for _, found := range one.all[min(countedCrashes, len(one.all)):] {
+		if found.crash.SentAt.After(one.all[countedCrashes-1].crash.CrashedAt.Add(lateAfter)) {
+			count++
+		}
+	}
+	return count
 }
