--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -147,10 +147,11 @@
 	return err
 }
 
-// leave prepares the shutdown. It announces it to the load balancer and the other instances, and accepts requests for
-// DrainDelay, until the balancer has caught up, but for those that are not expected to end in time. After that it accepts
-// only requests whose deadlines lie before the end, and refuses others at once: where most instances of a zone leave, the
-// balancer still sends them requests. It returns when no requests are left, or at the end.
+// leave prepares the shutdown. It announces it to the load balancer, the other instances, and those to which connections are
+// forwarded, and accepts requests for DrainDelay, until the balancer has caught up, but for those that are not expected to end
+// in time. After that it accepts only requests whose deadlines lie before the end, and refuses others at once: where most
+// instances of a zone leave, the balancer still sends them requests. Once none are left, or at the end, it refuses all, and
+// returns when those that it has accepted have ended, or at the end.
 func (gateway *Gateway) leave() {
 	now := gateway.clock.Now()
 	timing := gateway.Settings.Timing
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -66,10 +66,10 @@
 // Active returns the number of requests whose heads have been read and that have no complete answer yet.
 func (service *Service) Active() int { return int(service.active.Load()) }
 
-// Close has all further requests refused. Requests that are not refused are counted by Active from before it returns.
+// Close has all further requests refused. Once it has returned, Active counts each request that was accepted before.
 func (service *Service) Close() { service.closed.Store(true) }
 
-// isClosed reports whether no further requests are accepted.
+// isClosed reports whether no further requests are accepted, because of Close or because the instance has ended its requests.
 func (service *Service) isClosed() bool {
 	return service.closed.Load() || service.Ending != nil && service.Ending.Err() != nil
 }
