Catalog updates tell the era, when it settles and where a move order began

Cause: after a restore of the store instances learn of the new era at different times. An instance that only hears of it by records can't tell whether they are of the copy, until when others may write theirs again, or that an order which now has another offset is the one that it knows.

Change: News has the sender's era, and for each stream the first end read in the era and the deadline by which it settles, sent as the time that is left. A record has the position that identifies a move order. Fields are absent for zero, so a store without eras causes the same bytes as before; a store with one era adds two bytes to an update. Nothing uses the fields yet.

--- a/catalog.go
+++ b/catalog.go
@@ -24,13 +24,43 @@
 type CatalogRecord struct {
 	Stream   CatalogStream
 	Position Position
-	Key      string
+	// Origin is the position of the first record with this move order, if the order was written again after a restore of the
+	// store; zero otherwise. It identifies the order.
+	Origin Position
+	Key    string
 	// Value is the record as the platform encodes it; empty if the key was removed.
 	Value []byte
 	// Removed indicates that the key was deleted.
 	Removed bool
 }
 
+// StreamEra is what instances know of the store's current era for one stream.
+type StreamEra struct {
+	// Begun is the lowest end up to which the stream was read in the era. Records before it may be those of the copy from
+	// which the store was restored; records from it on were written after the restore.
+	Begun Position
+	// SettleBy is the deadline until which what was known before the restore may be written again; zero if the restore was
+	// not seen.
+	SettleBy time.Time
+}
+
+// WithMerged returns what two instances know together: the later era, in it the lower end and the earlier deadline.
+func (era StreamEra) WithMerged(other StreamEra) StreamEra {
+	switch {
+	case other.Begun.Era > era.Begun.Era:
+		return other
+	case other.Begun.Era < era.Begun.Era:
+		return era
+	}
+	if other.Begun.Before(era.Begun) {
+		era.Begun = other.Begun
+	}
+	if era.SettleBy.IsZero() || !other.SettleBy.IsZero() && other.SettleBy.Before(era.SettleBy) {
+		era.SettleBy = other.SettleBy
+	}
+	return era
+}
+
 // Fact is the decoded content of one catalog record.
 type Fact interface{ isFact() }
 
@@ -57,6 +87,12 @@
 	TimeLimit time.Duration
 }
 
+// IsSameOrder reports whether both facts order the same, apart from what identifies the order.
+func (fact MoveFact) IsSameOrder(other MoveFact) bool {
+	fact.Started = other.Started
+	return fact == other
+}
+
 func (MoveFact) isFact()    {}
 func (TableFact) isFact()   {}
 func (TargetFact) isFact()  {}
--- a/message_gateway.go
+++ b/message_gateway.go
@@ -224,6 +224,10 @@
 	Signature uint64
 	// Ends is set if the records are all that the sender has: the positions up to which it has read streams completely.
 	Ends map[CatalogStream]Position
+	// Era is the latest era of the store that the sender knows; zero if the store reports none.
+	Era uint64
+	// Eras is what the sender knows of restores of the store; empty if it has seen none.
+	Eras map[CatalogStream]StreamEra
 }
 
 // NewsRequest asks a peer for all its catalog records; the reply is News.
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -156,6 +156,35 @@
 	}
 }
 
+// TestErasOfStreams guards against instances that learn of a restore of the store and not of its deadline, and against move
+// orders that get another identity on the way.
+func TestErasOfStreams(t *testing.T) {
+	settleBy := time.Now().Add(2 * time.Second)
+	cases := map[string]struct {
+		settleBy, within time.Time
+	}{
+		"an era that settles":      {settleBy, settleBy},
+		"an era that has settled":  {time.Now().Add(-time.Minute), time.Now()},
+		"an era that just settled": {time.Now(), time.Now()},
+	}
+	for name, test := range cases {
+		Convey(name, t, func() {
+			out, in := newEncoder(), new(decoder)
+			sent := out.encodeNews(coltsfootlink.News{
+				Era:     3,
+				Records: []coltsfootlink.CatalogRecord{{Stream: "s", Position: coltsfootlink.Position{Era: 3, Offset: 1}, Origin: coltsfootlink.Position{Era: 2, Offset: 8}}},
+				Eras:    map[coltsfootlink.CatalogStream]coltsfootlink.StreamEra{"s": {Begun: coltsfootlink.Position{Era: 3, Offset: 4}, SettleBy: test.settleBy}},
+			})
+			So(in.addNames([]string{"s"}), ShouldBeNil)
+			found := in.decodeNews(sent)
+			So(found.Era, ShouldEqual, uint64(3))
+			So(found.Records[0].Origin, ShouldResemble, coltsfootlink.Position{Era: 2, Offset: 8})
+			So(found.Eras["s"].Begun, ShouldResemble, coltsfootlink.Position{Era: 3, Offset: 4})
+			So(found.Eras["s"].SettleBy, ShouldHappenWithin, 50*time.Millisecond, test.within)
+		})
+	}
+}
+
 // TestTimesAreSentRelativeToNow checks that times which are sent as a number of milliseconds from now, because the
 // clocks of instances differ, are restored to within 50 ms.
 func TestTimesAreSentRelativeToNow(t *testing.T) {
--- a/peer/gateway.go
+++ b/peer/gateway.go
@@ -174,17 +174,45 @@
 				StreamRef: encoder.ref(string(record.Stream)),
 				Offset:    record.Position.Offset,
 				Era:       record.Position.Era,
-				Key:       record.Key,
-				Value:     record.Value,
-				Removed:   record.Removed,
+				OriginEra: record.Origin.Era, OriginOffset: record.Origin.Offset,
+				Key:     record.Key,
+				Value:   record.Value,
+				Removed: record.Removed,
 			}
 		}),
 		AgeMillis: uint32(max(0, time.Since(news.ReadAt).Milliseconds())),
 		Signature: news.Signature,
 		Ends:      encoder.encodeEnds(news.Ends),
+		Era:       news.Era,
+		Eras:      encoder.encodeEras(news.Eras),
 	}
 }
 
+func (encoder *encoder) encodeEras(eras map[coltsfootlink.CatalogStream]coltsfootlink.StreamEra) []*peerpb.StreamEra {
+	var encoded []*peerpb.StreamEra
+	for stream, era := range eras {
+		encoded = append(encoded, &peerpb.StreamEra{
+			StreamRef: encoder.ref(string(stream)), Era: era.Begun.Era, Begun: era.Begun.Offset,
+			SettleMillis: uint32(max(0, time.Until(era.SettleBy).Milliseconds())),
+		})
+	}
+	return encoded
+}
+
+func (decoder *decoder) decodeEras(encoded []*peerpb.StreamEra) map[coltsfootlink.CatalogStream]coltsfootlink.StreamEra {
+	if len(encoded) == 0 {
+		return nil
+	}
+	eras := make(map[coltsfootlink.CatalogStream]coltsfootlink.StreamEra, len(encoded))
+	for _, era := range encoded {
+		eras[coltsfootlink.CatalogStream(decoder.name(era.GetStreamRef()))] = coltsfootlink.StreamEra{
+			Begun:    coltsfootlink.Position{Era: era.GetEra(), Offset: era.GetBegun()},
+			SettleBy: time.Now().Add(time.Duration(era.GetSettleMillis()) * time.Millisecond),
+		}
+	}
+	return eras
+}
+
 func (encoder *encoder) encodeEnds(ends map[coltsfootlink.CatalogStream]coltsfootlink.Position) []*peerpb.StreamEnd {
 	var encoded []*peerpb.StreamEnd
 	for stream, end := range ends {
@@ -210,6 +238,7 @@
 			return coltsfootlink.CatalogRecord{
 				Stream:   coltsfootlink.CatalogStream(decoder.name(record.GetStreamRef())),
 				Position: coltsfootlink.Position{Era: record.GetEra(), Offset: record.GetOffset()},
+				Origin:   coltsfootlink.Position{Era: record.GetOriginEra(), Offset: record.GetOriginOffset()},
 				Key:      record.GetKey(),
 				Value:    record.GetValue(),
 				Removed:  record.GetRemoved(),
@@ -218,6 +247,8 @@
 		ReadAt:    time.Now().Add(-time.Duration(news.GetAgeMillis()) * time.Millisecond),
 		Signature: news.GetSignature(),
 		Ends:      decoder.decodeEnds(news.GetEnds()),
+		Era:       news.GetEra(),
+		Eras:      decoder.decodeEras(news.GetEras()),
 	}
 }
 
