Catalog: what is known before a restore of the store stays in force until the new era has settled

Cause: a restore brings back a copy that is some seconds old. Whatever an instance read in the new era replaced what it knew: a target that has left or drains was ready again, a returned zone was out, a move order was replaced by the one before it, and keys that were lost were removed until their writers wrote them again. A move order that was written again at another offset was another move with a new deadline. Updates of builds without eras, whose records are all outdated, kept new builds from reading the platform themselves.

Change: for settleTime after the restore is noticed a record of the new era replaces what is known only where it can't be an older one of the copy; keys without a record are removed by a read of all keys after rewriteTime. What is known from before is part of the records that instances send each other, with the earliest deadline. A move order that was written again keeps its identity and its first read time, also on instances that have not read the first record. An update of a sender that knows no era, or an earlier one, doesn't count as one with the newest records. One line at the start and one at the end of the time, with what was kept, written again, replaced and is missing; counter store-eras-settled, metric store-era. With one era, or none, nothing is held and no call is added.

--- a/catalog/reader.go
+++ b/catalog/reader.go
@@ -40,12 +40,16 @@
 	// next is the position at which the next read starts. nextKnown is false while all keys have to be read with Newest first.
 	next      coltsfootlink.Position
 	nextKnown bool
+	// eraKnown indicates that next is of the latest era that was known, although nextKnown may be false.
+	eraKnown bool
 	// down indicates that the last read failed.
 	down bool
 	// graceEndsAt is when targets whose records expired during the last outage count as removed.
 	graceEndsAt time.Time
-	// rereadAfterGrace indicates that all keys have to be read once more after graceEndsAt, since the last such read may
-	// have missed targets that had not registered again.
+	// rewrittenBy is when records that were lost in a restore of the store count as removed.
+	rewrittenBy time.Time
+	// rereadAfterGrace indicates that all keys have to be read once more after graceEndsAt and rewrittenBy, since the last such
+	// read may have missed records that had not been written again.
 	rereadAfterGrace bool
 	// postponed are removals that take effect at graceEndsAt.
 	postponed []coltsfootlink.CatalogRecord
@@ -56,15 +60,18 @@
 	coltsfootlink.Local
 	stream  coltsfootlink.CatalogStream
 	records []coltsfootlink.CatalogRecord
-	// complete indicates that the records are the newest ones of all keys before the position end.
+	// complete indicates that the records are the newest ones of all keys before the position end, and that keys without
+	// one are removed.
 	complete bool
-	end      coltsfootlink.Position
-	readAt   time.Time
+	// newest indicates that the records are the newest ones of all keys, whether or not the read is complete.
+	newest bool
+	end    coltsfootlink.Position
+	readAt time.Time
 }
 
 // Run reads until the context ends.
 func (reader *reader) Run(ctx context.Context) error {
-	reader.nextKnown = false
+	reader.eraKnown, reader.nextKnown = reader.eraKnown || reader.nextKnown, false
 	for ctx.Err() == nil {
 		delay := followDelay
 		count, err := reader.read(ctx)
@@ -101,10 +108,14 @@
 		if err != nil {
 			return 0, err
 		}
-		reader.next, reader.nextKnown = batch.End, true
+		if reader.eraKnown && reader.next.Era < batch.End.Era {
+			// The store was restored since the last read; its lost records will be written again.
+			reader.rewrittenBy = reader.clock.Now().Add(rewriteTime)
+		}
+		reader.next, reader.nextKnown, reader.eraKnown = batch.End, true, true
 		reader.logUnreadable(batch)
-		reader.rereadAfterGrace = reader.stream == coltsfootlink.TargetStream && (reader.down || reader.inGrace())
-		reader.send(readResult{records: batch.Records, complete: !reader.rereadAfterGrace, end: batch.End})
+		reader.rereadAfterGrace = reader.rewriting() || reader.stream == coltsfootlink.TargetStream && (reader.down || reader.inGrace())
+		reader.send(readResult{records: batch.Records, newest: true, complete: !reader.rereadAfterGrace, end: batch.End})
 		return len(batch.Records), nil
 	}
 	batch, err := reader.source.Follow(ctx, reader.stream, reader.next, reader.wait())
@@ -130,10 +141,14 @@
 		// A read whose answer is lost in the outage fails only when its whole wait is over, so it must not wait.
 		return 0
 	}
+	now := reader.clock.Now()
+	if reader.rereadAfterGrace && reader.rewriting() {
+		return min(followDelay, reader.rewrittenBy.Sub(now))
+	}
 	if len(reader.postponed) > 0 || reader.rereadAfterGrace {
 		return followDelay
 	}
-	return reader.untilPhase(reader.clock.Now())
+	return reader.untilPhase(now)
 }
 
 // untilPhase returns the time until the reader's next wait is to end. All connections to the store may go silent at once, and
@@ -170,6 +185,9 @@
 // inGrace reports whether targets whose records expired during the last outage may still register again.
 func (reader *reader) inGrace() bool { return reader.clock.Now().Before(reader.graceEndsAt) }
 
+// rewriting reports whether records that were lost in a restore of the store may still be written again.
+func (reader *reader) rewriting() bool { return reader.clock.Now().Before(reader.rewrittenBy) }
+
 // releasePostponed sends the deferred removals once the grace period is over, and has all keys read again if that was put
 // off. The removal of a target that has registered again has no effect, because its position is before that of the new
 // record.
@@ -181,7 +199,7 @@
 		reader.send(readResult{records: reader.postponed})
 		reader.postponed = nil
 	}
-	if reader.rereadAfterGrace && !reader.down {
+	if reader.rereadAfterGrace && !reader.down && !reader.rewriting() {
 		reader.rereadAfterGrace, reader.nextKnown = false, false
 	}
 }
--- a/catalog/state.go
+++ b/catalog/state.go
@@ -23,6 +23,23 @@
 	record coltsfootlink.CatalogRecord
 	// fact is nil if the record was removed or holds no usable fact.
 	fact coltsfootlink.Fact
+	// readAt is when the record was first read. A move order that was written again after a restore keeps its first time.
+	readAt time.Time
+	// incarnation is the last known one of the target; it is kept after a removal.
+	incarnation uint64
+	// held is, while an era settles, the entry that was in force before it; nil if there is none.
+	held *entry
+	// stays indicates that held remains in force until the era has settled.
+	stays bool
+}
+
+// inForce returns the entry whose fact is in force.
+func (stored entry) inForce() entry {
+	if stored.stays {
+		return *stored.held
+	}
+	stored.held = nil
+	return stored
 }
 
 // recordKeyHasher hashes record keys for immutable maps.
@@ -46,6 +63,9 @@
 	// ends are the positions up to which streams have been read completely: an older record of a key that is not known was
 	// removed before.
 	ends map[coltsfootlink.CatalogStream]coltsfootlink.Position
+	// eras are the current eras of the streams; settling are those streams whose era has not settled yet.
+	eras     map[coltsfootlink.CatalogStream]coltsfootlink.StreamEra
+	settling map[coltsfootlink.CatalogStream]bool
 }
 
 // NewState returns a state without records.
@@ -72,18 +92,19 @@
 // WithRecord returns the state with a record that was read now; it ignores a record that is not newer than the known one
 // of its key, or than the complete read that did not list its key. If the record cannot be decoded, the previous fact of
 // its key no longer applies, as after a removal, and the error is returned along with the new state. A routing table stays
-// in force until another one replaces it.
+// in force until another one replaces it. While an era settles, what was known before may stay in force.
 func (state State) WithRecord(now time.Time, record coltsfootlink.CatalogRecord) (State, Change, error) {
 	key := recordKey{stream: record.Stream, key: record.Key}
 	known, found := state.entries.Get(key)
-	if found && !known.record.Position.Before(record.Position) || !found && record.Position.Before(state.ends[record.Stream]) {
+	switch {
+	case found && state.isOfEarlierEra(record) && !state.isOfEarlierEra(known.record):
+		return state.withEarlier(now, key, known, record)
+	case found && known.record.Position == record.Position && record.Origin != coltsfootlink.Position{}:
+		return state.withOrigin(now, key, known, record)
+	case found && !known.record.Position.Before(record.Position) || !found && state.wasRemoved(record):
 		return state.withLateTable(record)
 	}
-	var fact coltsfootlink.Fact
-	var err error
-	if !record.Removed {
-		fact, err = state.decoder.Decode(record)
-	}
+	fact, err := state.decode(record)
 	if table, is := fact.(coltsfootlink.TableFact); is {
 		if state.catalog.TableLoaded && table.Table.Version < state.catalog.Table.Version {
 			// The version of the routing table never decreases.
@@ -91,13 +112,57 @@
 		}
 		state.table = record
 	}
+	after := newEntry(now, known.incarnation, record, fact, err)
+	if found {
+		after = state.withKnown(after, known)
+	}
+	state, change := state.withEntry(now, key, known, after)
+	return state, change, err
+}
+
+// decode returns the fact in a record; nil if the record is a removal.
+func (state State) decode(record coltsfootlink.CatalogRecord) (coltsfootlink.Fact, error) {
+	if record.Removed {
+		return nil, nil
+	}
+	if record.Origin != (coltsfootlink.Position{}) {
+		record.Position = record.Origin
+	}
+	return state.decoder.Decode(record)
+}
+
+// newEntry returns the entry of a record that was read now, with the fact or the error from decoding it.
+func newEntry(now time.Time, incarnation uint64, record coltsfootlink.CatalogRecord, fact coltsfootlink.Fact, err error) entry {
 	if err != nil {
-		record.Removed, record.Value = true, nil
+		record.Removed, record.Value, fact = true, nil, nil
+	}
+	if target, is := fact.(coltsfootlink.TargetFact); is {
+		incarnation = target.Target.Incarnation
+	}
+	return entry{record: record, fact: fact, readAt: now, incarnation: incarnation}
+}
+
+// wasRemoved reports whether a record of a key that is not known is older than the complete read that did not list its key.
+// While an era settles, its own complete read says nothing of records of the era before, which may be written again.
+func (state State) wasRemoved(record coltsfootlink.CatalogRecord) bool {
+	end := state.ends[record.Stream]
+	if state.isOfEarlierEra(record) && end.Era == state.eras[record.Stream].Begun.Era {
+		return false
+	}
+	return record.Position.Before(end)
+}
+
+// withEntry returns the state after the entry of a key was replaced.
+func (state State) withEntry(now time.Time, key recordKey, known, after entry) (State, Change) {
+	after.stays = after.held != nil && state.staysInForce(after)
+	state.entries = state.entries.Set(key, after)
+	before, standing := known.inForce(), after.inForce()
+	if after.stays && before.record.Position == standing.record.Position {
+		return state.withColdStart(now, standing, after)
 	}
-	state.entries = state.entries.Set(key, entry{record: record, fact: fact})
 	var change Change
-	state.catalog, change = withFact(state.catalog, now, key.key, known.fact, fact)
-	return state, change, err
+	state.catalog, change = withFact(state.catalog, now, key.key, before.fact, standing)
+	return state, change
 }
 
 // withLateTable puts the routing table in an outdated record in force if none of its version or a later one is: the newer
@@ -137,12 +202,16 @@
 	return maps.Clone(state.ends)
 }
 
-// Records returns the newest record of each key, and the record of the routing table in force.
+// Records returns the newest record of each key, the records that are in force until an era has settled, and the record of
+// the routing table in force.
 func (state State) Records() []coltsfootlink.CatalogRecord {
 	records := make([]coltsfootlink.CatalogRecord, 0, state.entries.Len()+1)
 	for iterator := state.entries.Iterator(); !iterator.Done(); {
 		_, stored, _ := iterator.Next()
 		records = append(records, stored.record)
+		if stored.held != nil {
+			records = append(records, stored.held.record)
+		}
 	}
 	stored, _ := state.entries.Get(recordKey{stream: state.table.Stream, key: state.table.Key})
 	if state.catalog.TableLoaded && stored.record.Position != state.table.Position {
@@ -151,6 +220,16 @@
 	return records
 }
 
+// Stored returns the stored form of a record, which has the origin of a move order, or the record itself if another one of
+// its key is known.
+func (state State) Stored(record coltsfootlink.CatalogRecord) coltsfootlink.CatalogRecord {
+	stored, found := state.entries.Get(recordKey{stream: record.Stream, key: record.Key})
+	if found && stored.record.Position == record.Position {
+		record.Origin = stored.record.Origin
+	}
+	return record
+}
+
 // Missing returns removals for the keys of a stream whose known records are older than the position end and that are not
 // among the newest records, which were read up to this position. Their removal was not seen.
 func (state State) Missing(stream coltsfootlink.CatalogStream, newest []coltsfootlink.CatalogRecord, end coltsfootlink.Position) []coltsfootlink.CatalogRecord {
@@ -169,15 +248,15 @@
 	return missing
 }
 
-// withFact returns the catalog after the fact of a key was replaced; either fact may be nil.
-func withFact(catalog coltsfootlink.Catalog, now time.Time, key string, before, after coltsfootlink.Fact) (coltsfootlink.Catalog, Change) {
-	switch fact := after.(type) {
+// withFact returns the catalog after the fact of a key was replaced by that of an entry; either fact may be nil.
+func withFact(catalog coltsfootlink.Catalog, now time.Time, key string, before coltsfootlink.Fact, after entry) (coltsfootlink.Catalog, Change) {
+	switch fact := after.fact.(type) {
 	case coltsfootlink.TableFact:
 		return catalog.WithTable(fact.Table), Changed
 	case coltsfootlink.ZoneOutFact:
 		return catalog.WithZoneOut(fact.Zone, true), Changed
 	case coltsfootlink.MoveFact:
-		return withMove(catalog, now, fact), Changed
+		return withMove(catalog, after.readAt, fact), Changed
 	case coltsfootlink.TargetFact:
 		return withTarget(catalog, now, fact)
 	}
@@ -192,14 +271,14 @@
 	return catalog, Refreshed
 }
 
-// withMove returns the catalog with a move order; its time limit counts from when this instance first reads it.
-func withMove(catalog coltsfootlink.Catalog, now time.Time, fact coltsfootlink.MoveFact) coltsfootlink.Catalog {
+// withMove returns the catalog with a move order; its time limit counts from when this instance first read it.
+func withMove(catalog coltsfootlink.Catalog, readAt time.Time, fact coltsfootlink.MoveFact) coltsfootlink.Catalog {
 	return catalog.WithMove(coltsfootlink.Move{
 		Pool:      fact.Pool,
 		To:        fact.To,
 		Started:   fact.Started,
-		OrderedAt: now,
-		FinishBy:  now.Add(fact.TimeLimit),
+		OrderedAt: readAt,
+		FinishBy:  readAt.Add(fact.TimeLimit),
 		State:     coltsfootlink.MoveRunning,
 	})
 }
--- a/catalog/task.go
+++ b/catalog/task.go
@@ -11,6 +11,7 @@
 
 	"coltsfootlink"
 	"coltsfootlink/mailbox"
+	"coltsfootlink/metrics"
 	"coltsfootlink/ownership"
 	"coltsfootlink/supervisor"
 )
@@ -36,6 +37,9 @@
 	// bootstrapPeers how many of them it asks.
 	bootstrapInterval = 500 * time.Millisecond
 	bootstrapPeers    = 3
+	// agreementTime is how long readers of different zones compare their signatures after an era has settled: ten times. At
+	// other times they only tell each other of changes.
+	agreementTime = 10 * keepaliveInterval
 )
 
 // Task keeps the catalog of an instance. Some instances of each zone read the platform and forward the records to the others
@@ -68,6 +72,8 @@
 	// theirs.
 	bootstrapAt  time.Time
 	bootstrapped map[coltsfootlink.InstanceName]bool
+	// agreeUntil is when this reader stops to send all its updates to the readers of other zones.
+	agreeUntil time.Time
 	// signature is the signature of the catalog. Until resyncAt, a different one in an update does not count as a sign of
 	// a lost update.
 	signature uint64
@@ -92,6 +98,7 @@
 			return nil
 		case <-ticker.C:
 			task.bootstrap()
+			task.settle()
 		case <-task.Inbox.Ready():
 		}
 		for _, delivery := range task.Inbox.Drain() {
@@ -107,7 +114,7 @@
 	case coltsfootlink.News:
 		task.handleNews(delivery.From, message)
 	case coltsfootlink.NewsRequest:
-		task.Sender.Send(delivery.From, coltsfootlink.News{Records: task.state.Records(), Ends: task.state.Ends(), Signature: task.signature})
+		task.Sender.Send(delivery.From, task.update(coltsfootlink.News{Records: task.state.Records(), Ends: task.state.Ends()}))
 	case coltsfootlink.ViewChanged:
 		task.view = message.View
 		task.phase.Store(int64(task.followPhase()))
@@ -133,22 +140,28 @@
 }
 
 // handleNews applies the records that a peer has sent. If these are all of the peer's, keys that the peer knows to be
-// removed are removed here, too. A reader of the zone passes on what is new and comes from another zone.
+// removed are removed here, too, unless they may still be written again after a restore of the store. A reader of the zone
+// passes on what is new and comes from another zone. A peer that does not know the era has not got the newest records.
 func (task *Task) handleNews(from coltsfootlink.InstanceName, news coltsfootlink.News) {
-	if news.ReadAt.After(task.lastUpdateAt) {
+	if news.ReadAt.After(task.lastUpdateAt) && news.Era >= task.state.Era() {
 		task.lastUpdateAt = news.ReadAt
 	}
-	records := news.Records
+	learned := task.learnEras(news)
+	now, records := task.Clock.Now(), news.Records
 	for stream, end := range news.Ends {
-		records = append(slices.Clone(records), task.state.Missing(stream, news.Records, end)...)
+		if !task.state.Rewriting(now, stream) {
+			records = append(slices.Clone(records), task.state.Missing(stream, news.Records, end)...)
+		}
 	}
 	changed := newestPerKey(task.apply(records))
 	for stream, end := range news.Ends {
-		task.state = task.state.WithEnd(stream, end)
+		if !task.state.Rewriting(now, stream) {
+			task.state = task.state.WithEnd(stream, end)
+		}
 	}
 	sender, _ := task.view.Member(from)
-	if len(changed) > 0 && sender.Zone != task.Self.Zone && slices.Contains(task.readers(task.Self.Zone), task.Self.Name) {
-		task.sendToZone(coltsfootlink.News{Records: changed, ReadAt: news.ReadAt, Signature: task.signature})
+	if (len(changed) > 0 || learned) && sender.Zone != task.Self.Zone && slices.Contains(task.readers(task.Self.Zone), task.Self.Name) {
+		task.sendToZone(task.update(coltsfootlink.News{Records: changed, ReadAt: news.ReadAt}))
 	}
 	if len(news.Ends) > 0 {
 		task.bootstrapped[from] = true
@@ -156,27 +169,120 @@
 	task.checkSignature(from, news)
 }
 
+// learnEras takes over what a peer knows of eras of the store, and reports whether one of them is new here.
+func (task *Task) learnEras(news coltsfootlink.News) bool {
+	now, before := task.Clock.Now(), task.state
+	for stream, era := range news.Eras {
+		task.state = task.state.WithEra(now, stream, era)
+	}
+	for stream, end := range news.Ends {
+		if end.Era > 0 {
+			// Builds that do not know eras send positions of era 0, whatever the era of the store is.
+			task.state = task.state.WithPosition(now, stream, end)
+		}
+	}
+	for _, record := range news.Records {
+		task.state = task.state.WithRecordEra(now, record)
+	}
+	task.settle()
+	return task.noteRestore(before)
+}
+
+// noteRestore logs restores of the store that the task has learned of, and reports whether there are any.
+func (task *Task) noteRestore(before State) bool {
+	if task.state.Era() != before.Era() {
+		metrics.SetStoreEra(task.state.Era())
+	}
+	if !task.state.HasLaterEra(before) {
+		return false
+	}
+	for stream, era := range task.state.Eras() {
+		task.Log.Warn().Str("stream", string(stream)).Uint64("era", era.Begun.Era).Time("settle-by", era.SettleBy).
+			Msg("catalog: store was restored, what was known before stays in force until it has been written again")
+	}
+	return true
+}
+
+// settle puts the records of an era in force once it has settled, and sends them to the peers.
+func (task *Task) settle() {
+	state, settlements := task.state.WithTime(task.Clock.Now())
+	task.state = state
+	var changed []coltsfootlink.CatalogRecord
+	for _, settled := range settlements {
+		task.agreeUntil = task.Clock.Now().Add(agreementTime)
+		metrics.Count("store-eras-settled")
+		task.Log.Info().Str("stream", string(settled.Stream)).Uint64("era", settled.Era).Int("kept", settled.Kept).
+			Int("written-again", settled.Rewritten).Int("replaced", settled.Replaced).Int("missing", settled.Missing).
+			Msg("catalog: records after a restore of the store are in force")
+		for _, record := range settled.Changed {
+			task.logChange(record)
+		}
+		changed = append(changed, settled.Changed...)
+	}
+	if len(changed) == 0 {
+		return
+	}
+	task.publish()
+	if task.stopFuncs != nil {
+		task.sendUpdate(coltsfootlink.News{Records: changed})
+	}
+}
+
 // handleRead applies the records of a read and sends the changes to the peers.
 func (task *Task) handleRead(result readResult) {
+	now, before := task.Clock.Now(), task.state
+	if result.newest {
+		task.state = task.state.WithPosition(now, result.stream, result.end)
+	}
+	task.settle()
+	learned := task.noteRestore(before)
 	records := result.records
 	if result.complete {
-		records = append(slices.Clone(records), task.state.Missing(result.stream, records, result.end)...)
 		task.loaded[result.stream] = true
 	}
+	if result.complete && task.state.Rewriting(now, result.stream) {
+		// The reader had not learned of the restore. New ones read all keys once more when lost records were written again.
+		result.complete = false
+		task.stopReaders()
+	}
+	if result.complete {
+		records = append(slices.Clone(records), task.state.Missing(result.stream, records, result.end)...)
+	}
 	changed := newestPerKey(task.apply(records))
 	if result.complete {
 		task.state = task.state.WithEnd(result.stream, result.end)
 	}
-	now := task.Clock.Now()
-	if len(changed) == 0 && now.Before(task.keepaliveAt) {
+	if len(changed) == 0 && !learned && now.Before(task.keepaliveAt) {
 		return
 	}
 	task.keepaliveAt = now.Add(keepaliveInterval)
-	update := coltsfootlink.News{Records: changed, ReadAt: result.readAt, Signature: task.signature}
-	task.sendToZone(update)
-	if len(changed) > 0 {
-		task.sendToOtherReaders(update)
+	update := coltsfootlink.News{Records: changed, ReadAt: result.readAt}
+	if len(changed) > 0 || learned || task.settling() || now.Before(task.agreeUntil) {
+		task.sendUpdate(update)
+		return
+	}
+	task.sendToZone(task.update(update))
+}
+
+// update returns an update with this instance's signature and what it knows of eras of the store.
+func (task *Task) update(news coltsfootlink.News) coltsfootlink.News {
+	news.Signature, news.Era = task.signature, task.state.Era()
+	if len(news.Records) > 0 || task.settling() {
+		news.Eras = task.state.Eras()
 	}
+	return news
+}
+
+// settling reports whether an era of some stream has not settled yet.
+func (task *Task) settling() bool {
+	return task.state.Settling(coltsfootlink.OperatorStream) || task.state.Settling(coltsfootlink.TargetStream)
+}
+
+// sendUpdate sends an update to the zone and to the readers of the other zones.
+func (task *Task) sendUpdate(news coltsfootlink.News) {
+	update := task.update(news)
+	task.sendToZone(update)
+	task.sendToOtherReaders(update)
 }
 
 // sendToZone sends an update to the other live instances of the zone.
@@ -271,7 +377,7 @@
 			task.Log.Warn().Err(err).Msg("catalog: record cannot be decoded; a routing table stays in force, any other previous record of the key no longer applies")
 		}
 		if change == Changed {
-			changed = append(changed, record)
+			changed = append(changed, task.state.Stored(record))
 			task.logChange(record)
 		}
 	}
@@ -311,6 +417,7 @@
 	case shouldRead && !reading:
 		task.Log.Info().Msg("catalog: starting to read the platform")
 		for _, stream := range []coltsfootlink.CatalogStream{coltsfootlink.OperatorStream, coltsfootlink.TargetStream} {
+			era, known := task.state.StreamEra(stream)
 			task.stopFuncs = append(task.stopFuncs, task.Branch.Add(string(stream), &reader{
 				stream: stream,
 				source: task.Source,
@@ -318,6 +425,10 @@
 				log:    task.Log,
 				inbox:  task.Inbox,
 				phase:  &task.phase,
+				// A reader that starts while an era settles, or has not learned of a restore, continues at what is known.
+				next:        era.Begun,
+				eraKnown:    known,
+				rewrittenBy: rewrittenBy(era),
 			}))
 		}
 	case !shouldRead && reading:
