Catalog: an instance that starts after a restore uses what it has read once a peer has sent its records

Cause: an instance that starts between a restore of the store and the rewriting of the lost records knows nothing of the era before. It read the copy, took it for complete and served with it until its signature was compared with that of a peer: a key that had been revoked was accepted for that time.

Change: with a store of a later era than the first, an instance that has started keeps its first catalog back until a peer has sent all its records, for 1.5 s at most; it asks for them even if it has read the platform already. It isn't ready until then, as before its first read. In the first era, and without eras, nothing changes.

--- a/catalog/era_test.go
+++ b/catalog/era_test.go
@@ -15,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"coltsfootlink"
+	"coltsfootlink/mailbox"
 )
 
 // lifetimeDecoder decodes what textDecoder does, and "ready ADDRESS INCARNATION" and "draining ADDRESS INCARNATION". A move
@@ -316,6 +317,63 @@
 	}
 }
 
+// TestStartAfterARestore guards against an instance that starts between a restore and the rewriting and uses what the copy has:
+// a routing table with a key that was withdrawn since.
+func TestStartAfterARestore(t *testing.T) {
+	cases := map[string]struct {
+		era uint64
+		// replies indicates that a peer replies, wait is the time after which the catalog is published.
+		replies bool
+		wait    time.Duration
+		version uint64
+	}{
+		"in the first era":            {1, false, 0, 3},
+		"without eras":                {0, false, 0, 3},
+		"in a later era, with peers":  {2, true, 0, 5},
+		"in a later era, without any": {2, false, bootstrapWait, 3},
+	}
+	for name, test := range cases {
+		Convey(name, t, func() {
+			task, sender, clock := newTask("i-1", viewOf("i-1", "i-2"))
+			subscriber := newSubscriber(task)
+			task.awaitUntil = clock.now.Add(bootstrapWait)
+			end := coltsfootlink.Position{Era: test.era, Offset: 4}
+			task.handle(coltsfootlink.Delivery{Message: readResult{
+				stream: coltsfootlink.OperatorStream, newest: true, complete: true, end: end, records: []coltsfootlink.CatalogRecord{inEra(test.era, operatorRecord(2, "config", "version 3"))},
+			}})
+			if test.replies {
+				So(subscriber(), ShouldBeEmpty)
+				task.bootstrap()
+				So(sender.sent[len(sender.sent)-1].Message, ShouldResemble, coltsfootlink.NewsRequest{})
+				task.handle(coltsfootlink.Delivery{From: "i-2", Message: coltsfootlink.News{
+					Records: []coltsfootlink.CatalogRecord{inEra(1, operatorRecord(7, "config", "version 5"))}, Ends: map[coltsfootlink.CatalogStream]coltsfootlink.Position{coltsfootlink.OperatorStream: {Era: 1, Offset: 8}},
+				}})
+			}
+			if test.wait > 0 {
+				So(subscriber(), ShouldBeEmpty)
+				clock.now = clock.now.Add(test.wait)
+				task.publishAwaited()
+			}
+			versions := subscriber()
+			So(versions, ShouldNotBeEmpty)
+			So(versions[0], ShouldEqual, test.version)
+		})
+	}
+}
+
+// newSubscriber returns a function that returns the versions of the routing tables that the task has published since.
+func newSubscriber(task *Task) func() []uint64 {
+	deliveries := mailbox.NewDeliveries()
+	task.Subscribers = append(task.Subscribers, deliveries)
+	return func() []uint64 {
+		var versions []uint64
+		for _, delivery := range deliveries.Drain() {
+			versions = append(versions, delivery.Message.(coltsfootlink.CatalogChanged).Catalog.Table.Version)
+		}
+		return versions
+	}
+}
+
 // restoredStore is a source that holds the records of two streams in one era.
 type restoredStore struct {
 	era     uint64
--- a/catalog/task.go
+++ b/catalog/task.go
@@ -37,6 +37,9 @@
 	// bootstrapPeers how many of them it asks.
 	bootstrapInterval = 500 * time.Millisecond
 	bootstrapPeers    = 3
+	// bootstrapWait is how long an instance that has started waits for the records of a peer if the store was restored before:
+	// if that was just now, the store lists outdated records. Peers are found and reply within two heartbeats and a request.
+	bootstrapWait = 1500 * time.Millisecond
 	// agreementTime is how long readers of different zones compare their signatures after an era has settled: ten times. At
 	// other times they only tell each other of changes.
 	agreementTime = 10 * keepaliveInterval
@@ -72,6 +75,10 @@
 	// theirs.
 	bootstrapAt  time.Time
 	bootstrapped map[coltsfootlink.InstanceName]bool
+	// awaitUntil is when the instance uses what it has read even if no peer has sent its records, and unpublished indicates
+	// that subscribers have not received the newest catalog.
+	awaitUntil  time.Time
+	unpublished bool
 	// agreeUntil is when this reader stops to send all its updates to the readers of other zones.
 	agreeUntil time.Time
 	// signature is the signature of the catalog. Until resyncAt, a different one in an update does not count as a sign of
@@ -88,6 +95,7 @@
 	task.state = NewState(task.Decoder)
 	task.loaded = make(map[coltsfootlink.CatalogStream]bool)
 	task.bootstrapped = make(map[coltsfootlink.InstanceName]bool)
+	task.awaitUntil = task.Clock.Now().Add(bootstrapWait)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	defer task.stopReaders()
@@ -99,6 +107,7 @@
 		case <-ticker.C:
 			task.bootstrap()
 			task.settle()
+			task.publishAwaited()
 		case <-task.Inbox.Ready():
 		}
 		for _, delivery := range task.Inbox.Drain() {
@@ -165,6 +174,7 @@
 	}
 	if len(news.Ends) > 0 {
 		task.bootstrapped[from] = true
+		task.publishAwaited()
 	}
 	task.checkSignature(from, news)
 }
@@ -405,11 +415,28 @@
 func (task *Task) publish() {
 	task.changedAt = task.Clock.Now()
 	task.signature = task.state.Catalog().Signature()
+	task.unpublished = task.awaitsPeers()
+	if task.unpublished {
+		return
+	}
 	for _, subscriber := range task.Subscribers {
 		subscriber.Put(coltsfootlink.Delivery{From: task.Self.Name, Message: coltsfootlink.CatalogChanged{Catalog: task.state.Catalog()}})
 	}
 }
 
+// publishAwaited publishes the catalog that was kept back until a peer has sent its records.
+func (task *Task) publishAwaited() {
+	if task.unpublished && !task.awaitsPeers() {
+		task.publish()
+	}
+}
+
+// awaitsPeers reports whether the instance has just started, and what it has read may be outdated because the store was
+// restored: a key that was withdrawn since the copy would be in use again. In the first era nothing was restored.
+func (task *Task) awaitsPeers() bool {
+	return task.state.Era() > 1 && len(task.bootstrapped) == 0 && task.Clock.Now().Before(task.awaitUntil)
+}
+
 // updateReading starts or stops the readers of the platform's streams.
 func (task *Task) updateReading() {
 	reading := task.stopFuncs != nil
@@ -451,11 +478,12 @@
 	return task.Clock.Now().Sub(task.lastUpdateAt) > timeout
 }
 
-// bootstrap asks random live peers for all their records while the instance has not read the platform itself: until
+// bootstrap asks random live peers for all their records while the instance has not read the platform itself, or awaits them: until
 // bootstrapPeers have sent theirs, since one that is cut off from the platform may have outdated ones.
 func (task *Task) bootstrap() {
 	now := task.Clock.Now()
-	if task.loaded[coltsfootlink.OperatorStream] && task.loaded[coltsfootlink.TargetStream] || now.Before(task.bootstrapAt) {
+	loaded := task.loaded[coltsfootlink.OperatorStream] && task.loaded[coltsfootlink.TargetStream]
+	if loaded && !task.awaitsPeers() || now.Before(task.bootstrapAt) {
 		return
 	}
 	var unasked []coltsfootlink.InstanceName
