Catalog: an era settles when all keys have been read after the deadline, not by time alone

Cause: once in some 125,000 checks TestInstancesAgreeAfterARestore had a target in use that was known to have left (rapid): no instance had read the store between 0.3 s and 3 s after the restore, and at the deadline the records read before came into force, although the store had more by then. An instance that is stalled, or a store that goes away again, would do the same.

Change: a stream's era has settled once all keys have been read after settleTime; this instance or another one has done so, and updates say so (StreamEra.Confirmed). The separate times for rewriting and settling, which left 0.7 s for that read, are one again. Records of an instance that has started in between no longer count as complete. While the store can't be read, instances go on with what they know.

The table tests check that nothing settles without such a read. go test -race of the root, peer and catalog passes, the property test passed twice with 5,000 checks, and TestARestoreDoesNotBringBackWhatIsGone passed once.

--- a/catalog.go
+++ b/catalog.go
@@ -42,9 +42,11 @@
 	// SettleBy is the deadline until which what was known before the restore may be written again; zero if the restore was
 	// not seen.
 	SettleBy time.Time
+	// Confirmed indicates that all keys were read after this deadline.
+	Confirmed bool
 }
 
-// WithMerged returns what two instances know together: the later era, in it the lower end and the earlier deadline.
+// WithMerged returns what two instances know together: the later era, in it the lower end and the earlier deadline, and whether either has confirmed it.
 func (era StreamEra) WithMerged(other StreamEra) StreamEra {
 	switch {
 	case other.Begun.Era > era.Begun.Era:
@@ -58,6 +60,7 @@
 	if era.SettleBy.IsZero() || !other.SettleBy.IsZero() && other.SettleBy.Before(era.SettleBy) {
 		era.SettleBy = other.SettleBy
 	}
+	era.Confirmed = era.Confirmed || other.Confirmed
 	return era
 }
 
--- a/catalog/era.go
+++ b/catalog/era.go
@@ -9,23 +9,10 @@
 	"coltsfootlink"
 )
 
-const (
-	// rewriteTime is how long records that were lost in a restore may take to be written again once it is noticed; after
-	// that all keys are read once more, and those without a record are removed. Targets that are alive register again
-	// within about two seconds.
-	rewriteTime = reregistrationGrace
-	// settleTime is how long what was known before a restore may stay in force. It is longer than rewriteTime, so that
-	// removals found by the last read of all keys are known by then, and as long as a change may take.
-	settleTime = 3 * time.Second
-)
-
-// rewrittenBy returns the deadline until which lost records may be written again; zero if no restore was seen.
-func rewrittenBy(era coltsfootlink.StreamEra) time.Time {
-	if era.SettleBy.IsZero() {
-		return time.Time{}
-	}
-	return era.SettleBy.Add(rewriteTime - settleTime)
-}
+// settleTime is how long records that were lost in a restore may take to be written again once it is noticed; targets that are
+// alive register again within about two seconds. After that all keys are read once more, and what is read counts. It is
+// shorter than the time that a change may take.
+const settleTime = reregistrationGrace
 
 // Settlement describes the end of the time in which the records of one stream may be written again.
 type Settlement struct {
@@ -35,8 +22,8 @@
 	Kept, Rewritten int
 	// Replaced is the number of keys with other content than before the restore.
 	Replaced int
-	// Missing is the number of keys that have no usable record in this era. The next read of all keys removes those that
-	// the store does not list.
+	// Missing is the number of keys that have no record in this era any more, or no usable one, as for a routing table of a
+	// lower version.
 	Missing int
 	// Changed are the records that have come into force.
 	Changed []coltsfootlink.CatalogRecord
@@ -87,7 +74,7 @@
 
 // Rewriting reports whether lost records of a stream may still be written again, so that keys without one are not removed.
 func (state State) Rewriting(now time.Time, stream coltsfootlink.CatalogStream) bool {
-	return state.settling[stream] && now.Before(rewrittenBy(state.eras[stream]))
+	return state.settling[stream] && now.Before(state.eras[stream].SettleBy)
 }
 
 // WithPosition returns the state after a stream was read up to a position, possibly in a later era than known. The first
@@ -109,7 +96,7 @@
 	return state.WithPosition(now, record.Stream, coltsfootlink.Position{Era: record.Position.Era, Offset: math.MaxUint64})
 }
 
-// WithEra returns the state with what another instance knows of an era of a stream. Until the deadline, what is known from
+// WithEra returns the state with what another instance knows of an era of a stream. Until it is confirmed, what is known from
 // before stays in force unless records of the era say otherwise; see docs/design/store-eras.md.
 func (state State) WithEra(now time.Time, stream coltsfootlink.CatalogStream, era coltsfootlink.StreamEra) State {
 	known, found := state.eras[stream]
@@ -127,7 +114,7 @@
 	state.eras[stream] = merged
 	// A settled era stays so, unless this instance had not learned of the restore.
 	learned := merged.Begun.Era > known.Begun.Era || known.SettleBy.IsZero()
-	if learned && merged.SettleBy.After(now) {
+	if learned && !merged.SettleBy.IsZero() && !merged.Confirmed {
 		state = state.withSettling(stream, true)
 	}
 	return state
@@ -142,13 +129,28 @@
 	return state
 }
 
-// WithTime returns the state at a time: where an era has settled, its records are in force, and nothing else is held. The
-// routing table's version does not decrease even then.
-func (state State) WithTime(now time.Time) (State, []Settlement) {
+// Confirmed reports whether keys without a record of the current era of a stream may be removed.
+func (state State) Confirmed(stream coltsfootlink.CatalogStream) bool {
+	return !state.settling[stream] || state.eras[stream].Confirmed
+}
+
+// WithConfirmed returns the state after all keys of a stream were read when lost records had been written again.
+func (state State) WithConfirmed(now time.Time, stream coltsfootlink.CatalogStream) State {
+	if !state.settling[stream] {
+		return state
+	}
+	era := state.eras[stream]
+	era.Confirmed = true
+	return state.WithEra(now, stream, era)
+}
+
+// WithSettled returns the state with the records of all eras that are confirmed in force, and nothing else held. The routing
+// table's version does not decrease even then. While the store can't be read, what is known stays in force.
+func (state State) WithSettled(now time.Time) (State, []Settlement) {
 	var settlements []Settlement
 	for stream, settling := range state.settling {
 		era := state.eras[stream]
-		if !settling || now.Before(era.SettleBy) {
+		if !settling || !era.Confirmed {
 			continue
 		}
 		state = state.withSettling(stream, false)
@@ -193,6 +195,8 @@
 			settlement.Missing++
 		}
 	case stored.held == nil:
+	case stored.record.Removed && !stored.held.record.Removed:
+		settlement.Missing++
 	case !bytes.Equal(stored.held.record.Value, stored.record.Value):
 		settlement.Replaced++
 	case stored.held.record.Position.Offset == stored.record.Position.Offset:
--- a/catalog/era_test.go
+++ b/catalog/era_test.go
@@ -161,18 +161,52 @@
 				state, _, _ = state.WithRecord(baseTime, inEra(2, record))
 			}
 			So(summary(state.Catalog()), ShouldEqual, test.settling)
-			early, settlements := state.WithTime(baseTime.Add(settleTime - time.Millisecond))
+			early, settlements := state.WithSettled(baseTime.Add(2 * settleTime))
 			So(settlements, ShouldBeEmpty)
 			So(summary(early.Catalog()), ShouldEqual, test.settling)
-			settled, settlements := state.WithTime(baseTime.Add(settleTime))
+			for _, stream := range []coltsfootlink.CatalogStream{coltsfootlink.OperatorStream, coltsfootlink.TargetStream} {
+				state = state.WithConfirmed(baseTime.Add(settleTime), stream)
+			}
+			settled, settlements := state.WithSettled(baseTime.Add(settleTime))
 			So(settlements, ShouldHaveLength, 2)
 			So(summary(settled.Catalog()), ShouldEqual, test.settled)
-			_, again := settled.WithTime(baseTime.Add(2 * settleTime))
+			_, again := settled.WithSettled(baseTime.Add(2 * settleTime))
 			So(again, ShouldBeEmpty)
 		})
 	}
 }
 
+// TestSettlementCounts guards against a log line that does not tell what a restore has changed.
+func TestSettlementCounts(t *testing.T) {
+	cases := map[string]struct {
+		before, after []coltsfootlink.CatalogRecord
+		settlement    Settlement
+	}{
+		"kept at its offset":       {[]coltsfootlink.CatalogRecord{targetRecord(1, "t", "ready h:1 1")}, []coltsfootlink.CatalogRecord{targetRecord(1, "t", "ready h:1 1")}, Settlement{Kept: 1}},
+		"written again":            {[]coltsfootlink.CatalogRecord{targetRecord(4, "t", "ready h:1 1")}, []coltsfootlink.CatalogRecord{targetRecord(9, "t", "ready h:1 1")}, Settlement{Rewritten: 1}},
+		"replaced":                 {[]coltsfootlink.CatalogRecord{targetRecord(4, "t", "ready h:1 1")}, []coltsfootlink.CatalogRecord{targetRecord(9, "t", "draining h:1 1")}, Settlement{Replaced: 1}},
+		"removed by the last read": {[]coltsfootlink.CatalogRecord{targetRecord(4, "t", "ready h:1 1")}, []coltsfootlink.CatalogRecord{targetRecord(9, "t", "")}, Settlement{Missing: 1}},
+		"still missing":            {[]coltsfootlink.CatalogRecord{targetRecord(4, "t", "ready h:1 1")}, nil, Settlement{Missing: 1}},
+		"new":                      {nil, []coltsfootlink.CatalogRecord{targetRecord(9, "t", "ready h:1 1")}, Settlement{}},
+	}
+	for name, test := range cases {
+		Convey(name, t, func() {
+			state := NewState(lifetimeDecoder{}).WithPosition(baseTime, coltsfootlink.TargetStream, coltsfootlink.Position{Era: 1})
+			for _, record := range test.before {
+				state, _, _ = state.WithRecord(baseTime, inEra(1, record))
+			}
+			state = state.WithPosition(baseTime, coltsfootlink.TargetStream, coltsfootlink.Position{Era: 2, Offset: 8})
+			for _, record := range test.after {
+				state, _, _ = state.WithRecord(baseTime, inEra(2, record))
+			}
+			_, settlements := state.WithConfirmed(baseTime, coltsfootlink.TargetStream).WithSettled(baseTime)
+			So(settlements, ShouldHaveLength, 1)
+			test.settlement.Stream, test.settlement.Era = coltsfootlink.TargetStream, 2
+			So(settlements[0], ShouldResemble, test.settlement)
+		})
+	}
+}
+
 // TestErasThatAreNotRestores guards against records that are held although nothing was restored: with a store that reports one
 // era or none, and while instances of builds without eras send theirs.
 func TestErasThatAreNotRestores(t *testing.T) {
@@ -230,6 +264,7 @@
 		"a later era":                {era(2, 9, baseTime), era(3, 4, later), era(3, 4, later)},
 		"a lower end":                {era(2, 9, baseTime), era(2, 4, baseTime), era(2, 4, baseTime)},
 		"an earlier deadline":        {era(2, 9, later), era(2, 9, baseTime), era(2, 9, baseTime)},
+		"one that has confirmed it":  {era(2, 9, baseTime), coltsfootlink.StreamEra{Begun: coltsfootlink.Position{Era: 2, Offset: 9}, SettleBy: baseTime, Confirmed: true}, coltsfootlink.StreamEra{Begun: coltsfootlink.Position{Era: 2, Offset: 9}, SettleBy: baseTime, Confirmed: true}},
 		"a restore that wasn't seen": {era(2, 9, time.Time{}), era(2, 9, later), era(2, 9, later)},
 	}
 	for name, test := range cases {
@@ -287,6 +322,10 @@
 		return coltsfootlink.Delivery{Message: readResult{stream: coltsfootlink.TargetStream, newest: true, complete: complete, end: begun}}
 	}
 	fromPeer := coltsfootlink.Delivery{From: "i-2", Message: coltsfootlink.News{Era: 2, Ends: map[coltsfootlink.CatalogStream]coltsfootlink.Position{coltsfootlink.TargetStream: begun}}}
+	fromConfirmed := coltsfootlink.Delivery{From: "i-2", Message: coltsfootlink.News{
+		Era: 2, Ends: map[coltsfootlink.CatalogStream]coltsfootlink.Position{coltsfootlink.TargetStream: begun},
+		Eras: map[coltsfootlink.CatalogStream]coltsfootlink.StreamEra{coltsfootlink.TargetStream: {Begun: begun, SettleBy: baseTime, Confirmed: true}},
+	}}
 	cases := map[string]struct {
 		messages []coltsfootlink.Delivery
 		after    time.Duration
@@ -295,9 +334,11 @@
 		"the first read":                         {[]coltsfootlink.Delivery{read(false)}, 0, true},
 		"a read by a reader that has just begun": {[]coltsfootlink.Delivery{read(true)}, 0, true},
 		"records of an instance that started":    {[]coltsfootlink.Delivery{fromPeer}, 0, true},
-		"a read shortly before the deadline":     {[]coltsfootlink.Delivery{read(false), read(true)}, rewriteTime - time.Millisecond, true},
-		"a read after the deadline":              {[]coltsfootlink.Delivery{read(false), read(true)}, rewriteTime, false},
-		"records of a peer after the deadline":   {[]coltsfootlink.Delivery{read(false), fromPeer}, rewriteTime, false},
+		"a read shortly before the deadline":     {[]coltsfootlink.Delivery{read(false), read(true)}, settleTime - time.Millisecond, true},
+		"a read after the deadline":              {[]coltsfootlink.Delivery{read(false), read(true)}, settleTime, false},
+		"records of such one after the deadline": {[]coltsfootlink.Delivery{read(false), fromPeer}, settleTime, true},
+		"records of a peer that has read again":  {[]coltsfootlink.Delivery{read(false), fromConfirmed}, settleTime, false},
+		"no read at all":                         {[]coltsfootlink.Delivery{read(false), {Message: coltsfootlink.ViewChanged{}}}, time.Hour, true},
 	}
 	for name, test := range cases {
 		Convey(name, t, func() {
@@ -441,7 +482,7 @@
 	for _, stream := range []coltsfootlink.CatalogStream{coltsfootlink.OperatorStream, coltsfootlink.TargetStream} {
 		era, known := instance.state.StreamEra(stream)
 		instance.readers[stream] = &reader{
-			stream: stream, source: store, clock: instance.Clock, log: zerolog.Nop(), inbox: instance.Inbox, next: era.Begun, eraKnown: known, rewrittenBy: rewrittenBy(era),
+			stream: stream, source: store, clock: instance.Clock, log: zerolog.Nop(), inbox: instance.Inbox, next: era.Begun, eraKnown: known, settleBy: era.SettleBy,
 		}
 	}
 	instance.stopFuncs = []func(){func() { instance.start(store) }}
@@ -463,7 +504,6 @@
 			instance.stopFuncs = []func(){func() {}}
 		}
 	}
-	instance.settle()
 }
 
 // check returns what the instance has in force although it was withdrawn; empty if nothing is.
--- a/catalog/reader.go
+++ b/catalog/reader.go
@@ -46,9 +46,9 @@
 	down bool
 	// graceEndsAt is when targets whose records expired during the last outage count as removed.
 	graceEndsAt time.Time
-	// rewrittenBy is when records that were lost in a restore of the store count as removed.
-	rewrittenBy time.Time
-	// rereadAfterGrace indicates that all keys have to be read once more after graceEndsAt and rewrittenBy, since the last such
+	// settleBy is when records that were lost in a restore of the store count as removed.
+	settleBy time.Time
+	// rereadAfterGrace indicates that all keys have to be read once more after graceEndsAt and settleBy, since the last such
 	// read may have missed records that had not been written again.
 	rereadAfterGrace bool
 	// postponed are removals that take effect at graceEndsAt.
@@ -110,7 +110,7 @@
 		}
 		if reader.eraKnown && reader.next.Era < batch.End.Era {
 			// The store was restored since the last read; its lost records will be written again.
-			reader.rewrittenBy = reader.clock.Now().Add(rewriteTime)
+			reader.settleBy = reader.clock.Now().Add(settleTime)
 		}
 		reader.next, reader.nextKnown, reader.eraKnown = batch.End, true, true
 		reader.logUnreadable(batch)
@@ -143,7 +143,7 @@
 	}
 	now := reader.clock.Now()
 	if reader.rereadAfterGrace && reader.rewriting() {
-		return min(followDelay, reader.rewrittenBy.Sub(now))
+		return min(followDelay, reader.settleBy.Sub(now))
 	}
 	if len(reader.postponed) > 0 || reader.rereadAfterGrace {
 		return followDelay
@@ -186,7 +186,7 @@
 func (reader *reader) inGrace() bool { return reader.clock.Now().Before(reader.graceEndsAt) }
 
 // rewriting reports whether records that were lost in a restore of the store may still be written again.
-func (reader *reader) rewriting() bool { return reader.clock.Now().Before(reader.rewrittenBy) }
+func (reader *reader) rewriting() bool { return reader.clock.Now().Before(reader.settleBy) }
 
 // releasePostponed sends the deferred removals once the grace period is over, and has all keys read again if that was put
 // off. The removal of a target that has registered again has no effect, because its position is before that of the new
--- a/catalog/task.go
+++ b/catalog/task.go
@@ -106,7 +106,6 @@
 			return nil
 		case <-ticker.C:
 			task.bootstrap()
-			task.settle()
 			task.publishAwaited()
 		case <-task.Inbox.Ready():
 		}
@@ -156,15 +155,17 @@
 		task.lastUpdateAt = news.ReadAt
 	}
 	learned := task.learnEras(news)
-	now, records := task.Clock.Now(), news.Records
+	records := news.Records
 	for stream, end := range news.Ends {
-		if !task.state.Rewriting(now, stream) {
+		if task.state.Confirmed(stream) {
 			records = append(slices.Clone(records), task.state.Missing(stream, news.Records, end)...)
 		}
 	}
 	changed := newestPerKey(task.apply(records))
+	// Removals in the same update come first, so that nothing is in use between the two.
+	task.settle()
 	for stream, end := range news.Ends {
-		if !task.state.Rewriting(now, stream) {
+		if task.state.Confirmed(stream) {
 			task.state = task.state.WithEnd(stream, end)
 		}
 	}
@@ -194,7 +195,6 @@
 	for _, record := range news.Records {
 		task.state = task.state.WithRecordEra(now, record)
 	}
-	task.settle()
 	return task.noteRestore(before)
 }
 
@@ -215,7 +215,7 @@
 
 // settle puts the records of an era in force once it has settled, and sends them to the peers.
 func (task *Task) settle() {
-	state, settlements := task.state.WithTime(task.Clock.Now())
+	state, settlements := task.state.WithSettled(task.Clock.Now())
 	task.state = state
 	var changed []coltsfootlink.CatalogRecord
 	for _, settled := range settlements {
@@ -244,7 +244,6 @@
 	if result.newest {
 		task.state = task.state.WithPosition(now, result.stream, result.end)
 	}
-	task.settle()
 	learned := task.noteRestore(before)
 	records := result.records
 	if result.complete {
@@ -260,7 +259,8 @@
 	}
 	changed := newestPerKey(task.apply(records))
 	if result.complete {
-		task.state = task.state.WithEnd(result.stream, result.end)
+		task.state = task.state.WithConfirmed(now, result.stream).WithEnd(result.stream, result.end)
+		task.settle()
 	}
 	if len(changed) == 0 && !learned && now.Before(task.keepaliveAt) {
 		return
@@ -277,7 +277,7 @@
 // update returns an update with this instance's signature and what it knows of eras of the store.
 func (task *Task) update(news coltsfootlink.News) coltsfootlink.News {
 	news.Signature, news.Era = task.signature, task.state.Era()
-	if len(news.Records) > 0 || task.settling() {
+	if len(news.Records) > 0 || task.settling() || task.Clock.Now().Before(task.agreeUntil) {
 		news.Eras = task.state.Eras()
 	}
 	return news
@@ -453,9 +453,9 @@
 				inbox:  task.Inbox,
 				phase:  &task.phase,
 				// A reader that starts while an era settles, or has not learned of a restore, continues at what is known.
-				next:        era.Begun,
-				eraKnown:    known,
-				rewrittenBy: rewrittenBy(era),
+				next:     era.Begun,
+				eraKnown: known,
+				settleBy: era.SettleBy,
 			}))
 		}
 	case !shouldRead && reading:
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -173,13 +173,14 @@
 			sent := out.encodeNews(coltsfootlink.News{
 				Era:     3,
 				Records: []coltsfootlink.CatalogRecord{{Stream: "s", Position: coltsfootlink.Position{Era: 3, Offset: 1}, Origin: coltsfootlink.Position{Era: 2, Offset: 8}}},
-				Eras:    map[coltsfootlink.CatalogStream]coltsfootlink.StreamEra{"s": {Begun: coltsfootlink.Position{Era: 3, Offset: 4}, SettleBy: test.settleBy}},
+				Eras:    map[coltsfootlink.CatalogStream]coltsfootlink.StreamEra{"s": {Begun: coltsfootlink.Position{Era: 3, Offset: 4}, SettleBy: test.settleBy, Confirmed: true}},
 			})
 			So(in.addNames([]string{"s"}), ShouldBeNil)
 			found := in.decodeNews(sent)
 			So(found.Era, ShouldEqual, uint64(3))
 			So(found.Records[0].Origin, ShouldResemble, coltsfootlink.Position{Era: 2, Offset: 8})
 			So(found.Eras["s"].Begun, ShouldResemble, coltsfootlink.Position{Era: 3, Offset: 4})
+			So(found.Eras["s"].Confirmed, ShouldBeTrue)
 			So(found.Eras["s"].SettleBy, ShouldHappenWithin, 50*time.Millisecond, test.within)
 		})
 	}
--- a/peer/gateway.go
+++ b/peer/gateway.go
@@ -193,7 +193,7 @@
 	for stream, era := range eras {
 		encoded = append(encoded, &peerpb.StreamEra{
 			StreamRef: encoder.ref(string(stream)), Era: era.Begun.Era, Begun: era.Begun.Offset,
-			SettleMillis: uint32(max(0, time.Until(era.SettleBy).Milliseconds())),
+			SettleMillis: uint32(max(0, time.Until(era.SettleBy).Milliseconds())), Confirmed: era.Confirmed,
 		})
 	}
 	return encoded
@@ -207,7 +207,7 @@
 	for _, era := range encoded {
 		eras[coltsfootlink.CatalogStream(decoder.name(era.GetStreamRef()))] = coltsfootlink.StreamEra{
 			Begun:    coltsfootlink.Position{Era: era.GetEra(), Offset: era.GetBegun()},
-			SettleBy: time.Now().Add(time.Duration(era.GetSettleMillis()) * time.Millisecond),
+			SettleBy: time.Now().Add(time.Duration(era.GetSettleMillis()) * time.Millisecond), Confirmed: era.GetConfirmed(),
 		}
 	}
 	return eras
