Catalog: the update that confirms an era has all records that were written since the restore

Cause: a reader sent its update with the confirmation before the one with the removals that the last read of all keys had found, and never sent records that were written again without changing its own catalog. An instance that doesn't read itself, and had an older record of the copy from an answer with all records, put that in force until the signatures were compared: a target that drains was in use.

Change: the reader's update with the confirmation has the removals, the records that came into force, and those of known keys that were written since the restore, once. The start of an era is logged once for each stream.

--- a/catalog/era.go
+++ b/catalog/era.go
@@ -25,8 +25,9 @@
 	// Missing is the number of keys that have no record in this era any more, or no usable one, as for a routing table of a
 	// lower version.
 	Missing int
-	// Changed are the records that have come into force.
-	Changed []coltsfootlink.CatalogRecord
+	// Changed are the records that have come into force, and Written the others that were written since the restore: an
+	// instance that does not read itself may have an older one of the copy instead.
+	Changed, Written []coltsfootlink.CatalogRecord
 }
 
 // Era returns the latest known era of the store; zero if it reports none.
@@ -59,14 +60,15 @@
 	return eras
 }
 
-// HasLaterEra reports whether the state knows a restore that an earlier state does not.
-func (state State) HasLaterEra(earlier State) bool {
+// LaterEras returns the streams of which the state knows a restore that an earlier state does not.
+func (state State) LaterEras(earlier State) []coltsfootlink.CatalogStream {
+	var streams []coltsfootlink.CatalogStream
 	for stream, era := range state.Eras() {
 		if known := earlier.eras[stream]; known.Begun.Era < era.Begun.Era || known.SettleBy.IsZero() {
-			return true
+			streams = append(streams, stream)
 		}
 	}
-	return false
+	return streams
 }
 
 // Settling reports whether what was known of a stream before a restore may still be in force.
@@ -169,8 +171,11 @@
 			settled.held = nil
 			var change Change
 			state, change = state.withSettled(now, key, stored, settled)
-			if change == Changed {
+			switch {
+			case change == Changed:
 				settlement.Changed = append(settlement.Changed, stored.record)
+			case !stored.record.Position.Before(era.Begun):
+				settlement.Written = append(settlement.Written, stored.record)
 			}
 		}
 		settlements = append(settlements, settlement)
--- a/catalog/era_test.go
+++ b/catalog/era_test.go
@@ -201,6 +201,7 @@
 			}
 			_, settlements := state.WithConfirmed(baseTime, coltsfootlink.TargetStream).WithSettled(baseTime)
 			So(settlements, ShouldHaveLength, 1)
+			settlements[0].Changed, settlements[0].Written = nil, nil
 			test.settlement.Stream, test.settlement.Era = coltsfootlink.TargetStream, 2
 			So(settlements[0], ShouldResemble, test.settlement)
 		})
@@ -275,6 +276,55 @@
 	}
 }
 
+// TestWhatWasWrittenComesWithTheConfirmation guards against instances that learn that an era has settled, but neither of the
+// removals which the last read of all keys has found nor of records that have changed nothing for the reader.
+func TestWhatWasWrittenComesWithTheConfirmation(t *testing.T) {
+	Convey("a target that drains was written again", t, func() {
+		reader, sender, clock := newTask("i-1", viewOf("i-1", "i-2"))
+		other, _, _ := newTask("i-2", viewOf("i-1", "i-2"))
+		reader.state, other.state = NewState(lifetimeDecoder{}), NewState(lifetimeDecoder{})
+		read := func(result readResult) {
+			result.stream = coltsfootlink.TargetStream
+			reader.handle(coltsfootlink.Delivery{Message: result})
+		}
+		draining := inEra(2, targetRecord(4, "t", "draining h:1 1"))
+		read(readResult{newest: true, complete: true, end: coltsfootlink.Position{Era: 1, Offset: 6}, records: []coltsfootlink.CatalogRecord{inEra(1, targetRecord(5, "t", "draining h:1 1"))}})
+		read(readResult{newest: true, end: coltsfootlink.Position{Era: 2, Offset: 4}, records: []coltsfootlink.CatalogRecord{inEra(2, targetRecord(2, "t", "ready h:1 1"))}})
+		other.handle(coltsfootlink.Delivery{From: "i-1", Message: reader.update(coltsfootlink.News{Records: reader.state.Records(), Ends: reader.state.Ends()})})
+		So(summary(other.state.Catalog()), ShouldEqual, "version 0, t h:1/1 leaving=true")
+		sender.sent = nil
+		read(readResult{records: []coltsfootlink.CatalogRecord{draining}})
+		clock.now = clock.now.Add(settleTime)
+		read(readResult{newest: true, complete: true, end: coltsfootlink.Position{Era: 2, Offset: 5}, records: []coltsfootlink.CatalogRecord{draining}})
+		for _, delivery := range sender.sent {
+			other.handle(coltsfootlink.Delivery{From: "i-1", Message: delivery.Message})
+			So(summary(other.state.Catalog()), ShouldEqual, "version 0, t h:1/1 leaving=true")
+		}
+		So(other.state.Settling(coltsfootlink.TargetStream), ShouldBeFalse)
+	})
+	Convey("the reader's first update with the confirmation also has the removal", t, func() {
+		reader, sender, clock := newTask("i-1", viewOf("i-1", "i-2"))
+		read := func(complete bool, era, end uint64, records ...coltsfootlink.CatalogRecord) {
+			for index := range records {
+				records[index].Position.Era = era
+			}
+			result := readResult{stream: coltsfootlink.TargetStream, newest: true, complete: complete, end: coltsfootlink.Position{Era: era, Offset: end}, records: records}
+			reader.handle(coltsfootlink.Delivery{Message: result})
+		}
+		read(true, 1, 6, targetRecord(4, "t", "target h:1 1"), targetRecord(5, "u", "target h:2 2"))
+		read(false, 2, 4, targetRecord(2, "t", "target h:1 1"), targetRecord(3, "u", "target h:2 1"))
+		clock.now = clock.now.Add(settleTime)
+		sender.sent = nil
+		read(true, 2, 9, targetRecord(3, "u", "target h:2 1"))
+		first := sender.sent[0].Message.(coltsfootlink.News)
+		So(first.Eras[coltsfootlink.TargetStream].Confirmed, ShouldBeTrue)
+		So(first.Records, ShouldHaveLength, 2)
+		So(reader.state.Settling(coltsfootlink.TargetStream), ShouldBeFalse)
+		So(reader.state.Catalog().Targets, ShouldHaveLength, 1)
+		So(reader.state.Catalog().Targets["u"].Incarnation, ShouldEqual, 1)
+	})
+}
+
 // TestStartWhileAnEraSettles guards against an instance that starts between a restore and the rewriting and goes by the copy,
 // although its peers know what is newer.
 func TestStartWhileAnEraSettles(t *testing.T) {
--- a/catalog/task.go
+++ b/catalog/task.go
@@ -161,9 +161,8 @@
 			records = append(slices.Clone(records), task.state.Missing(stream, news.Records, end)...)
 		}
 	}
-	changed := newestPerKey(task.apply(records))
-	// Removals in the same update come first, so that nothing is in use between the two.
-	task.settle()
+	// Removals in the same update come before what they would let be in use.
+	changed := newestPerKey(append(task.apply(records), task.settle()...))
 	for stream, end := range news.Ends {
 		if task.state.Confirmed(stream) {
 			task.state = task.state.WithEnd(stream, end)
@@ -203,21 +202,21 @@
 	if task.state.Era() != before.Era() {
 		metrics.SetStoreEra(task.state.Era())
 	}
-	if !task.state.HasLaterEra(before) {
-		return false
-	}
-	for stream, era := range task.state.Eras() {
+	streams := task.state.LaterEras(before)
+	for _, stream := range streams {
+		era, _ := task.state.StreamEra(stream)
 		task.Log.Warn().Str("stream", string(stream)).Uint64("era", era.Begun.Era).Time("settle-by", era.SettleBy).
 			Msg("catalog: store was restored, what was known before stays in force until it has been written again")
 	}
-	return true
+	return len(streams) > 0
 }
 
-// settle puts the records of an era in force once it has settled, and sends them to the peers.
-func (task *Task) settle() {
+// settle puts the records of an era in force once it has settled, and returns those that other instances need.
+func (task *Task) settle() []coltsfootlink.CatalogRecord {
 	state, settlements := task.state.WithSettled(task.Clock.Now())
 	task.state = state
-	var changed []coltsfootlink.CatalogRecord
+	var needed []coltsfootlink.CatalogRecord
+	changed := false
 	for _, settled := range settlements {
 		task.agreeUntil = task.Clock.Now().Add(agreementTime)
 		metrics.Count("store-eras-settled")
@@ -227,15 +226,13 @@
 		for _, record := range settled.Changed {
 			task.logChange(record)
 		}
-		changed = append(changed, settled.Changed...)
+		changed = changed || len(settled.Changed) > 0
+		needed = slices.Concat(needed, settled.Changed, settled.Written)
 	}
-	if len(changed) == 0 {
-		return
-	}
-	task.publish()
-	if task.stopFuncs != nil {
-		task.sendUpdate(coltsfootlink.News{Records: changed})
+	if changed {
+		task.publish()
 	}
+	return needed
 }
 
 // handleRead applies the records of a read and sends the changes to the peers.
@@ -257,11 +254,12 @@
 	if result.complete {
 		records = append(slices.Clone(records), task.state.Missing(result.stream, records, result.end)...)
 	}
-	changed := newestPerKey(task.apply(records))
+	changed := task.apply(records)
 	if result.complete {
 		task.state = task.state.WithConfirmed(now, result.stream).WithEnd(result.stream, result.end)
-		task.settle()
+		changed = append(changed, task.settle()...)
 	}
+	changed = newestPerKey(changed)
 	if len(changed) == 0 && !learned && now.Before(task.keepaliveAt) {
 		return
 	}
