--- a/catalog/task.go
+++ b/catalog/task.go
@@ -11,6 +11,7 @@
 
 	"coltsfootlink"
 	"coltsfootlink/mailbox"
+	"coltsfootlink/metrics"
 	"coltsfootlink/ownership"
 	"coltsfootlink/supervisor"
 )
@@ -36,6 +37,12 @@
 	// bootstrapPeers how many of them it asks.
 	bootstrapInterval = 500 * time.Millisecond
 	bootstrapPeers    = 3
+	// bootstrapWait is how long an instance that has started waits for the records of a peer if the store was restored before:
+	// if that was just now, the store lists outdated records. Peers are found and reply within two heartbeats and a request.
+	bootstrapWait = 1500 * time.Millisecond
+	// agreementTime is how long readers of different zones compare their signatures after an era has settled: ten times. At
+	// other times they only tell each other of changes.
+	agreementTime = 10 * keepaliveInterval
 )
 
 // Task keeps the catalog of an instance. Some instances of each zone read the platform and forward the records to the others
@@ -68,6 +75,12 @@
 	// theirs.
 	bootstrapAt  time.Time
 	bootstrapped map[coltsfootlink.InstanceName]bool
+	// awaitUntil is when the instance uses what it has read even if no peer has sent its records, and unpublished indicates
+	// that subscribers have not received the newest catalog.
+	awaitUntil  time.Time
+	unpublished bool
+	// agreeUntil is when this reader stops to send all its updates to the readers of other zones.
+	agreeUntil time.Time
 	// signature is the signature of the catalog. Until resyncAt, a different one in an update does not count as a sign of
 	// a lost update.
 	signature uint64
@@ -82,6 +95,7 @@
 	task.state = NewState(task.Decoder)
 	task.loaded = make(map[coltsfootlink.CatalogStream]bool)
 	task.bootstrapped = make(map[coltsfootlink.InstanceName]bool)
+	task.awaitUntil = task.Clock.Now().Add(bootstrapWait)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	defer task.stopReaders()
@@ -92,6 +106,7 @@
 			return nil
 		case <-ticker.C:
 			task.bootstrap()
+			task.publishAwaited()
 		case <-task.Inbox.Ready():
 		}
 		for _, delivery := range task.Inbox.Drain() {
@@ -107,7 +122,7 @@
 	case coltsfootlink.News:
 		task.handleNews(delivery.From, message)
 	case coltsfootlink.NewsRequest:
-		task.Sender.Send(delivery.From, coltsfootlink.News{Records: task.state.Records(), Ends: task.state.Ends(), Signature: task.signature})
+		task.Sender.Send(delivery.From, task.update(coltsfootlink.News{Records: task.state.Records(), Ends: task.state.Ends()}))
 	case coltsfootlink.ViewChanged:
 		task.view = message.View
 		task.phase.Store(int64(task.followPhase()))
@@ -133,50 +148,149 @@
 }
 
 // handleNews applies the records that a peer has sent. If these are all of the peer's, keys that the peer knows to be
-// removed are removed here, too. A reader of the zone passes on what is new and comes from another zone.
+// removed are removed here, too, unless they may still be written again after a restore of the store. A reader of the zone
+// passes on what is new and comes from another zone. A peer that does not know the era has not got the newest records.
 func (task *Task) handleNews(from coltsfootlink.InstanceName, news coltsfootlink.News) {
-	if news.ReadAt.After(task.lastUpdateAt) {
+	if news.ReadAt.After(task.lastUpdateAt) && news.Era >= task.state.Era() {
 		task.lastUpdateAt = news.ReadAt
 	}
+	learned := task.learnEras(news)
 	records := news.Records
 	for stream, end := range news.Ends {
-		records = append(slices.Clone(records), task.state.Missing(stream, news.Records, end)...)
+		if task.state.Confirmed(stream) {
+			records = append(slices.Clone(records), task.state.Missing(stream, news.Records, end)...)
+		}
 	}
-	changed := newestPerKey(task.apply(records))
+	// Removals in the same update come before what they would let be in use.
+	changed := newestPerKey(append(task.apply(records), task.settle()...))
 	for stream, end := range news.Ends {
-		task.state = task.state.WithEnd(stream, end)
+		if task.state.Confirmed(stream) {
+			task.state = task.state.WithEnd(stream, end)
+		}
 	}
 	sender, _ := task.view.Member(from)
-	if len(changed) > 0 && sender.Zone != task.Self.Zone && slices.Contains(task.readers(task.Self.Zone), task.Self.Name) {
-		task.sendToZone(coltsfootlink.News{Records: changed, ReadAt: news.ReadAt, Signature: task.signature})
+	if (len(changed) > 0 || learned) && sender.Zone != task.Self.Zone && slices.Contains(task.readers(task.Self.Zone), task.Self.Name) {
+		task.sendToZone(task.update(coltsfootlink.News{Records: changed, ReadAt: news.ReadAt}))
 	}
 	if len(news.Ends) > 0 {
 		task.bootstrapped[from] = true
+		task.publishAwaited()
 	}
 	task.checkSignature(from, news)
 }
 
+// learnEras takes over what a peer knows of eras of the store, and reports whether one of them is new here.
+func (task *Task) learnEras(news coltsfootlink.News) bool {
+	now, before := task.Clock.Now(), task.state
+	for stream, era := range news.Eras {
+		task.state = task.state.WithEra(now, stream, era)
+	}
+	for stream, end := range news.Ends {
+		if end.Era > 0 {
+			// Builds that do not know eras send positions of era 0, whatever the era of the store is.
+			task.state = task.state.WithPosition(now, stream, end)
+		}
+	}
+	for _, record := range news.Records {
+		task.state = task.state.WithRecordEra(now, record)
+	}
+	return task.noteRestore(before)
+}
+
+// noteRestore logs restores of the store that the task has learned of, and reports whether there are any.
+func (task *Task) noteRestore(before State) bool {
+	if task.state.Era() != before.Era() {
+		metrics.SetStoreEra(task.state.Era())
+	}
+	streams := task.state.LaterEras(before)
+	for _, stream := range streams {
+		era, _ := task.state.StreamEra(stream)
+		task.Log.Warn().Str("stream", string(stream)).Uint64("era", era.Begun.Era).Time("settle-by", era.SettleBy).
+			Msg("catalog: store was restored, what was known before stays in force until it has been written again")
+	}
+	return len(streams) > 0
+}
+
+// settle puts the records of an era in force once it has settled, and returns those that other instances need.
+func (task *Task) settle() []coltsfootlink.CatalogRecord {
+	state, settlements := task.state.WithSettled(task.Clock.Now())
+	task.state = state
+	var needed []coltsfootlink.CatalogRecord
+	changed := false
+	for _, settled := range settlements {
+		task.agreeUntil = task.Clock.Now().Add(agreementTime)
+		metrics.Count("store-eras-settled")
+		task.Log.Info().Str("stream", string(settled.Stream)).Uint64("era", settled.Era).Int("kept", settled.Kept).
+			Int("written-again", settled.Rewritten).Int("replaced", settled.Replaced).Int("missing", settled.Missing).
+			Msg("catalog: records after a restore of the store are in force")
+		for _, record := range settled.Changed {
+			task.logChange(record)
+		}
+		changed = changed || len(settled.Changed) > 0
+		needed = slices.Concat(needed, settled.Changed, settled.Written)
+	}
+	if changed {
+		task.publish()
+	}
+	return needed
+}
+
 // handleRead applies the records of a read and sends the changes to the peers.
 func (task *Task) handleRead(result readResult) {
+	now, before := task.Clock.Now(), task.state
+	if result.newest {
+		task.state = task.state.WithPosition(now, result.stream, result.end)
+	}
+	learned := task.noteRestore(before)
 	records := result.records
 	if result.complete {
-		records = append(slices.Clone(records), task.state.Missing(result.stream, records, result.end)...)
 		task.loaded[result.stream] = true
 	}
-	changed := newestPerKey(task.apply(records))
+	if result.complete && task.state.Rewriting(now, result.stream) {
+		// The reader had not learned of the restore. New ones read all keys once more when lost records were written again.
+		result.complete = false
+		task.stopReaders()
+	}
 	if result.complete {
-		task.state = task.state.WithEnd(result.stream, result.end)
+		records = append(slices.Clone(records), task.state.Missing(result.stream, records, result.end)...)
 	}
-	now := task.Clock.Now()
-	if len(changed) == 0 && now.Before(task.keepaliveAt) {
+	changed := task.apply(records)
+	if result.complete {
+		task.state = task.state.WithConfirmed(now, result.stream).WithEnd(result.stream, result.end)
+		changed = append(changed, task.settle()...)
+	}
+	changed = newestPerKey(changed)
+	if len(changed) == 0 && !learned && now.Before(task.keepaliveAt) {
 		return
 	}
 	task.keepaliveAt = now.Add(keepaliveInterval)
-	update := coltsfootlink.News{Records: changed, ReadAt: result.readAt, Signature: task.signature}
-	task.sendToZone(update)
-	if len(changed) > 0 {
-		task.sendToOtherReaders(update)
+	update := coltsfootlink.News{Records: changed, ReadAt: result.readAt}
+	if len(changed) > 0 || learned || task.settling() || now.Before(task.agreeUntil) {
+		task.sendUpdate(update)
+		return
 	}
+	task.sendToZone(task.update(update))
+}
+
+// update returns an update with this instance's signature and what it knows of eras of the store.
+func (task *Task) update(news coltsfootlink.News) coltsfootlink.News {
+	news.Signature, news.Era = task.signature, task.state.Era()
+	if len(news.Records) > 0 || task.settling() || task.Clock.Now().Before(task.agreeUntil) {
+		news.Eras = task.state.Eras()
+	}
+	return news
+}
+
+// settling reports whether an era of some stream has not settled yet.
+func (task *Task) settling() bool {
+	return task.state.Settling(coltsfootlink.OperatorStream) || task.state.Settling(coltsfootlink.TargetStream)
+}
+
+// sendUpdate sends an update to the zone and to the readers of the other zones.
+func (task *Task) sendUpdate(news coltsfootlink.News) {
+	update := task.update(news)
+	task.sendToZone(update)
+	task.sendToOtherReaders(update)
 }
 
 // sendToZone sends an update to the other live instances of the zone.
@@ -271,7 +385,7 @@
 			task.Log.Warn().Err(err).Msg("catalog: record cannot be decoded; a routing table stays in force, any other previous record of the key no longer applies")
 		}
 		if change == Changed {
-			changed = append(changed, record)
+			changed = append(changed, task.state.Stored(record))
 			task.logChange(record)
 		}
 	}
@@ -299,11 +413,28 @@
 func (task *Task) publish() {
 	task.changedAt = task.Clock.Now()
 	task.signature = task.state.Catalog().Signature()
+	task.unpublished = task.awaitsPeers()
+	if task.unpublished {
+		return
+	}
 	for _, subscriber := range task.Subscribers {
 		subscriber.Put(coltsfootlink.Delivery{From: task.Self.Name, Message: coltsfootlink.CatalogChanged{Catalog: task.state.Catalog()}})
 	}
 }
 
+// publishAwaited publishes the catalog that was kept back until a peer has sent its records.
+func (task *Task) publishAwaited() {
+	if task.unpublished && !task.awaitsPeers() {
+		task.publish()
+	}
+}
+
+// awaitsPeers reports whether the instance has just started, and what it has read may be outdated because the store was
+// restored: a key that was withdrawn since the copy would be in use again. In the first era nothing was restored.
+func (task *Task) awaitsPeers() bool {
+	return task.state.Era() > 1 && len(task.bootstrapped) == 0 && task.Clock.Now().Before(task.awaitUntil)
+}
+
 // updateReading starts or stops the readers of the platform's streams.
 func (task *Task) updateReading() {
 	reading := task.stopFuncs != nil
@@ -311,6 +442,7 @@
 	case shouldRead && !reading:
 		task.Log.Info().Msg("catalog: starting to read the platform")
 		for _, stream := range []coltsfootlink.CatalogStream{coltsfootlink.OperatorStream, coltsfootlink.TargetStream} {
+			era, known := task.state.StreamEra(stream)
 			task.stopFuncs = append(task.stopFuncs, task.Branch.Add(string(stream), &reader{
 				stream: stream,
 				source: task.Source,
@@ -318,6 +450,10 @@
 				log:    task.Log,
 				inbox:  task.Inbox,
 				phase:  &task.phase,
+				// A reader that starts while an era settles, or has not learned of a restore, continues at what is known.
+				next:     era.Begun,
+				eraKnown: known,
+				settleBy: era.SettleBy,
 			}))
 		}
 	case !shouldRead && reading:
@@ -340,11 +476,12 @@
 	return task.Clock.Now().Sub(task.lastUpdateAt) > timeout
 }
 
-// bootstrap asks random live peers for all their records while the instance has not read the platform itself: until
+// bootstrap asks random live peers for all their records while the instance has not read the platform itself, or awaits them: until
 // bootstrapPeers have sent theirs, since one that is cut off from the platform may have outdated ones.
 func (task *Task) bootstrap() {
 	now := task.Clock.Now()
-	if task.loaded[coltsfootlink.OperatorStream] && task.loaded[coltsfootlink.TargetStream] || now.Before(task.bootstrapAt) {
+	loaded := task.loaded[coltsfootlink.OperatorStream] && task.loaded[coltsfootlink.TargetStream]
+	if loaded && !task.awaitsPeers() || now.Before(task.bootstrapAt) {
 		return
 	}
 	var unasked []coltsfootlink.InstanceName
