Move orders and their records are identified across eras of the store

Cause: a move was identified by the offset of its order alone. After a restore of the store, a later order at a lower offset counted as an earlier one, and an order that operators wrote again at another offset as a new one, so that its recorded or announced outcome no longer applied.

Change: Revision holds the era in its upper 16 bits and the offset below; without an era it is the offset, as before. An order to the same version in another era is the same order (Move.SameOrder). Move.Shown is the revision of the order's newest record: instances that have seen the order before the restore and those that have not name it alike again once they have read it.

--- a/catalog.go
+++ b/catalog.go
@@ -158,7 +158,7 @@
 		signature ^= target.signature()
 	}
 	for _, move := range catalog.Moves {
-		signature ^= xxhash.Sum64String("move " + string(move.Pool) + " " + string(move.To) + " " + move.Started.String())
+		signature ^= xxhash.Sum64String("move " + string(move.Pool) + " " + string(move.To) + " " + strconv.FormatUint(move.Identity().Position().Offset, 10))
 	}
 	return signature
 }
--- a/catalog/state.go
+++ b/catalog/state.go
@@ -198,6 +198,7 @@
 		Pool:      fact.Pool,
 		To:        fact.To,
 		Started:   fact.Started,
+		Shown:     fact.Started,
 		OrderedAt: now,
 		FinishBy:  now.Add(fact.TimeLimit),
 		State:     coltsfootlink.MoveRunning,
--- a/configuration.go
+++ b/configuration.go
@@ -12,6 +12,20 @@
 // String returns the revision in decimal.
 func (revision Revision) String() string { return strconv.FormatUint(uint64(revision), 10) }
 
+// eraShift is the number of the low bits of a revision that hold an offset of the platform's store; the era is in those above.
+const eraShift = 48
+
+// RevisionAt returns the revision of a record at a position of the platform's store. Revisions are ordered as their positions;
+// without an era, the revision is the offset.
+func RevisionAt(position Position) Revision {
+	return Revision(position.Era<<eraShift | position.Offset&(1<<eraShift-1))
+}
+
+// Position returns the position of which RevisionAt has returned the revision.
+func (revision Revision) Position() Position {
+	return Position{Era: uint64(revision) >> eraShift, Offset: uint64(revision) & (1<<eraShift - 1)}
+}
+
 // Configuration is the operators' settings for teams, pools, zones and version moves; it is immutable.
 type Configuration struct {
 	Revision Revision
--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -44,7 +44,7 @@
 func (moves moves) announcement(now time.Time, order coltsfootlink.Move) coltsfootlink.MoveWord {
 	latest := moves.announcements[order.Pool]
 	switch {
-	case latest.Move.Started != order.Started:
+	case !latest.Move.SameOrder(order):
 		return coltsfootlink.MoveWord{Move: order}
 	case latest.Move.State == coltsfootlink.MoveRunning && now.After(latest.validUntil):
 		return coltsfootlink.MoveWord{Move: latest.Move}
@@ -119,7 +119,7 @@
 			delete(task.moves.usages, pool)
 			continue
 		}
-		report := coltsfootlink.MoveUsages{Pool: pool, Started: order.Started, Usages: task.moves.usages[pool]}
+		report := coltsfootlink.MoveUsages{Pool: pool, Started: order.Identity(), Usages: task.moves.usages[pool]}
 		delete(task.moves.usages, pool)
 		for _, request := range task.running {
 			switch {
--- a/message_gateway.go
+++ b/message_gateway.go
@@ -130,8 +130,11 @@
 // that is not recorded yet is replaced only by a recorded one, so that no late announcement revives a move.
 func (word MoveWord) Replaces(known MoveWord) bool {
 	switch {
-	case word.Move.Started != known.Move.Started:
-		return word.Move.Started > known.Move.Started
+	case !word.Move.SameOrder(known.Move):
+		return word.Move.Identity() > known.Move.Identity()
+	case known.Recorded && word.Recorded && word.Move.State == known.Move.State:
+		// The same outcome, identified by the position of its order in a later era.
+		return word.Move.Identity() > known.Move.Identity()
 	case known.Recorded:
 		return false
 	case known.Move.State.Final():
--- a/move/task_test.go
+++ b/move/task_test.go
@@ -55,11 +55,18 @@
 		return errors.New("condition failed")
 	}
 	store.end = store.end.Next()
-	store.known[move.Pool] = coltsfootlink.MoveRecord{To: move.To, State: move.State}
+	store.known[move.Pool] = coltsfootlink.MoveRecord{To: move.To, Started: move.Identity(), State: move.State}
 	store.written = append(store.written, move.State)
 	return nil
 }
 
+// Era returns the era of the store.
+func (store *recordStore) Era() uint64 {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return store.end.Era
+}
+
 // sender keeps the announcements that a coordinator sends.
 type sender struct {
 	mutex sync.Mutex
--- /dev/null
+++ b/move_test.go
@@ -0,0 +1,89 @@
+package coltsfootlink_test
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"coltsfootlink"
+)
+
+// at returns the revision of an order at an offset of an era.
+func at(era, offset uint64) coltsfootlink.Revision {
+	return coltsfootlink.RevisionAt(coltsfootlink.Position{Era: era, Offset: offset})
+}
+
+// TestOrdersAcrossRestores guards against an order that counts as another one because it is read at another position after a
+// restore of the store, and against a new order that counts as an earlier one.
+func TestOrdersAcrossRestores(t *testing.T) {
+	order := coltsfootlink.Move{Pool: "p", To: "v2", Started: at(1, 9)}
+	shown := order
+	shown.Shown = at(2, 4)
+	otherVersion := order.WithStarted(at(2, 4))
+	otherVersion.To = "v3"
+	cases := map[string]struct {
+		one, other coltsfootlink.Move
+		same       bool
+	}{
+		"the same position":                      {order, order, true},
+		"another offset of the era":              {order, order.WithStarted(at(1, 10)), false},
+		"another offset of a later era":          {order, order.WithStarted(at(2, 4)), true},
+		"the same offset of a later era":         {order, order.WithStarted(at(2, 9)), true},
+		"another version in a later era":         {order, otherVersion, false},
+		"shown again, and first read there":      {shown, order.WithStarted(at(2, 4)), true},
+		"shown again, and a later order":         {shown, order.WithStarted(at(2, 7)), false},
+		"a build without eras, same offset":      {order, order.WithStarted(9), true},
+		"a build without eras, another offset":   {order, order.WithStarted(10), false},
+		"a store without eras, two orders of it": {order.WithStarted(9), order.WithStarted(10), false},
+	}
+	for name, test := range cases {
+		Convey(name, t, func() {
+			So(test.one.SameOrder(test.other), ShouldEqual, test.same)
+			So(test.other.SameOrder(test.one), ShouldEqual, test.same)
+			So(coltsfootlink.MoveRecord{To: test.one.To, Started: test.one.Identity()}.IsOf(test.other), ShouldEqual, test.same)
+		})
+	}
+}
+
+// TestAnnouncementsAcrossRestores guards against an announcement that revives a move because its order was read again in a later
+// era, and against a later order that is taken for one that has ended.
+func TestAnnouncementsAcrossRestores(t *testing.T) {
+	word := func(started coltsfootlink.Revision, state coltsfootlink.MoveState, recorded bool) coltsfootlink.MoveWord {
+		return coltsfootlink.MoveWord{Move: coltsfootlink.Move{Pool: "p", To: "v2", Started: started, State: state}, Recorded: recorded}
+	}
+	known := word(at(1, 9), coltsfootlink.MoveRolledBack, true)
+	again := word(at(2, 4), coltsfootlink.MoveRolledBack, true)
+	cases := map[string]struct {
+		known, word coltsfootlink.MoveWord
+		replaces    bool
+	}{
+		"the move runs, in a later era":                 {known, word(at(2, 4), coltsfootlink.MoveRunning, false), false},
+		"the other outcome, in a later era":             {known, word(at(2, 4), coltsfootlink.MoveDone, true), false},
+		"the same outcome, in a later era":              {known, again, true},
+		"the same outcome, in an earlier era":           {again, known, false},
+		"the same outcome once more":                    {again, again, false},
+		"a later order, after the outcome was repeated": {again, word(at(2, 7), coltsfootlink.MoveRunning, false), true},
+		"an earlier order of the later era":             {word(at(2, 7), coltsfootlink.MoveRunning, false), again, false},
+	}
+	for name, test := range cases {
+		Convey(name, t, func() {
+			So(test.word.Replaces(test.known), ShouldEqual, test.replaces)
+		})
+	}
+}
+
+// TestRevisionsAreOrderedAsPositions guards against revisions that lose the era or the offset of their position.
+func TestRevisionsAreOrderedAsPositions(t *testing.T) {
+	cases := map[string]struct{ before, after coltsfootlink.Position }{
+		"offsets of no era":  {coltsfootlink.Position{Offset: 3}, coltsfootlink.Position{Offset: 9}},
+		"offsets of one era": {coltsfootlink.Position{Era: 1, Offset: 3}, coltsfootlink.Position{Era: 1, Offset: 9}},
+		"a later era":        {coltsfootlink.Position{Era: 1, Offset: 9}, coltsfootlink.Position{Era: 2, Offset: 3}},
+	}
+	for name, test := range cases {
+		Convey(name, t, func() {
+			So(coltsfootlink.RevisionAt(test.before), ShouldBeLessThan, coltsfootlink.RevisionAt(test.after))
+			So(coltsfootlink.RevisionAt(test.before).Position(), ShouldResemble, test.before)
+			So(coltsfootlink.RevisionAt(test.after).Position(), ShouldResemble, test.after)
+		})
+	}
+}
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -129,6 +129,16 @@
 			},
 			[]coltsfootlink.Position{position, position},
 		},
+		"the order of a move": {
+			&peerpb.MoveWord{PoolRef: 1, ToRef: 1, Started: 7},
+			func(encoder *encoder) proto.Message {
+				return encoder.encodeMoveWord(coltsfootlink.MoveWord{Move: coltsfootlink.Move{Pool: "s", To: "s", Started: 7}})
+			},
+			func(decoder *decoder) any {
+				return decoder.decodeMoveWord(&peerpb.MoveWord{PoolRef: 1, ToRef: 1, Started: 7}).Move.Started
+			},
+			coltsfootlink.Revision(7),
+		},
 		"a revision": {
 			&peerpb.RevisionReply{Revision: 3, Offset: 7, Document: "d"},
 			func(encoder *encoder) proto.Message {
@@ -156,6 +166,31 @@
 	}
 }
 
+// TestOrdersOfMovesKeepTheirEra guards against a move that other instances take for one of another era.
+func TestOrdersOfMovesKeepTheirEra(t *testing.T) {
+	started := coltsfootlink.RevisionAt(coltsfootlink.Position{Era: 2, Offset: 7})
+	cases := map[string]coltsfootlink.Message{
+		"announcement": coltsfootlink.MoveWord{Move: coltsfootlink.Move{Pool: "p", To: "v", Started: started, OrderedAt: time.UnixMilli(1), FinishBy: time.UnixMilli(2)}},
+		"usages":       coltsfootlink.MoveUsages{Pool: "p", Started: started, Usages: []coltsfootlink.MoveUsage{}},
+	}
+	for name, message := range cases {
+		Convey(name, t, func() {
+			out, in := newEncoder(), new(decoder)
+			encoded, err := out.encode(message)
+			So(err, ShouldBeNil)
+			So(in.addNames(out.takeUnsent()), ShouldBeNil)
+			decoded, err := in.decode(encoded)
+			So(err, ShouldBeNil)
+			switch decoded := decoded.(type) {
+			case coltsfootlink.MoveWord:
+				So(decoded.Move.Started, ShouldEqual, started)
+			case coltsfootlink.MoveUsages:
+				So(decoded.Started, ShouldEqual, started)
+			}
+		})
+	}
+}
+
 // TestTimesAreSentRelativeToNow checks that times which are sent as a number of milliseconds from now, because the
 // clocks of instances differ, are restored to within 50 ms.
 func TestTimesAreSentRelativeToNow(t *testing.T) {
--- a/peer/moves.go
+++ b/peer/moves.go
@@ -8,7 +8,8 @@
 func (encoder *encoder) encodeMoveUsages(usages coltsfootlink.MoveUsages) *peerpb.MoveUsages {
 	return &peerpb.MoveUsages{
 		PoolRef:    encoder.ref(string(usages.Pool)),
-		Started:    uint64(usages.Started),
+		Started:    usages.Started.Position().Offset,
+		StartedEra: usages.Started.Position().Era,
 		RunningOld: uint32(usages.RunningOld),
 		RunningNew: uint32(usages.RunningNew),
 		Usages: convertAll(usages.Usages, func(usage coltsfootlink.MoveUsage) *peerpb.MoveUsage {
@@ -20,7 +21,7 @@
 func (decoder *decoder) decodeMoveUsages(usages *peerpb.MoveUsages) coltsfootlink.MoveUsages {
 	return coltsfootlink.MoveUsages{
 		Pool:       coltsfootlink.PoolName(decoder.name(usages.GetPoolRef())),
-		Started:    coltsfootlink.Revision(usages.GetStarted()),
+		Started:    coltsfootlink.RevisionAt(coltsfootlink.Position{Era: usages.GetStartedEra(), Offset: usages.GetStarted()}),
 		RunningOld: int(usages.GetRunningOld()),
 		RunningNew: int(usages.GetRunningNew()),
 		Usages: convertAll(usages.GetUsages(), func(usage *peerpb.MoveUsage) coltsfootlink.MoveUsage {
@@ -33,7 +34,8 @@
 	return &peerpb.MoveWord{
 		PoolRef:             encoder.ref(string(announcement.Move.Pool)),
 		ToRef:               encoder.ref(string(announcement.Move.To)),
-		Started:             uint64(announcement.Move.Started),
+		Started:             announcement.Move.Identity().Position().Offset,
+		StartedEra:          announcement.Move.Identity().Position().Era,
 		OrderedAtUnixMillis: toUnixMillis(announcement.Move.OrderedAt),
 		FinishByUnixMillis:  toUnixMillis(announcement.Move.FinishBy),
 		StateRef:            encoder.ref(string(announcement.Move.State)),
@@ -48,7 +50,7 @@
 		Move: coltsfootlink.Move{
 			Pool:      coltsfootlink.PoolName(decoder.name(announcement.GetPoolRef())),
 			To:        coltsfootlink.Version(decoder.name(announcement.GetToRef())),
-			Started:   coltsfootlink.Revision(announcement.GetStarted()),
+			Started:   coltsfootlink.RevisionAt(coltsfootlink.Position{Era: announcement.GetStartedEra(), Offset: announcement.GetStarted()}),
 			OrderedAt: fromUnixMillis(announcement.GetOrderedAtUnixMillis()),
 			FinishBy:  fromUnixMillis(announcement.GetFinishByUnixMillis()),
 			State:     coltsfootlink.MoveState(decoder.name(announcement.GetStateRef())),
