Outcomes of version moves survive a restore of the store

Cause: an outcome that was recorded and announced is gone after a restore. The coordinator went on as if it were recorded, and one that started then found no outcome: a move that was rolled back or completed began anew.

Change: the coordinator compares the era of what it has recorded with the highest one that its client has seen, without a call. After a rise it announces and decides nothing until it has read the record again, and writes its state again if the store has lost it. An outcome recorded under the earlier position of its order is recorded once more under the new one, so that a later order to the same version can be told apart. In eras after the first, a coordinator that knows no outcome asks the live instances by an announcement with share 0 and waits 300 ms; an instance that knows the outcome of a move replies with it to any announcement that the move runs. Log lines, and the counter move-records-written-again.

--- a/move/task.go
+++ b/move/task.go
@@ -9,6 +9,7 @@
 
 	"coltsfootlink"
 	"coltsfootlink/mailbox"
+	"coltsfootlink/metrics"
 	"coltsfootlink/ownership"
 )
 
@@ -24,6 +25,11 @@
 	// stallTimeout is how long an instance may be stalled and still trust what it knows of the recorded states. It is shorter
 	// than the time after which an instance that does not reply to heartbeats loses its moves to another one.
 	stallTimeout = 750 * time.Millisecond
+	// firstEra is the era of a store that was never restored, as far as one can tell: restores count from there.
+	firstEra = 1
+	// askTimeout is how long a coordinator waits for other instances to tell the outcome of a move that the store may have
+	// lost. It is longer than a message takes to another region and back, and a fraction of the time that moves have.
+	askTimeout = 300 * time.Millisecond
 )
 
 // errSuperseded is the error of recording a move after a later one of the pool has been recorded.
@@ -53,8 +59,16 @@
 // coordination is a move that this instance coordinates.
 type coordination struct {
 	tracker Tracker
-	// recorded is the state that is recorded on the platform; empty while it is not known.
+	// recorded is the state that is recorded on the platform; empty while it is not known. era is the era of the store in which
+	// it was read or written.
 	recorded coltsfootlink.MoveState
+	era      uint64
+	// before is the state that was recorded before a restore of the store, until the record has been read again.
+	before coltsfootlink.MoveState
+	// asked indicates that other instances were asked for the outcome since the record became unknown; nothing is announced,
+	// decided or recorded before decideAt.
+	asked    bool
+	decideAt time.Time
 	// recording indicates that an attempt to record the state is in progress; nextRecordAt is the earliest time of the
 	// next one. attempt is the number of the newest one; results of others are ignored.
 	recording    bool
@@ -73,7 +87,10 @@
 	attempt int
 	// state is the state that is now recorded, if the attempt succeeded.
 	state coltsfootlink.MoveState
-	err   error
+	// era is the era of the store in which the record was read, and written indicates that it was written then.
+	era     uint64
+	written bool
+	err     error
 }
 
 // Run coordinates moves until the context ends.
@@ -105,7 +122,7 @@
 	case coltsfootlink.MoveWord:
 		task.handleWord(delivery.From, message)
 	case coltsfootlink.MoveUsages:
-		if current, found := task.coordinated[message.Pool]; found && current.tracker.Move().Started == message.Started {
+		if current, found := task.coordinated[message.Pool]; found && current.reportedBy(message) {
 			current.tracker = current.tracker.WithUsages(task.Clock.Now(), delivery.From, message)
 			task.coordinated[message.Pool] = current
 		}
@@ -114,15 +131,25 @@
 	}
 }
 
+// reportedBy indicates whether a report is of this move. Builds without eras name the offset of the order only.
+func (current coordination) reportedBy(usages coltsfootlink.MoveUsages) bool {
+	own, reported := current.tracker.Move().Started, usages.Started
+	return own == reported || reported.Position().Era == 0 && own.Position().Offset == reported.Position().Offset
+}
+
 // handleWord takes an announcement unless it is late. An outcome that another coordinator has announced for a move that this
-// instance coordinates, too, holds until the recorded state is known.
+// instance coordinates, too, holds until the recorded state is known. A coordinator that does not know the outcome of the move,
+// because the store has lost it, is told.
 func (task *Task) handleWord(from coltsfootlink.InstanceName, word coltsfootlink.MoveWord) {
 	if known, found := task.announcements[word.Move.Pool]; found && !word.Replaces(known) {
+		if from != task.Self && from != "" && known.Move.State.Final() && !word.Move.State.Final() && word.Move.SameOrder(known.Move) {
+			task.Sender.Send(from, known)
+		}
 		return
 	}
 	task.announcements[word.Move.Pool] = word
 	current, found := task.coordinated[word.Move.Pool]
-	if !found || from == task.Self || !word.Move.State.Final() || current.tracker.Move().Started != word.Move.Started || current.tracker.Move().State == word.Move.State {
+	if !found || from == task.Self || !word.Move.State.Final() || !current.tracker.Move().SameOrder(word.Move) || current.tracker.Move().State == word.Move.State {
 		return
 	}
 	task.Log.Warn().Str("pool", string(word.Move.Pool)).Str("from", string(from)).Str("state", string(word.Move.State)).Bool("recorded", word.Recorded).
@@ -135,7 +162,13 @@
 // withUnknownRecord returns the coordination after the state on the platform may have changed: nothing is announced or decided
 // until it has been read again. An attempt in progress may have read it before the change, so its result is ignored.
 func (current coordination) withUnknownRecord() coordination {
-	return coordination{tracker: current.tracker, attempt: current.attempt + 1}
+	return coordination{tracker: current.tracker, attempt: current.attempt + 1, before: current.before}
+}
+
+// withRestoredStore returns the coordination after the store was restored from a copy, which may not have the recorded state.
+func (current coordination) withRestoredStore() coordination {
+	current.before = current.recorded
+	return current.withUnknownRecord()
 }
 
 // recheckAfterStall makes this instance read the recorded states again if it was stalled, since another one may have
@@ -176,15 +209,26 @@
 // new version gets no traffic before.
 func (task *Task) advance(ctx context.Context, order coltsfootlink.Move) {
 	now := task.Clock.Now()
+	order = order.WithIdentity()
 	current, found := task.coordinated[order.Pool]
-	if !found || current.tracker.Move().Started != order.Started {
+	if !found || !current.tracker.Move().SameOrder(order) {
 		current = coordination{tracker: NewTracker(order)}
-		if announced, known := task.announcements[order.Pool]; known && announced.Move.Started == order.Started {
+		if announced, known := task.announcements[order.Pool]; known && announced.Move.SameOrder(order) {
 			current.tracker = current.tracker.WithMove(announced.Move)
 		}
 		task.Log.Info().Str("pool", string(order.Pool)).Str("to", string(order.To)).Uint64("started", uint64(order.Started)).
 			Time("finish-by", current.tracker.Move().FinishBy).Str("state", string(current.tracker.Move().State)).Msg("move: instance became the coordinator of a version move")
 	}
+	if current.tracker.Move().Started < order.Started {
+		current.tracker = current.tracker.WithStarted(order.Started)
+		current = current.withUnknownRecord()
+	}
+	if current.recorded != "" && current.era < task.Records.Era() {
+		task.Log.Warn().Str("pool", string(order.Pool)).Str("to", string(order.To)).Str("state", string(current.tracker.Move().State)).Uint64("era", task.Records.Era()).
+			Msg("move: store was restored; reading the recorded state again")
+		current = current.withRestoredStore()
+	}
+	current = task.ask(now, current)
 	if current.recorded != "" {
 		before := current.tracker.Move().State
 		current.tracker = current.tracker.WithTime(now, names(task.view.Live()))
@@ -195,7 +239,7 @@
 		}
 		current = task.announce(now, current)
 	}
-	if current.recorded != current.tracker.Move().State && !current.recording && !now.Before(current.nextRecordAt) {
+	if current.recorded != current.tracker.Move().State && !current.recording && !now.Before(current.nextRecordAt) && !now.Before(current.decideAt) {
 		current.recording = true
 		current.attempt++
 		go task.record(ctx, current.tracker.Move(), current.attempt)
@@ -203,6 +247,25 @@
 	task.coordinated[order.Pool] = current
 }
 
+// ask asks all live instances for the outcome of a move if the store was ever restored and this instance knows no outcome: an
+// instance that knows one replies with it. The question is an announcement that moves no request to the new version.
+func (task *Task) ask(now time.Time, current coordination) coordination {
+	if current.recorded != "" || current.asked {
+		return current
+	}
+	current.asked = true
+	if current.tracker.Move().State.Final() || task.Records.Era() <= firstEra {
+		return current
+	}
+	current.decideAt = now.Add(askTimeout)
+	for _, member := range task.view.Live() {
+		if member.Name != task.Self {
+			task.Sender.Send(member.Name, coltsfootlink.MoveWord{Move: current.tracker.Move()})
+		}
+	}
+	return current
+}
+
 // announce sends the state of the move and the share of the new version to all live instances, if an announcement is due.
 func (task *Task) announce(now time.Time, current coordination) coordination {
 	if now.Before(current.announceAt) {
@@ -237,21 +300,32 @@
 	defer cancel()
 	result := recordResult{pool: move.Pool, started: move.Started, attempt: attempt}
 	records, next, err := task.Records.Moves(ctx)
+	result.era = next.Era
 	existing := records[move.Pool]
 	switch {
 	case err != nil:
 		result.err = err
-	case existing.Started > move.Started:
+	case existing.Started > move.Started && !existing.IsOf(move):
 		result.err = errSuperseded
+	case existing.IsOf(move) && existing.State.Final() && outdated(existing, move):
+		result.state = existing.State
+		result.err = task.Records.Record(ctx, move.WithState(existing.State, ""), next)
 	case existing.IsOf(move) && (existing.State.Final() || existing.State == move.State):
 		result.state = existing.State
 	default:
-		result.state = move.State
+		result.state, result.written = move.State, true
 		result.err = task.Records.Record(ctx, move, next)
 	}
 	task.Inbox.Put(coltsfootlink.Delivery{Message: result})
 }
 
+// outdated indicates whether a record names its order by the position that it had before a restore of the store. A later order to
+// the same version could not be told apart from it.
+func outdated(record coltsfootlink.MoveRecord, move coltsfootlink.Move) bool {
+	era := record.Started.Position().Era
+	return era > 0 && era < move.Started.Position().Era
+}
+
 func (task *Task) handleRecordResult(message recordResult) {
 	current, found := task.coordinated[message.pool]
 	if !found || current.tracker.Move().Started != message.started || current.attempt != message.attempt {
@@ -266,7 +340,13 @@
 			task.Log.Warn().Str("pool", string(message.pool)).Str("own-state", string(own)).Str("state", string(message.state)).Msg("move: another coordinator has recorded the outcome")
 			current.tracker = current.tracker.WithMove(current.tracker.Move().WithState(message.state, "recorded before"))
 		}
-		current.recorded = message.state
+		if current.before != "" && message.written {
+			metrics.Count("move-records-written-again")
+			task.Log.Warn().Str("pool", string(message.pool)).Str("before", string(current.before)).Str("state", string(message.state)).Uint64("era", message.era).
+				Msg("move: recorded state of a version move was lost in a restore of the store and was written again")
+		}
+		current.before = ""
+		current.recorded, current.era = message.state, message.era
 		if message.state.Final() {
 			current.announceAt = time.Time{}
 		}
--- a/move/tracker.go
+++ b/move/tracker.go
@@ -81,6 +81,12 @@
 // Move returns the move and its state.
 func (tracker Tracker) Move() coltsfootlink.Move { return tracker.move }
 
+// WithStarted returns the tracker of a move whose order was read again at another position after a restore of the store.
+func (tracker Tracker) WithStarted(started coltsfootlink.Revision) Tracker {
+	tracker.move = tracker.move.WithStarted(started)
+	return tracker
+}
+
 // WithMove takes over what another coordinator has announced or recorded: the earlier deadline, and the outcome if there
 // is one.
 func (tracker Tracker) WithMove(known coltsfootlink.Move) Tracker {
