Log readers read a stream again after a restore of the store

Cause: a reader went on at its offset, although the store had assigned the offsets before it again. Claims and changes of the configuration at these offsets were never read.

In one era nothing changes.

--- a/platform.go
+++ b/platform.go
@@ -28,6 +28,13 @@
 	Next Position
 }
 
+// Skips reports whether the batch was read after a restore of the store, from a position of an earlier era, and there are retained
+// records before it. They may not have been read, so the stream has to be read again from its first record.
+func (batch Batch) Skips(from Position) bool {
+	start := batch.Next.Offset - uint64(len(batch.Records))
+	return batch.Next.Era > from.Era && start > batch.First.Offset
+}
+
 // Log is the platform's append-only log service.
 type Log interface {
 	// Append adds a record and returns its position. After an error it is unknown whether the record was added.
