Configurations of the own interface converge after a restore of the store

Cause: an instance that had read a change which the store has lost kept its revision and refused the change that was accepted in its place; another instance had the same revision with other content.

Change: in a later era the configuration results from the log of that era alone. The one of the earlier era stays in force until the log has a revision in its place. Log lines, and the counters configurations-lost-in-a-restore and configurations-written-again.

--- a/revision/record.go
+++ b/revision/record.go
@@ -49,6 +49,10 @@
 	// Started identifies the move to complete or roll back by the revision that started it; zero means the pool's
 	// newest move.
 	Started coltsfootlink.Revision `json:"started,omitempty"`
+	// Restored marks a snapshot of changes that a restore of the store has lost. It applies only at the revision Over, so that
+	// it replaces no change that was accepted since the restore.
+	Restored bool                   `json:"restored,omitempty"`
+	Over     coltsfootlink.Revision `json:"over,omitempty"`
 	// Reason is why a move is completed or rolled back.
 	Reason string `json:"reason,omitempty"`
 }
--- a/revision/task.go
+++ b/revision/task.go
@@ -11,6 +11,7 @@
 
 	"coltsfootlink"
 	"coltsfootlink/mailbox"
+	"coltsfootlink/metrics"
 	"coltsfootlink/settings"
 )
 
@@ -21,6 +22,10 @@
 	snapshotInterval = time.Hour
 	// publishTimeout is the maximum duration of an append, and the time within which a change has to be read back.
 	publishTimeout = 5 * time.Second
+	// restoreDelay is the time from a restore of the store that has lost changes to the snapshot that writes them again, and
+	// restoreJitter the longest that is added to it, so that usually one instance writes it. All have read the log by then.
+	restoreDelay  = time.Second
+	restoreJitter = 2 * time.Second
 )
 
 // ErrUnconfirmed is returned for a change that was not read back from the log within publishTimeout. The change may
@@ -120,19 +125,37 @@
 
 // applyBatch applies records read from the log.
 func (task *Task) applyBatch(batch coltsfootlink.Batch) {
-	before := task.state.Configuration.Revision
-	state, verdicts := task.state.WithBatch(batch)
+	before := task.state
+	state, verdicts := before.WithBatch(batch)
 	task.state = state
-	if state.Configuration.Revision > before {
+	if state.Configuration.Revision != before.Configuration.Revision || state.Configuration.Position != before.Configuration.Position {
 		task.notifySubscribers()
 	}
 	for _, verdict := range verdicts {
 		task.finishChange(verdict)
 	}
+	task.noteKept(before, state)
+}
+
+// noteKept schedules the snapshot that writes the changes again that a restore of the store has lost.
+func (task *Task) noteKept(before, after State) {
+	lost := after.Kept().Revision
+	switch {
+	case lost == before.Kept().Revision:
+	case lost > 0:
+		metrics.Count("configurations-lost-in-a-restore")
+		task.Logger.Warn().Uint64("kept", uint64(lost)).Uint64("logged", uint64(after.logged.Revision)).Stringer("next", after.next).
+			Msg("revision: store was restored and has lost changes of the configuration; keeping it in force until it is written again")
+		task.snapshotAt = task.Clock.Now().Add(restoreDelay + time.Duration(rand.Int64N(int64(restoreJitter))))
+	default:
+		task.Logger.Info().Uint64("kept", uint64(before.Kept().Revision)).Stringer("revision", after.Configuration.Revision).
+			Msg("revision: the log has a configuration in place of the kept one")
+		task.snapshotAt = task.nextSnapshotTime()
+	}
 }
 
 func (task *Task) finishChange(verdict Verdict) {
-	if verdict.Record.Kind == Snapshot {
+	if verdict.Record.Kind == Snapshot && task.state.Kept().Revision == 0 {
 		task.snapshotAt = task.nextSnapshotTime()
 	}
 	if verdict.Err != nil {
@@ -241,18 +264,18 @@
 
 // snapshot appends the whole configuration to the log, before the log drops the records that it results from.
 func (task *Task) snapshot(ctx context.Context) {
-	document, err := settings.FormatFleet(task.state.Configuration)
+	record, err := task.state.Snapshot(string(task.Self))
 	if err != nil {
 		task.Logger.Error().Err(err).Msg("revision: configuration cannot be encoded; no snapshot written to the log")
 		return
 	}
-	go task.append(ctx, Record{
-		ID:       uuid.NewString(),
-		Base:     task.state.Configuration.Revision,
-		Author:   string(task.Self),
-		Kind:     Snapshot,
-		Document: document,
-	})
+	if task.state.Kept().Revision > 0 {
+		metrics.Count("configurations-written-again")
+		task.Logger.Info().Stringer("revision", record.Base).Stringer("over", record.Over).Msg("revision: writing the changes again that a restore of the store has lost")
+		task.snapshotAt = task.Clock.Now().Add(publishTimeout)
+	}
+	record.ID = uuid.NewString()
+	go task.append(ctx, record)
 }
 
 // answer returns the table for an operator's query.
