Claims survive a restore of the store, and no request runs twice after one

Cause: after a restore, claims and outcomes are gone from the log. An owner that started then knew no holder of a key, so that a caller's retry ran again; and one that knew it held it in its memory alone.

Records that are appended after a restore name the era and that moment, so that instances which start later learn it. The era is taken from what the client has seen, without a call; in the first era nothing changes. Log line, and the counters claim-partitions-written-again and claims-refused-after-a-restore.

--- a/claim/index.go
+++ b/claim/index.go
@@ -1,6 +1,8 @@
 package claim
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/benbjohnson/immutable"
@@ -19,12 +21,16 @@
 // Index maps each key to the attempt that holds it: the first one that claimed it in log order. It is immutable.
 type Index struct {
 	holders *immutable.Map[string, holder]
+	// era is the era of the store in which entries are read.
+	era uint64
 }
 
 // holder is the only attempt of a key that may run. Its outcome is empty until it is known.
 type holder struct {
 	attempt string
 	outcome coltsfootlink.Outcome
+	// claimEra and outcomeEra are the latest eras in which the claim and the outcome were read.
+	claimEra, outcomeEra uint64
 }
 
 // NewIndex returns an empty index.
@@ -32,6 +38,42 @@
 	return Index{holders: immutable.NewMap[string, holder](nil)}
 }
 
+// WithEra returns the index for entries that are read in another era of the store. What was read in earlier ones stays known.
+func (index Index) WithEra(era uint64) Index {
+	index.era = era
+	return index
+}
+
+// Lost returns the entries of the holders that were read in an earlier era and not in the present one, ordered by key.
+func (index Index) Lost() []Entry {
+	var lost []Entry
+	for iterator := index.holders.Iterator(); !iterator.Done(); {
+		key, held, _ := iterator.Next()
+		if entry := (Entry{Key: key, Attempt: held.attempt}); index.lost(entry) {
+			lost = append(lost, entry)
+		}
+		if entry := (Entry{Key: key, Attempt: held.attempt, Outcome: held.outcome}); held.outcome != "" && index.lost(entry) {
+			lost = append(lost, entry)
+		}
+	}
+	// A claim comes before the outcome of its attempt.
+	slices.SortStableFunc(lost, func(one, other Entry) int { return cmp.Compare(one.Key, other.Key) })
+	return lost
+}
+
+// lost reports whether an entry of a key's holder was read in an earlier era and not in the present one.
+func (index Index) lost(entry Entry) bool {
+	held, found := index.holders.Get(entry.Key)
+	switch {
+	case !found || held.attempt != entry.Attempt:
+		return false
+	case entry.Outcome == "":
+		return held.claimEra < index.era
+	default:
+		return held.outcome == entry.Outcome && held.outcomeEra < index.era
+	}
+}
+
 // WithEntry applies the next log entry. A claim takes the key if it is unclaimed or its holder did not run. An outcome
 // counts only if it is the first one of the key's holder.
 func (index Index) WithEntry(entry Entry) Index {
@@ -39,9 +81,15 @@
 	free := !found || held.outcome == coltsfootlink.NotRun
 	switch {
 	case entry.Outcome == "" && free && held.attempt != entry.Attempt:
-		index.holders = index.holders.Set(entry.Key, holder{attempt: entry.Attempt})
+		index.holders = index.holders.Set(entry.Key, holder{attempt: entry.Attempt, claimEra: index.era})
+	case index.lost(entry) && entry.Outcome == "":
+		held.claimEra = index.era
+		index.holders = index.holders.Set(entry.Key, held)
+	case index.lost(entry):
+		held.outcomeEra = index.era
+		index.holders = index.holders.Set(entry.Key, held)
 	case entry.Outcome != "" && held.attempt == entry.Attempt && held.outcome == "":
-		held.outcome = entry.Outcome
+		held.outcome, held.outcomeEra = entry.Outcome, index.era
 		index.holders = index.holders.Set(entry.Key, held)
 	}
 	return index
--- a/claim/record.go
+++ b/claim/record.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -23,6 +24,10 @@
 // Record is a batch of entries that an instance appends to the log together.
 type Record struct {
 	Entries []Entry `json:"entries"`
+	// Era is the era of the store in which the record is appended, and Since a time after the restore that began it. Both are
+	// absent before the first restore.
+	Era   uint64    `json:"era,omitempty"`
+	Since time.Time `json:"since,omitzero"`
 }
 
 // Encode returns the record as JSON, the format of the log.
--- a/claim/task.go
+++ b/claim/task.go
@@ -70,6 +70,8 @@
 	Logger   zerolog.Logger
 	// Owner returns the instance that owns a partition; false if there is none.
 	Owner func(partition int, view coltsfootlink.View) (coltsfootlink.InstanceName, bool)
+	// Era returns the highest era of the store that was seen, without a call; nil if there are no eras.
+	Era func() uint64
 	// Branch is the supervisor that runs the stream readers.
 	Branch *supervisor.Branch
 	Inbox  *mailbox.Deliveries
@@ -82,6 +84,9 @@
 	won map[string]time.Time
 	// refused holds the keys of the attempts that were refused here and so never run, by attempt.
 	refused map[string]refusedKey
+	// era is the latest era of the store, and eraAt when it was first known.
+	era   uint64
+	eraAt time.Time
 }
 
 // refusedKey is the key of a refused attempt and the time at which it is forgotten.
@@ -223,8 +228,13 @@
 		if streamOf(number) != message.Stream {
 			continue
 		}
-		state, answers := partition.state.WithBatch(task.Clock.Now(), message.Batch)
+		before := partition.state
+		state, answers := before.WithBatch(task.Clock.Now(), message.Batch)
 		partition.state = state
+		if lost := len(state.Lost()); lost > 0 && len(before.Lost()) == 0 {
+			metrics.Count("claim-partitions-written-again")
+			task.Logger.Warn().Int("partition", number).Int("entries", lost).Uint64("era", state.era).Msg("claim: store was restored and has lost entries; writing them again")
+		}
 		task.sendReplies(answers)
 	}
 }
@@ -248,6 +258,7 @@
 // tick times out requests, drops expired state, and appends the claims whose owner has not replied.
 func (task *Task) tick() {
 	now := task.Clock.Now()
+	task.noteEra(now)
 	for _, partition := range task.partitions {
 		state, answers := partition.state.WithExpired(now)
 		partition.state = state
@@ -269,8 +280,26 @@
 	}
 }
 
+// noteEra notes when a later era of the store is first known. The streams may show it only with their next record.
+func (task *Task) noteEra(now time.Time) {
+	if task.Era == nil {
+		return
+	}
+	era := task.Era()
+	if era <= task.era {
+		return
+	}
+	task.era, task.eraAt = era, now
+	for _, partition := range task.partitions {
+		partition.state = partition.state.WithEra(now, era)
+	}
+}
+
 func (task *Task) sendReplies(answers []Answer) {
 	for _, answer := range answers {
+		if answer.Unknown {
+			metrics.Count("claims-refused-after-a-restore")
+		}
 		task.Sender.Send(answer.Request.From, coltsfootlink.ClaimReply{
 			Attempt: answer.Request.Attempt,
 			Won:     answer.Won,
@@ -290,19 +319,19 @@
 		state, entries := partition.state.WithOutboxDrained()
 		partition.state = state
 		partition.appending = true
-		go task.append(ctx, number, entries)
+		go task.append(ctx, number, state.Record(entries))
 	}
 }
 
 // append writes entries to the log and sends the result to the task's inbox. It runs in its own goroutine.
-func (task *Task) append(ctx context.Context, number int, entries []Entry) {
-	body, err := Record{Entries: entries}.Encode()
+func (task *Task) append(ctx context.Context, number int, record Record) {
+	body, err := record.Encode()
 	if err == nil {
 		ctx, cancel := context.WithDeadline(ctx, task.Clock.Now().Add(appendTimeout))
 		defer cancel()
 		_, err = task.Log.Append(ctx, streamOf(number), body)
 	}
-	task.Inbox.Put(coltsfootlink.Delivery{Message: appendResult{partition: number, entries: entries, err: err}})
+	task.Inbox.Put(coltsfootlink.Delivery{Message: appendResult{partition: number, entries: record.Entries, err: err}})
 }
 
 // openOwned opens the partitions that this instance owns. Partitions that it no longer owns stay open, because
@@ -321,7 +350,7 @@
 		return partition
 	}
 	task.Recorder.Record("claim", "reads partition "+strconv.Itoa(number))
-	partition := &openPartition{state: NewPartition()}
+	partition := &openPartition{state: NewPartition().WithEra(task.eraAt, task.era)}
 	partition.stop = task.Branch.Add("claims-"+strconv.Itoa(number), &platform.Tail{
 		Log:    task.Log,
 		Stream: streamOf(number),
--- a/node/node.go
+++ b/node/node.go
@@ -159,6 +159,7 @@
 		Recorder: node.recorder,
 		Logger:   node.Log,
 		Owner:    ownership.PartitionOwner,
+		Era:      store.Era,
 		Branch:   branch.Branch("claim"),
 		Inbox:    node.mailboxes.claims,
 	})
