Outcomes of earlier moves of a pool are kept for five minutes

Cause: an instance remembered the newest announcement of a pool only. If a restore loses the orders of two versions, operators write both again, one after the other; the first version would have got traffic again until the second order was read.

Change: outcomes are remembered for each version, for longer than a restore reaches back, and looked up when an order is read or another instance announces that its move runs.

TestOrdersOfTwoVersionsAreWrittenAgain; go test ./move passed once.

--- a/move/restore_test.go
+++ b/move/restore_test.go
@@ -133,7 +133,7 @@
 		Convey(string(outcome), t, func() {
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
-			other := &Task{Self: "b", Clock: coltsfootlink.SystemClock{}, Sender: new(sender), Log: zerolog.Nop(), announcements: make(map[coltsfootlink.PoolName]coltsfootlink.MoveWord)}
+			other := &Task{Self: "b", Clock: coltsfootlink.SystemClock{}, Sender: new(sender), Log: zerolog.Nop(), announcements: make(map[coltsfootlink.PoolName]coltsfootlink.MoveWord), outcomes: make(map[target]knownOutcome)}
 			known := coltsfootlink.Move{Pool: "p", To: "v2", Started: at(1, 9), State: outcome}
 			other.handleWord("c", coltsfootlink.MoveWord{Move: known, Recorded: true})
 			fixture := newEraFixture(ctx, 2, coltsfootlink.MoveRecord{To: "v2", Started: at(1, 9), State: coltsfootlink.MoveRunning}, at(2, 4))
@@ -186,3 +186,40 @@
 		})
 	}
 }
+
+// TestOrdersOfTwoVersionsAreWrittenAgain guards against a version that gets traffic again because its order is written again before
+// that of a later version: the outcomes of both are kept.
+func TestOrdersOfTwoVersionsAreWrittenAgain(t *testing.T) {
+	Convey("v2 was rolled back and v3 completed, and the store has lost both", t, func() {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		fixture := newEraFixture(ctx, 1, coltsfootlink.MoveRecord{To: "v2", Started: at(1, 9), State: coltsfootlink.MoveRolledBack}, at(1, 9))
+		show := func(to coltsfootlink.Version, started coltsfootlink.Revision) {
+			order := fixture.order.WithStarted(started)
+			order.To = to
+			fixture.tell("", coltsfootlink.CatalogChanged{Catalog: coltsfootlink.Catalog{}.WithMove(order)})
+		}
+		announced := func(to coltsfootlink.Version, state coltsfootlink.MoveState) func() bool {
+			return func() bool {
+				word, _ := fixture.sender.last()
+				// The sender delivers to nobody, not even to this instance itself.
+				fixture.tell("a", word)
+				return word.Move.To == to && word.Move.State == state && word.Recorded
+			}
+		}
+		So(fixture.play(announced("v2", coltsfootlink.MoveRolledBack)), ShouldBeTrue)
+		fixture.store.replace(coltsfootlink.MoveRecord{To: "v3", Started: at(1, 10), State: coltsfootlink.MoveDone})
+		show("v3", at(1, 10))
+		So(fixture.play(announced("v3", coltsfootlink.MoveDone)), ShouldBeTrue)
+		fixture.store.restore(map[coltsfootlink.PoolName]coltsfootlink.MoveRecord{})
+		fixture.sender.takeSent()
+		show("v2", at(2, 4))
+		So(fixture.play(announced("v2", coltsfootlink.MoveRolledBack)), ShouldBeTrue)
+		show("v3", at(2, 5))
+		So(fixture.play(announced("v3", coltsfootlink.MoveDone)), ShouldBeTrue)
+		for _, word := range fixture.sender.takeSent() {
+			So(word.Move.State.Final(), ShouldBeTrue)
+		}
+		So(fixture.store.record(), ShouldResemble, coltsfootlink.MoveRecord{To: "v3", Started: at(2, 5), State: coltsfootlink.MoveDone})
+	})
+}
--- a/move/task.go
+++ b/move/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,6 +31,9 @@
 	// askTimeout is how long a coordinator waits for other instances to tell the outcome of a move that the store may have
 	// lost. It is longer than a message takes to another region and back, and a fraction of the time that moves have.
 	askTimeout = 300 * time.Millisecond
+	// outcomeRetention is how long the outcomes of earlier moves of a pool are kept. A restore of the store loses some seconds, in
+	// which orders of more than one version may have been written, and they are all written again.
+	outcomeRetention = 5 * time.Minute
 )
 
 // errSuperseded is the error of recording a move after a later one of the pool has been recorded.
@@ -50,12 +54,27 @@
 	// announcements are what coordinators have announced. They let this instance continue a move if it becomes the
 	// coordinator.
 	announcements map[coltsfootlink.PoolName]coltsfootlink.MoveWord
+	// outcomes are the latest outcomes that were announced of moves to each version, also if a later move was announced since.
+	outcomes map[target]knownOutcome
 	// coordinated are the moves that this instance coordinates.
 	coordinated map[coltsfootlink.PoolName]coordination
 	// ranAt is when the moves were last advanced.
 	ranAt time.Time
 }
 
+// target is the pool and the new version of moves.
+type target struct {
+	pool coltsfootlink.PoolName
+	to   coltsfootlink.Version
+}
+
+// knownOutcome is an announced outcome, and when it was last announced.
+type knownOutcome struct {
+	coltsfootlink.MoveWord
+
+	at time.Time
+}
+
 // coordination is a move that this instance coordinates.
 type coordination struct {
 	tracker Tracker
@@ -96,6 +115,7 @@
 // Run coordinates moves until the context ends.
 func (task *Task) Run(ctx context.Context) error {
 	task.announcements = make(map[coltsfootlink.PoolName]coltsfootlink.MoveWord)
+	task.outcomes = make(map[target]knownOutcome)
 	task.coordinated = make(map[coltsfootlink.PoolName]coordination)
 	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
@@ -141,13 +161,19 @@
 // instance coordinates, too, holds until the recorded state is known. A coordinator that does not know the outcome of the move,
 // because the store has lost it, is told.
 func (task *Task) handleWord(from coltsfootlink.InstanceName, word coltsfootlink.MoveWord) {
-	if known, found := task.announcements[word.Move.Pool]; found && !word.Replaces(known) {
-		if from != task.Self && from != "" && known.Move.State.Final() && !word.Move.State.Final() && word.Move.SameOrder(known.Move) {
+	if known, found := task.outcome(word.Move); found && !word.Replaces(known) {
+		if from != task.Self && from != "" && !word.Move.State.Final() {
 			task.Sender.Send(from, known)
 		}
 		return
 	}
+	if known, found := task.announcements[word.Move.Pool]; found && !word.Replaces(known) {
+		return
+	}
 	task.announcements[word.Move.Pool] = word
+	if word.Move.State.Final() {
+		task.outcomes[target{word.Move.Pool, word.Move.To}] = knownOutcome{word, task.Clock.Now()}
+	}
 	current, found := task.coordinated[word.Move.Pool]
 	if !found || from == task.Self || !word.Move.State.Final() || !current.tracker.Move().SameOrder(word.Move) || current.tracker.Move().State == word.Move.State {
 		return
@@ -159,6 +185,15 @@
 	task.coordinated[word.Move.Pool] = current
 }
 
+// outcome returns the announced outcome of a move, if there is one.
+func (task *Task) outcome(move coltsfootlink.Move) (coltsfootlink.MoveWord, bool) {
+	if known := task.announcements[move.Pool]; known.Move.State.Final() && known.Move.SameOrder(move) {
+		return known, true
+	}
+	known, found := task.outcomes[target{move.Pool, move.To}]
+	return known.MoveWord, found && known.Move.SameOrder(move)
+}
+
 // withUnknownRecord returns the coordination after the state on the platform may have changed: nothing is announced or decided
 // until it has been read again. An attempt in progress may have read it before the change, so its result is ignored.
 func (current coordination) withUnknownRecord() coordination {
@@ -189,7 +224,9 @@
 
 // coordinate advances the moves that this instance coordinates and drops the others.
 func (task *Task) coordinate(ctx context.Context) {
-	task.recheckAfterStall(task.Clock.Now())
+	now := task.Clock.Now()
+	task.recheckAfterStall(now)
+	maps.DeleteFunc(task.outcomes, func(_ target, known knownOutcome) bool { return now.After(known.at.Add(outcomeRetention)) })
 	for pool := range task.coordinated {
 		if _, ordered := task.catalog.Moves[pool]; !ordered {
 			delete(task.coordinated, pool)
@@ -215,6 +252,8 @@
 		current = coordination{tracker: NewTracker(order)}
 		if announced, known := task.announcements[order.Pool]; known && announced.Move.SameOrder(order) {
 			current.tracker = current.tracker.WithMove(announced.Move)
+		} else if outcome, known := task.outcome(order); known {
+			current.tracker = current.tracker.WithMove(outcome.Move)
 		}
 		task.Log.Info().Str("pool", string(order.Pool)).Str("to", string(order.To)).Uint64("started", uint64(order.Started)).
 			Time("finish-by", current.tracker.Move().FinishBy).Str("state", string(current.tracker.Move().State)).Msg("move: instance became the coordinator of a version move")
