Tests with processes: the store is restored under load

Three cases of TestAtMostOnce, one of which kills and restarts all instances, and TestCallsAfterARestore for the own interface.

--- a/integration/gateways_test.go
+++ b/integration/gateways_test.go
@@ -32,6 +32,8 @@
 	gateways      []*rig.Gateway
 	targets       map[string]*recordingTarget
 	configVersion int
+	// copied is when a test had the copy made from which the store is restored; zero for the start of the load.
+	copied time.Time
 }
 
 // recordingTarget is a target that records when it executed which request.
--- a/integration/idempotency_test.go
+++ b/integration/idempotency_test.go
@@ -72,6 +72,11 @@
 	_ = scenario.fleet.SetOutage(scenario.ctx, outage)
 }
 
+// restore restores the store from a copy that was made at the given time.
+func (scenario *faultScenario) restore(copied time.Time) {
+	_ = scenario.fleet.Restore(scenario.ctx, standin.Restore{AgeMillis: ageSince(copied), AwayMillis: 200})
+}
+
 // setFault sets the fault of every plain target.
 func (scenario *faultScenario) setFault(fault standin.Fault) {
 	for _, zone := range zones {
@@ -199,6 +204,32 @@
 		_ = scenario.fleet.Instances[5].Resume()
 		return []rig.Result{<-first, second}
 	},
+	"the store loses the claim after the request has run, and it is retried on another": func(scenario *faultScenario) []rig.Result {
+		copied := time.Now()
+		first := scenario.call(0, longTimeout)
+		scenario.restore(copied)
+		return []rig.Result{first, scenario.call(4, longTimeout), scenario.call(0, longTimeout)}
+	},
+	"the store loses the claim while the request runs, and it is retried on another": func(scenario *faultScenario) []rig.Result {
+		copied := time.Now()
+		first := scenario.callAsync(0, longTimeout)
+		time.Sleep(pickupMillis * time.Millisecond)
+		scenario.restore(copied)
+		return []rig.Result{scenario.call(1, longTimeout), <-first}
+	},
+	"the store loses the claim, all instances are killed and restarted, and it is retried": func(scenario *faultScenario) []rig.Result {
+		copied := time.Now()
+		first := scenario.call(0, longTimeout)
+		for _, instance := range scenario.fleet.Instances {
+			_ = instance.Kill()
+		}
+		scenario.restore(copied)
+		for _, instance := range scenario.fleet.Instances {
+			_ = instance.Start()
+		}
+		_ = scenario.fleet.WaitReady(scenario.ctx)
+		return []rig.Result{first, scenario.call(1, longTimeout)}
+	},
 	"the zone is partitioned, and it is retried in another zone": func(scenario *faultScenario) []rig.Result {
 		scenario.fleet.SetZone("a", rig.Close)
 		first := scenario.call(0, shortTimeout)
@@ -256,3 +287,29 @@
 		So(executions(t.Context(), fleet, key), ShouldEqual, 0)
 	})
 }
+
+// TestCallsAfterARestore guards against calls that are still refused after a restore of the store, for fear that they have run.
+func TestCallsAfterARestore(t *testing.T) {
+	Convey("new calls are served by all instances", t, func() {
+		fleet := startFleet(t)
+		scenario := &faultScenario{fleet: fleet, ctx: t.Context(), key: newKey()}
+		copied := time.Now()
+		So(scenario.call(0, longTimeout).Outcome, ShouldEqual, coltsfootlink.Ran)
+		scenario.restore(copied)
+		restoredAt := time.Now()
+		eventually(t, "a call is served", func() bool {
+			scenario.key = newKey()
+			return scenario.call(0, longTimeout).Outcome == coltsfootlink.Ran
+		})
+		t.Logf("a call was served %v after the restore", time.Since(restoredAt))
+		So(time.Since(restoredAt), ShouldBeLessThan, maxConfigurationDelay)
+		time.Sleep(time.Second)
+		for index := range fleet.Instances {
+			for range 4 {
+				scenario.key = newKey()
+				result := scenario.call(index, longTimeout)
+				SoMsg(fmt.Sprintf("%+v", result), result.Outcome, ShouldEqual, coltsfootlink.Ran)
+			}
+		}
+	})
+}
