Test with processes: a configuration of the own interface that the store has lost

TestConfigurationAcrossARestore: a change that was confirmed is written again, the next one gets the next revision, and it is in force on all instances, also on one that starts after the restore.

--- a/integration/operators_test.go
+++ b/integration/operators_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -171,3 +172,35 @@
 		So(err.Error(), ShouldContainSubstring, "unauthorized")
 	})
 }
+
+// TestConfigurationAcrossARestore guards against a change that was confirmed to an operator and is in force on some instances only, or
+// on none, after the store has lost it, also on an instance that starts after the restore.
+func TestConfigurationAcrossARestore(t *testing.T) {
+	Convey("a change is lost and written again", t, func() {
+		fleet := startFleet(t)
+		ctx := t.Context()
+		time.Sleep(100 * time.Millisecond)
+		copied := time.Now()
+		answer, err := fleet.RunStatement(ctx, fleet.Instances[0], "apply "+writeFleetFile(t, 2))
+		So(err, ShouldBeNil)
+		So(fleet.Instances[4].Kill(), ShouldBeNil)
+		So(fleet.Restore(ctx, standin.Restore{AgeMillis: ageSince(copied), AwayMillis: 300}), ShouldBeNil)
+		So(fleet.Instances[4].Start(), ShouldBeNil)
+		So(fleet.WaitReady(ctx), ShouldBeNil)
+		var next rig.StatementResult
+		eventually(t, "another change is accepted", func() bool {
+			next, err = fleet.RunStatement(ctx, fleet.Instances[1], "apply "+writeFleetFile(t, 3))
+			return err == nil
+		})
+		So(next.Revision, ShouldEqual, answer.Revision+1)
+		eventually(t, "it is in force everywhere", func() bool {
+			for _, instance := range fleet.Instances {
+				seen, err := fleet.RunStatement(ctx, instance, "show revision")
+				if err != nil || seen.Revision != next.Revision {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
