Instances reply with the outcome of a move in eras after the first only

In a store that was never restored, coordinators get no messages that they did not get before. go test ./move -run 'Restore|Lost|Learn|Stale|Written|Orders' passed once.

--- a/move/task.go
+++ b/move/task.go
@@ -162,7 +162,7 @@
 // because the store has lost it, is told.
 func (task *Task) handleWord(from coltsfootlink.InstanceName, word coltsfootlink.MoveWord) {
 	if known, found := task.outcome(word.Move); found && !word.Replaces(known) {
-		if from != task.Self && from != "" && !word.Move.State.Final() {
+		if from != task.Self && from != "" && !word.Move.State.Final() && task.Records.Era() > firstEra {
 			task.Sender.Send(from, known)
 		}
 		return
