--- a/catalog/state.go
+++ b/catalog/state.go
@@ -277,6 +277,7 @@
 		Pool:      fact.Pool,
 		To:        fact.To,
 		Started:   fact.Started,
+		Shown:     fact.Started,
 		OrderedAt: readAt,
 		FinishBy:  readAt.Add(fact.TimeLimit),
 		State:     coltsfootlink.MoveRunning,
