soak: restores of the store

Change: the fault store-restored, drawn after all others with its own random stream, so that seeds keep their other faults. The store is away for half of the fault and comes back from a copy of 0.5 to 5 s; operators and targets write what is lost again in another quarter, in an order drawn by the seed, and appends are carried out late in every second one. No writer writes anything else meanwhile, since each key has one writer.

--- a/cmd/soak/command_test.go
+++ b/cmd/soak/command_test.go
@@ -37,6 +37,29 @@
 	})
 }
 
+// TestRestoresOfPlans guards against restores of the store that last longer than the fault that is judged.
+func TestRestoresOfPlans(t *testing.T) {
+	Convey("a restore and what is written again after it fit into the fault", t, func() {
+		restores, late := 0, 0
+		for seed := range uint64(50) {
+			for _, step := range newPlan(seed, size{Instances: 5, Targets: 8, Zones: 2}, time.Minute) {
+				if step.Kind != storeRestoredKind {
+					continue
+				}
+				restores++
+				drill := step.restore()
+				So(int64(drill.AwayMillis+drill.RewriteMillis+drill.LateMillis), ShouldBeLessThanOrEqualTo, step.Ends-step.Starts)
+				So(drill.AgeMillis, ShouldBeBetween, 0, 5001)
+				if drill.LateMillis > 0 {
+					late++
+				}
+			}
+		}
+		So(restores, ShouldBeGreaterThan, 0)
+		So(late, ShouldBeBetween, 0, restores)
+	})
+}
+
 func TestUsageErrors(t *testing.T) {
 	cases := map[string]struct {
 		arguments []string
--- a/cmd/soak/plan.go
+++ b/cmd/soak/plan.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"coltsfootlink/rig"
+	"coltsfootlink/standin"
 )
 
 // subject is the part of the site that a fault affects.
@@ -60,6 +61,7 @@
 	storeSlowKind       faultKind = "store-slow"
 	storeLossyKind      faultKind = "store-lossy"
 	storeForgetsKind    faultKind = "store-forgets"
+	storeRestoredKind   faultKind = "store-restored"
 	floodKind           faultKind = "flood"
 	newTableKind        faultKind = "table"
 	revokeKind          faultKind = "revoke"
@@ -137,6 +139,7 @@
 		storeSlowKind:       {onStore, second, 5 * second, false, rig.Pass},
 		storeLossyKind:      {onStore, second, 5 * second, false, rig.Pass},
 		storeForgetsKind:    {onStore, second, 2 * second, false, rig.Pass},
+		storeRestoredKind:   {onStore, second, 3 * second, false, rig.Pass},
 		floodKind:           {onTable, 2 * second, 6 * second, true, rig.Pass},
 		newTableKind:        {onTable, second / 4, second / 2, true, rig.Pass},
 		revokeKind:          {onTable, 4 * second, 8 * second, true, rig.Pass},
@@ -163,15 +166,33 @@
 func newPlan(seed uint64, size size, duration time.Duration) []step {
 	random := rand.New(rand.NewPCG(seed, 0))
 	kinds := slices.Sorted(maps.Keys(faultSpecs()))
-	kinds = slices.DeleteFunc(kinds, func(kind faultKind) bool { return slices.Contains(addedKinds, kind) || kind == crashingPromptsKind })
+	kinds = slices.DeleteFunc(kinds, func(kind faultKind) bool {
+		return slices.Contains(addedKinds, kind) || kind == crashingPromptsKind || kind == storeRestoredKind
+	})
 	faultsPerSecond := minFaultsPerSecond + random.Float64()*(maxFaultsPerSecond-minFaultsPerSecond)
 	plan := drawFaults(random, nil, kinds, faultsPerSecond, size, duration)
 	plan = drawFaults(rand.New(rand.NewPCG(seed, 1)), plan, addedKinds, addedFaultsPerSecond, size, duration)
 	plan = drawFaults(rand.New(rand.NewPCG(seed, 2)), plan, []faultKind{crashingPromptsKind}, 0, size, duration)
+	plan = drawFaults(rand.New(rand.NewPCG(seed, 3)), plan, []faultKind{storeRestoredKind}, 0, size, duration)
 	slices.SortStableFunc(plan, func(one, other step) int { return int(one.Starts - other.Starts) })
 	return plan
 }
 
+// restore returns the restore of the store that a fault consists of. The store is away for half of its duration, and lost records
+// are written again in another quarter. The rest follows from when the fault starts: the age of the copy, from a half to some five
+// seconds, the order in which records are written again, and whether appends are carried out late.
+func (step step) restore() standin.Restore {
+	const minAgeMillis, ageSpanMillis, lateMillis = 500, 4500, 200
+	length := int(step.Ends - step.Starts)
+	drill := standin.Restore{
+		AgeMillis: minAgeMillis + int(step.Starts)%ageSpanMillis, AwayMillis: length / 2, RewriteMillis: length / 4, Seed: uint64(step.Starts),
+	}
+	if step.Starts%2 == 1 {
+		drill.LateMillis = lateMillis
+	}
+	return drill
+}
+
 // drawFaults adds faults of the given kinds to a plan, at least one is drawn; those that conflict with others are left out.
 func drawFaults(random *rand.Rand, plan []step, kinds []faultKind, perSecond float64, size size, duration time.Duration) []step {
 	specs := faultSpecs()
@@ -216,7 +237,7 @@
 		return fmt.Sprint("conduct-", step.Index)
 	case targetCrashKind, targetDrainKind, targetColdKind, targetLeavesKind:
 		return fmt.Sprint("target-", step.Index)
-	case storeDownKind, storeSlowKind, storeLossyKind:
+	case storeDownKind, storeSlowKind, storeLossyKind, storeRestoredKind:
 		return "store"
 	case moveGoodKind, moveBadKind:
 		return "move"
--- a/cmd/soak/site.go
+++ b/cmd/soak/site.go
@@ -180,6 +180,9 @@
 		return
 	case step.Subject == onTarget:
 		site.replicas[step.Index].inbox.Put(targetFault{transition: transition, mode: mode})
+	case step.Kind == storeRestoredKind:
+		site.restoreStore(transition)
+		return
 	case step.Subject == onStore:
 		site.disturbStore(transition)
 	default:
@@ -188,6 +191,24 @@
 	site.record(transition.disruption(time.Now()))
 }
 
+// restoreStore begins or ends a restore of the store. No operator and no target writes until what is lost has been written again,
+// because each key has one writer, whose newest record has to be the last.
+func (site *site) restoreStore(transition transition) {
+	if transition.begin {
+		site.record(transition.disruption(time.Now()))
+	}
+	site.operator.inbox.Put(func(ctx context.Context) {
+		if !transition.begin {
+			site.record(transition.disruption(time.Now()))
+			return
+		}
+		site.operator.down.Store(true)
+		// This fails only if the store has stopped at the end of the run.
+		_ = site.platform.Restore(ctx, transition.step.restore())
+		site.operator.down.Store(false)
+	})
+}
+
 // disturbStore begins or ends a fault of the store.
 func (site *site) disturbStore(transition transition) {
 	var outage standin.Outage
