--- a/claim/restore_test.go
+++ b/claim/restore_test.go
@@ -55,7 +55,7 @@
 // that are refused although no claim of theirs can have been lost.
 func TestClaimsLostInARestore(t *testing.T) {
 	restoredAt := start.Add(time.Second)
-	old, fresh, ahead := keyAt(start), keyAt(restoredAt.Add(time.Millisecond)), keyAt(restoredAt.Add(MaxClockSkew + time.Millisecond))
+	old, fresh, ahead := keyAt(start), keyAt(restoredAt.Add(time.Millisecond)), keyAt(restoredAt.Add(MaxClockSkew+time.Millisecond))
 	claimed := []Entry{{Key: old, Attempt: "first"}}
 	ran := append(claimed[:1:1], Entry{Key: old, Attempt: "first", Outcome: coltsfootlink.Ran})
 	notRun := append(claimed[:1:1], Entry{Key: old, Attempt: "first", Outcome: coltsfootlink.NotRun})
