Instances agree on move orders that were written again after a restore

Cause: two merged parts identify an order written again, one by its first record, the other by its newest. The signature of the catalog had the newest only, so instances that differ in the first never compared their records; TestInstancesAgreeAfterARestore failed at once. Change: the newest record's position is kept beside the first one, and the signature has both where they differ. Result: the test passes with 5,000 checks, and the packages catalog and move, and the integration tests of restores and moves pass in one run.

--- a/catalog.go
+++ b/catalog.go
@@ -197,7 +197,11 @@
 		signature ^= target.signature()
 	}
 	for _, move := range catalog.Moves {
-		signature ^= xxhash.Sum64String("move " + string(move.Pool) + " " + string(move.To) + " " + strconv.FormatUint(move.Identity().Position().Offset, 10))
+		order := strconv.FormatUint(move.Identity().Position().Offset, 10)
+		if move.Started != move.Identity() {
+			order += " " + move.Started.String()
+		}
+		signature ^= xxhash.Sum64String("move " + string(move.Pool) + " " + string(move.To) + " " + order)
 	}
 	return signature
 }
--- a/catalog/state.go
+++ b/catalog/state.go
@@ -256,7 +256,7 @@
 	case coltsfootlink.ZoneOutFact:
 		return catalog.WithZoneOut(fact.Zone, true), Changed
 	case coltsfootlink.MoveFact:
-		return withMove(catalog, after.readAt, fact), Changed
+		return withMove(catalog, after, fact), Changed
 	case coltsfootlink.TargetFact:
 		return withTarget(catalog, now, fact)
 	}
@@ -271,15 +271,16 @@
 	return catalog, Refreshed
 }
 
-// withMove returns the catalog with a move order; its time limit counts from when this instance first read it.
-func withMove(catalog coltsfootlink.Catalog, readAt time.Time, fact coltsfootlink.MoveFact) coltsfootlink.Catalog {
+// withMove returns the catalog with a move order; its time limit counts from when this instance first read it. An order that was
+// written again after a restore of the store keeps the revision of its first record beside that of the newest one.
+func withMove(catalog coltsfootlink.Catalog, ordered entry, fact coltsfootlink.MoveFact) coltsfootlink.Catalog {
 	return catalog.WithMove(coltsfootlink.Move{
 		Pool:      fact.Pool,
 		To:        fact.To,
 		Started:   fact.Started,
-		Shown:     fact.Started,
-		OrderedAt: readAt,
-		FinishBy:  readAt.Add(fact.TimeLimit),
+		Shown:     coltsfootlink.RevisionAt(ordered.record.Position),
+		OrderedAt: ordered.readAt,
+		FinishBy:  ordered.readAt.Add(fact.TimeLimit),
 		State:     coltsfootlink.MoveRunning,
 	})
 }
