Name the era of a store that was never restored once

Cause: claim, move and standin each had a constant firstEra with its own comment, and catalog, lease and usage compared with a bare 1. Position.Era was described as a count of restores, although the first era is not zero.

Change: coltsfootlink.FirstEra beside Position; all six packages use it. No change of behaviour.

--- a/catalog/task.go
+++ b/catalog/task.go
@@ -432,7 +432,7 @@
 // awaitsPeers reports whether the instance has just started, and what it has read may be outdated because the store was
 // restored: a key that was withdrawn since the copy would be in use again. In the first era nothing was restored.
 func (task *Task) awaitsPeers() bool {
-	return task.state.Era() > 1 && len(task.bootstrapped) == 0 && task.Clock.Now().Before(task.awaitUntil)
+	return task.state.Era() > coltsfootlink.FirstEra && len(task.bootstrapped) == 0 && task.Clock.Now().Before(task.awaitUntil)
 }
 
 // updateReading starts or stops the readers of the platform's streams.
--- a/claim/partition.go
+++ b/claim/partition.go
@@ -20,12 +20,8 @@
 	return int(hash.Sum32() % Partitions)
 }
 
-const (
-	// firstEra is the era of a store that was never restored, as far as one can tell: restores count from there.
-	firstEra = 1
-	// maxEntriesWrittenAgain limits the entries of a record that repeats lost ones, to some 60 KB.
-	maxEntriesWrittenAgain = 500
-)
+// maxEntriesWrittenAgain limits the entries of a record that repeats lost ones, to some 60 KB.
+const maxEntriesWrittenAgain = 500
 
 // Partition is the state that an owner keeps for one partition of the keys. It is immutable.
 type Partition struct {
@@ -98,7 +94,7 @@
 	}
 	partition.era = era
 	partition.index = partition.index.WithEra(era)
-	if era > firstEra {
+	if era > coltsfootlink.FirstEra {
 		partition.since = at
 		partition.remembers = !partition.lastRead.IsZero()
 		partition.opened, partition.opening, partition.lost = !partition.remembers, false, nil
@@ -112,7 +108,7 @@
 // Record returns the record that appends entries.
 func (partition Partition) Record(entries []Entry) Record {
 	record := Record{Entries: entries}
-	if partition.era > firstEra {
+	if partition.era > coltsfootlink.FirstEra {
 		record.Era, record.Since = partition.era, partition.since
 	}
 	return record
@@ -165,7 +161,7 @@
 // withRecordOfEra takes the earliest time after the restore from a record that was appended since. With the first such record,
 // all that the restore has kept has been read.
 func (partition Partition) withRecordOfEra(record Record) Partition {
-	if partition.era <= firstEra || record.Era != partition.era {
+	if partition.era <= coltsfootlink.FirstEra || record.Era != partition.era {
 		return partition
 	}
 	if record.Since.Before(partition.since) {
--- a/lease/state.go
+++ b/lease/state.go
@@ -157,7 +157,7 @@
 // unless a restore may have lost the record of a holder. The number of the first era is not published, so an empty log of any
 // era may be a restored one; the lease is the first record of its topic.
 func (state State) expectedExpiry() time.Time {
-	if lost := state.end.Era > 1 || state.end.Era > 0 && state.end.Offset == 0; !state.found && !lost {
+	if lost := state.end.Era > coltsfootlink.FirstEra || state.end.Era > 0 && state.end.Offset == 0; !state.found && !lost {
 		return state.seenAt
 	}
 	return state.seenAt.Add(state.length + state.margin())
--- a/move/task.go
+++ b/move/task.go
@@ -26,8 +26,6 @@
 	// stallTimeout is how long an instance may be stalled and still trust what it knows of the recorded states. It is shorter
 	// than the time after which an instance that does not reply to heartbeats loses its moves to another one.
 	stallTimeout = 750 * time.Millisecond
-	// firstEra is the era of a store that was never restored, as far as one can tell: restores count from there.
-	firstEra = 1
 	// askTimeout is how long a coordinator waits for other instances to tell the outcome of a move that the store may have
 	// lost. It is longer than a message takes to another region and back, and a fraction of the time that moves have.
 	askTimeout = 300 * time.Millisecond
@@ -162,7 +160,7 @@
 // because the store has lost it, is told.
 func (task *Task) handleWord(from coltsfootlink.InstanceName, word coltsfootlink.MoveWord) {
 	if known, found := task.outcome(word.Move); found && !word.Replaces(known) {
-		if from != task.Self && from != "" && !word.Move.State.Final() && task.Records.Era() > firstEra {
+		if from != task.Self && from != "" && !word.Move.State.Final() && task.Records.Era() > coltsfootlink.FirstEra {
 			task.Sender.Send(from, known)
 		}
 		return
@@ -293,7 +291,7 @@
 		return current
 	}
 	current.asked = true
-	if current.tracker.Move().State.Final() || task.Records.Era() <= firstEra {
+	if current.tracker.Move().State.Final() || task.Records.Era() <= coltsfootlink.FirstEra {
 		return current
 	}
 	current.decideAt = now.Add(askTimeout)
--- a/position.go
+++ b/position.go
@@ -6,6 +6,10 @@
 	"strconv"
 )
 
+// FirstEra is the era that a store which was never restored is taken to be in. The platform does not publish the number of its
+// first era; a later one counts as begun by a restore.
+const FirstEra = 1
+
 // Position is a place in a stream of the platform's store. The store may be restored from a copy, after which it assigns
 // offsets again that it had assigned before, so an offset identifies a record only within one era of the store. The zero
 // value is the start of every stream; with a store that reports no eras, the era of all positions is zero.
@@ -13,7 +17,7 @@
 // Positions are ordered by era, then by offset. What is read in a later era is therefore newer than all that was read in an
 // earlier one, including a record that the restore has kept and that was known at the same offset before.
 type Position struct {
-	// Era counts the restores of the store; it is the era in which the position was read or assigned.
+	// Era is the era of the store in which the position was read or assigned; it rises by one with each restore.
 	Era uint64
 	// Offset numbers the records of a stream without gaps.
 	Offset uint64
--- a/standin/changes.go
+++ b/standin/changes.go
@@ -8,12 +8,8 @@
 	"coltsfootlink/platform"
 )
 
-const (
-	// maxCopyAge is the maximum age of the copy from which the store can be restored.
-	maxCopyAge = 30 * time.Second
-	// firstEra is the era of a store that was never restored.
-	firstEra = 1
-)
+// maxCopyAge is the maximum age of the copy from which the store can be restored.
+const maxCopyAge = 30 * time.Second
 
 // change is a change of the store's state that a restore can revert.
 type change struct {
--- a/standin/store.go
+++ b/standin/store.go
@@ -67,7 +67,7 @@
 // NewStore returns a store that keeps the given number of records in each partition; all if zero.
 func NewStore(retention int) *Store {
 	store := &Store{Retention: retention, inbox: make(chan func(*storeState))}
-	store.era.Store(firstEra)
+	store.era.Store(coltsfootlink.FirstEra)
 	return store
 }
 
--- a/usage/recorded.go
+++ b/usage/recorded.go
@@ -88,7 +88,7 @@
 // record that was sent in the present era tells it; otherwise it is the first one that had not ended when the era was seen. The
 // first instance of a new log refuses nothing.
 func (recorded Recorded) Refused(records coltsfootlink.DutyRecords) uint64 {
-	first := !records.LeaseFound && !recorded.restored && records.End.Era <= 1
+	first := !records.LeaseFound && !recorded.restored && records.End.Era <= coltsfootlink.FirstEra
 	if first || records.Lease.Era == records.End.Era && records.LeaseFound {
 		return records.Lease.Refused
 	}
