Trials have one name; two log lines are plainer

Cause: a request let through a bar was a trial in the settings, metrics, bars and docs, but a probe in the message Probed, its handler and a log line, where a probe is otherwise a heartbeat or the listener's check. The lines "an append of before the restore" and "target is still reachable after the break, which is not counted" were hard to read.

No change of behaviour.

--- a/duty/holder.go
+++ b/duty/holder.go
@@ -222,7 +222,7 @@
 	case task.lease.Holds() && (len(task.lost) > 0 || task.lease.Unwritten()):
 		metrics.Count("duty-records-replaced")
 		task.Log.Warn().Bool("lease", task.lease.Unwritten()).Int("windows", len(task.lost)).
-			Msg("duty: an append of before the restore has replaced records, this holder writes its own again before any call")
+			Msg("duty: an append from before the restore has replaced records, this holder writes its own again before any call")
 	}
 }
 
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -88,7 +88,7 @@
 	sentAt := current.service.Clock.Now()
 	current.target = choice.Target.Name
 	current.expectedMillis = choice.ExpectedMillis
-	current.reportProbe(choice, sentAt)
+	current.reportTrial(choice, sentAt)
 	answer, err := current.service.Client.Call(ctx, current.head.ID, platform.TargetRequest{
 		Incoming:  current.incoming,
 		Target:    choice.Target,
--- a/ingress/quarantine.go
+++ b/ingress/quarantine.go
@@ -77,7 +77,7 @@
 	crashedAt := current.service.Clock.Now()
 	if !current.service.Client.Unreachable(ctx, choice.Target) {
 		current.service.Log.Warn().Str("request", string(current.head.ID)).Str("target", string(choice.Target.Name)).Bool("trial", current.trial != 0).
-			Bool("context-ended", ctx.Err() != nil).Msg("ingress: target is still reachable after the break, which is not counted as a crash under the prompt")
+			Bool("context-ended", ctx.Err() != nil).Msg("ingress: connection to target broke, but the target is still reachable; not counted as a crash under the prompt")
 		return
 	}
 	reply := make(chan bool, 1)
@@ -92,10 +92,10 @@
 	}
 }
 
-// reportProbe reports that the request is being sent as a trial, before a target can crash under it.
-func (current *exchange) reportProbe(choice dispatch.Choice, sentAt time.Time) {
+// reportTrial reports that the request is being sent as a trial, before a target can crash under it.
+func (current *exchange) reportTrial(choice dispatch.Choice, sentAt time.Time) {
 	if current.trial != 0 {
-		current.service.Quarantine.Put(coltsfootlink.Delivery{Message: quarantine.Probed{Probe: current.promptCrash(choice, sentAt, sentAt)}})
+		current.service.Quarantine.Put(coltsfootlink.Delivery{Message: quarantine.TrialSent{Crash: current.promptCrash(choice, sentAt, sentAt)}})
 	}
 }
 
--- a/ingress/quarantine_test.go
+++ b/ingress/quarantine_test.go
@@ -84,8 +84,8 @@
 				case quarantine.Crashed:
 					crashes = append(crashes, message.Crash)
 					message.Reply <- mayRepeat
-				case quarantine.Probed:
-					crashes = append(crashes, message.Probe)
+				case quarantine.TrialSent:
+					crashes = append(crashes, message.Crash)
 				case quarantine.Answered:
 					answered++
 				}
--- a/quarantine/messages.go
+++ b/quarantine/messages.go
@@ -16,13 +16,13 @@
 	Reply chan<- bool
 }
 
-// Probed reports that a request of this instance whose prompt is barred is being sent to a target as a probe. Until it is answered,
-// it counts as a crash: its end may never be seen.
-type Probed struct {
+// TrialSent reports that a request of this instance whose prompt is barred is being sent to a target as a trial. Until it is
+// answered, it counts as a crash: its end may never be seen.
+type TrialSent struct {
 	coltsfootlink.Local
 
-	// Probe has the time of sending as the time of the crash.
-	Probe coltsfootlink.PromptCrash
+	// Crash is the crash that the trial counts as; it has the time of sending as the time of the crash.
+	Crash coltsfootlink.PromptCrash
 }
 
 // Answered reports that a target has answered a request of this instance.
--- a/quarantine/task.go
+++ b/quarantine/task.go
@@ -72,8 +72,8 @@
 	switch message := delivery.Message.(type) {
 	case Crashed:
 		task.handleCrash(message)
-	case Probed:
-		task.handleProbe(message)
+	case TrialSent:
+		task.handleTrial(message)
 	case Answered:
 		task.handleAnswer(message)
 	case coltsfootlink.QuarantineNews:
@@ -100,12 +100,12 @@
 	message.Reply <- task.pools.State(crash.Pool).MayRepeat(crash.Request, partsOf(crash), crash.SentAt)
 }
 
-// handleProbe puts the next probe off on all instances, whatever becomes of this one.
-func (task *Task) handleProbe(message Probed) {
-	probe := task.withAnswers(message.Probe)
-	task.Log.Warn().Str("request", string(probe.Request)).Str("pool", string(probe.Pool)).Str("target", string(probe.Target)).
-		Str("parts", task.describe(probe.Suspects)).Msg("quarantine: a request whose prompt is held back is sent as a probe; it counts as a crash until it is answered")
-	task.announce(probe)
+// handleTrial puts the next trial off on all instances, whatever becomes of this one.
+func (task *Task) handleTrial(message TrialSent) {
+	crash := task.withAnswers(message.Crash)
+	task.Log.Warn().Str("request", string(crash.Request)).Str("pool", string(crash.Pool)).Str("target", string(crash.Target)).
+		Str("parts", task.describe(crash.Suspects)).Msg("quarantine: a request whose prompt is held back is sent as a trial; it counts as a crash until it is answered")
+	task.announce(crash)
 }
 
 // withAnswers fills in when the suspects of a crash were last answered.
--- a/quarantine/task_test.go
+++ b/quarantine/task_test.go
@@ -202,7 +202,7 @@
 	if held {
 		probe := crashOf(request, letters, 0, 0)
 		probe.Pool, probe.SentAt, probe.CrashedAt = pool, fleet.now, fleet.now
-		fleet.tasks[name].handle(coltsfootlink.Delivery{Message: Probed{Probe: probe}})
+		fleet.tasks[name].handle(coltsfootlink.Delivery{Message: TrialSent{Crash: probe}})
 	}
 	if seen {
 		fleet.crashIn(pool, name, request, letters)
@@ -210,7 +210,7 @@
 	return true
 }
 
-// Probes whose crashes were not seen put nothing off, so that one followed the other for as long as requests came.
+// Trials whose crashes were not seen put nothing off, so that one followed the other for as long as requests came.
 func TestProbesAreFewWhateverBecomesOfThem(t *testing.T) {
 	const day = 24 * time.Hour
 	cases := map[string]struct {
