--- a/integration/crashing_test.go
+++ b/integration/crashing_test.go
@@ -216,11 +216,11 @@
 }
 
 const (
-	// contact, crashesUntil and mostLate are the bound that the users state: at most mostLate requests with a part that crashes targets
-	// reach targets later than contact after the fifth crash.
-	contact      = 3 * time.Second
-	crashesUntil = 5
-	mostLate     = 3
+	// lateAfter, countedCrashes and mostLate are the bound that the users state: at most mostLate requests with a part that crashes targets
+	// reach targets later than lateAfter after the fifth crash.
+	lateAfter      = 3 * time.Second
+	countedCrashes = 5
+	mostLate       = 3
 )
 
 // lateArrivals returns the number of requests with a part that reached targets too late, and of all with the part.
@@ -233,7 +233,7 @@
 	}
 	slices.SortFunc(arrivals, time.Time.Compare)
 	for _, at := range arrivals {
-		if len(arrivals) > crashesUntil && at.After(arrivals[crashesUntil-1].Add(contact)) {
+		if len(arrivals) > countedCrashes && at.After(arrivals[countedCrashes-1].Add(lateAfter)) {
 			late++
 		}
 	}
@@ -301,13 +301,13 @@
 	}
 }
 
-// Probes of a barred part went on every five seconds as long as their crashes were not noticed.
+// Trials of a barred part went on every five seconds as long as their crashes were not noticed.
 func TestProbesOfCrashingPartsAreBoundedOverALongRun(t *testing.T) {
 	const (
 		duration = 45 * time.Second
 		interval = 100 * time.Millisecond
 		// learnTime is the time from the first request on after which at least half of the sound requests have to be answered.
-		learnTime = 2 * contact
+		learnTime = 2 * lateAfter
 	)
 	cases := map[string]struct {
 		// slowExitFrom is the crash of a target from which on it exits slowly.
