catalog: a reader's known era is not derived a second time

Cause: Run set eraKnown again from nextKnown, although read sets both together and nothing sets nextKnown alone. Only a test relied on it, which began with nextKnown and without eraKnown, a state that does not occur.

Change: Run only forgets nextKnown; the comment states the invariant; the test begins with eraKnown. Its assertion is unchanged.

--- a/catalog/reader.go
+++ b/catalog/reader.go
@@ -40,7 +40,7 @@
 	// next is the position at which the next read starts. nextKnown is false while all keys have to be read with Newest first.
 	next      coltsfootlink.Position
 	nextKnown bool
-	// eraKnown indicates that next is of the latest era that was known, although nextKnown may be false.
+	// eraKnown indicates that next is of the latest era that was known; nextKnown implies it.
 	eraKnown bool
 	// down indicates that the last read failed.
 	down bool
@@ -71,7 +71,7 @@
 
 // Run reads until the context ends.
 func (reader *reader) Run(ctx context.Context) error {
-	reader.eraKnown, reader.nextKnown = reader.eraKnown || reader.nextKnown, false
+	reader.nextKnown = false
 	for ctx.Err() == nil {
 		delay := followDelay
 		count, err := reader.read(ctx)
--- a/catalog/restore_test.go
+++ b/catalog/restore_test.go
@@ -70,7 +70,7 @@
 			source.batch = coltsfootlink.CatalogBatch{End: coltsfootlink.Position{Era: 2, Offset: 3}}
 			reader := &reader{
 				stream: stream, source: source, clock: &manualClock{now: baseTime}, log: zerolog.Nop(), inbox: inbox,
-				next: coltsfootlink.Position{Era: 1, Offset: 5}, nextKnown: true,
+				next: coltsfootlink.Position{Era: 1, Offset: 5}, eraKnown: true,
 			}
 			ctx, cancel := context.WithCancel(t.Context())
 			done := make(chan error, 1)
