Four tests say which failure they guard against

Cause: TestStopsAreAnnounced had no statement, and the comments of three tests of quarantine told what earlier code did.

Change: comments only.

--- a/integration/crashing_test.go
+++ b/integration/crashing_test.go
@@ -301,7 +301,7 @@
 	}
 }
 
-// Trials of a barred part went on every five seconds as long as their crashes were not noticed.
+// Guards against trials of a barred part that go on every five seconds as long as their crashes are not noticed.
 func TestProbesOfCrashingPartsAreBoundedOverALongRun(t *testing.T) {
 	const (
 		duration = 45 * time.Second
--- a/quarantine/pools_test.go
+++ b/quarantine/pools_test.go
@@ -10,7 +10,7 @@
 	"coltsfootlink"
 )
 
-// Each pool spent its own crashes and probes on a part that crashes the targets of all.
+// Guards against each pool spending its own crashes and trials on a part that crashes the targets of all.
 func TestPartsThatCrashTargetsOfOnePoolAreHeldBackInOthers(t *testing.T) {
 	type event struct {
 		pool    coltsfootlink.PoolName
--- a/quarantine/task_test.go
+++ b/quarantine/task_test.go
@@ -210,7 +210,7 @@
 	return true
 }
 
-// Trials whose crashes were not seen put nothing off, so that one followed the other for as long as requests came.
+// Guards against trials whose crashes are not seen and put nothing off, so that one follows the other as long as requests come.
 func TestProbesAreFewWhateverBecomesOfThem(t *testing.T) {
 	const day = 24 * time.Hour
 	cases := map[string]struct {
--- a/relay/frame_test.go
+++ b/relay/frame_test.go
@@ -72,6 +72,8 @@
 	})
 }
 
+// TestStopsAreAnnounced guards against a receiver that accepts requests which outlast the forwarding instance, because it does not
+// learn of its end.
 func TestStopsAreAnnounced(t *testing.T) {
 	cases := map[string]struct {
 		refusesIn, endsIn time.Duration
