Comments that the code contradicts, and long lines

Four comment lines were longer than the rest. cmd/soak named a standin.Restore drill, which is the platform's word for it.

Change: comments, and the name of that variable. No change of behaviour.

--- a/catalog.go
+++ b/catalog.go
@@ -46,7 +46,8 @@
 	Confirmed bool
 }
 
-// WithMerged returns what two instances know together: the later era, in it the lower end and the earlier deadline, and whether either has confirmed it.
+// WithMerged returns what two instances know together: the later era, in it the lower end and the earlier deadline, and
+// whether either has confirmed it.
 func (era StreamEra) WithMerged(other StreamEra) StreamEra {
 	switch {
 	case other.Begun.Era > era.Begun.Era:
@@ -84,7 +85,7 @@
 type MoveFact struct {
 	Pool PoolName
 	To   Version
-	// Started is the revision of the order and identifies it.
+	// Started is the revision of the order; that of its first record if the order was written again after a restore.
 	Started Revision
 	// TimeLimit is how long the move may take, counted from the order.
 	TimeLimit time.Duration
--- a/catalog/task.go
+++ b/catalog/task.go
@@ -476,8 +476,8 @@
 	return task.Clock.Now().Sub(task.lastUpdateAt) > timeout
 }
 
-// bootstrap asks random live peers for all their records while the instance has not read the platform itself, or awaits them: until
-// bootstrapPeers have sent theirs, since one that is cut off from the platform may have outdated ones.
+// bootstrap asks random live peers for all their records while the instance has not read the platform itself, or awaits them:
+// until bootstrapPeers have sent theirs, since one that is cut off from the platform may have outdated ones.
 func (task *Task) bootstrap() {
 	now := task.Clock.Now()
 	loaded := task.loaded[coltsfootlink.OperatorStream] && task.loaded[coltsfootlink.TargetStream]
--- a/claim/partition.go
+++ b/claim/partition.go
@@ -173,8 +173,8 @@
 	return partition
 }
 
-// mayBeLost reports whether an attempt with a key may have run whose claim the store has lost. An instance that has not read the
-// stream before the restore knows none of the keys of callers whose clocks are ahead, either.
+// mayBeLost reports whether an attempt with a key may have run whose claim the store has lost. For an instance that has not read
+// the stream before the restore, this includes keys of callers whose clocks are ahead by up to MaxClockSkew.
 func (partition Partition) mayBeLost(key string) bool {
 	if partition.since.IsZero() {
 		return false
@@ -187,7 +187,7 @@
 	return !valid || !at.After(until)
 }
 
-// outcome returns what is known of the key's holder. If claims of the key may have been lost, it is not-run in no case.
+// outcome returns what is known of the key's holder. If claims of the key may have been lost, it is never not-run.
 func (partition Partition) outcome(key string) coltsfootlink.Outcome {
 	outcome := partition.index.Outcome(key)
 	if outcome == coltsfootlink.NotRun && partition.mayBeLost(key) {
@@ -196,8 +196,9 @@
 	return outcome
 }
 
-// WithExpired answers the requests whose deadline has passed, and those whose keys are from before a restore of the store. It keeps them as timed out for MaxKeyAge, because the
-// claim may still be read back and hold the key although the attempt never runs. It also drops expired keys.
+// WithExpired answers the requests whose deadline has passed, and those whose keys are from before a restore of the store. It
+// keeps them as timed out for MaxKeyAge, because the claim may still be read back and hold the key although the attempt never
+// runs. It also drops expired keys.
 func (partition Partition) WithExpired(now time.Time) (Partition, []Answer) {
 	var answers []Answer
 	for iterator := partition.waiting.Iterator(); !iterator.Done(); {
--- a/cmd/soak/plan.go
+++ b/cmd/soak/plan.go
@@ -184,13 +184,13 @@
 func (step step) restore() standin.Restore {
 	const minAgeMillis, ageSpanMillis, lateMillis = 500, 4500, 200
 	length := int(step.Ends - step.Starts)
-	drill := standin.Restore{
+	restore := standin.Restore{
 		AgeMillis: minAgeMillis + int(step.Starts)%ageSpanMillis, AwayMillis: length / 2, RewriteMillis: length / 4, Seed: uint64(step.Starts),
 	}
 	if step.Starts%2 == 1 {
-		drill.LateMillis = lateMillis
+		restore.LateMillis = lateMillis
 	}
-	return drill
+	return restore
 }
 
 // drawFaults adds faults of the given kinds to a plan, at least one is drawn; those that conflict with others are left out.
--- a/move.go
+++ b/move.go
@@ -26,7 +26,7 @@
 	Pool PoolName
 	// From is the old version; empty for all versions other than To.
 	From, To Version
-	// Started is the revision that started the move; it identifies the move.
+	// Started is the revision that started the move. It identifies the move unless Shown is later; see Identity.
 	Started Revision
 	// Shown is the revision of the newest record of the move's order. It differs from Started if the order was read again
 	// after a restore of the store; zero for moves that were started through the operators' interface.
