--- a/claim/partition.go
+++ b/claim/partition.go
@@ -20,12 +20,8 @@
 	return int(hash.Sum32() % Partitions)
 }
 
-const (
-	// firstEra is the era of a store that was never restored, as far as one can tell: restores count from there.
-	firstEra = 1
-	// maxEntriesWrittenAgain limits the entries of a record that repeats lost ones, to some 60 KB.
-	maxEntriesWrittenAgain = 500
-)
+// maxEntriesWrittenAgain limits the entries of a record that repeats lost ones, to some 60 KB.
+const maxEntriesWrittenAgain = 500
 
 // Partition is the state that an owner keeps for one partition of the keys. It is immutable.
 type Partition struct {
@@ -98,7 +94,7 @@
 	}
 	partition.era = era
 	partition.index = partition.index.WithEra(era)
-	if era > firstEra {
+	if era > coltsfootlink.FirstEra {
 		partition.since = at
 		partition.remembers = !partition.lastRead.IsZero()
 		partition.opened, partition.opening, partition.lost = !partition.remembers, false, nil
@@ -112,7 +108,7 @@
 // Record returns the record that appends entries.
 func (partition Partition) Record(entries []Entry) Record {
 	record := Record{Entries: entries}
-	if partition.era > firstEra {
+	if partition.era > coltsfootlink.FirstEra {
 		record.Era, record.Since = partition.era, partition.since
 	}
 	return record
@@ -165,7 +161,7 @@
 // withRecordOfEra takes the earliest time after the restore from a record that was appended since. With the first such record,
 // all that the restore has kept has been read.
 func (partition Partition) withRecordOfEra(record Record) Partition {
-	if partition.era <= firstEra || record.Era != partition.era {
+	if partition.era <= coltsfootlink.FirstEra || record.Era != partition.era {
 		return partition
 	}
 	if record.Since.Before(partition.since) {
@@ -177,8 +173,8 @@
 	return partition
 }
 
-// mayBeLost reports whether an attempt with a key may have run whose claim the store has lost. An instance that has not read the
-// stream before the restore knows none of the keys of callers whose clocks are ahead, either.
+// mayBeLost reports whether an attempt with a key may have run whose claim the store has lost. For an instance that has not read
+// the stream before the restore, this includes keys of callers whose clocks are ahead by up to MaxClockSkew.
 func (partition Partition) mayBeLost(key string) bool {
 	if partition.since.IsZero() {
 		return false
@@ -191,7 +187,7 @@
 	return !valid || !at.After(until)
 }
 
-// outcome returns what is known of the key's holder. If claims of the key may have been lost, it is not-run in no case.
+// outcome returns what is known of the key's holder. If claims of the key may have been lost, it is never not-run.
 func (partition Partition) outcome(key string) coltsfootlink.Outcome {
 	outcome := partition.index.Outcome(key)
 	if outcome == coltsfootlink.NotRun && partition.mayBeLost(key) {
@@ -200,8 +196,9 @@
 	return outcome
 }
 
-// WithExpired answers the requests whose deadline has passed, and those whose keys are from before a restore of the store. It keeps them as timed out for MaxKeyAge, because the
-// claim may still be read back and hold the key although the attempt never runs. It also drops expired keys.
+// WithExpired answers the requests whose deadline has passed, and those whose keys are from before a restore of the store. It
+// keeps them as timed out for MaxKeyAge, because the claim may still be read back and hold the key although the attempt never
+// runs. It also drops expired keys.
 func (partition Partition) WithExpired(now time.Time) (Partition, []Answer) {
 	var answers []Answer
 	for iterator := partition.waiting.Iterator(); !iterator.Done(); {
