Test of late trials: its three cases play beside each other

Cause: the cases took 138 s one after the other, a quarter of the time that go test allows the package. Change: all three testbeds play at the same time; bounds and assertions stay.

--- a/integration/crashing_test.go
+++ b/integration/crashing_test.go
@@ -327,35 +327,61 @@
 		}},
 		"a route that is divided among pools": {0, 4, 1, []string{"p", "q", "r"}, func(number int) string { return fmt.Sprintf("c:10,d:10,own%d:10", number) }},
 	}
-	for name, test := range cases {
-		Convey("few requests whose prompts crash targets reach them late: "+name, t, func() {
+	Convey("few requests whose prompts crash targets reach them late", t, func() {
+		plays := make(map[string]*probePlay)
+		for name, test := range cases {
 			bed, targets := startFragileTestbed(t, []string{"d"}, test.slowExitFrom, test.pools...)
-			var asked, served atomic.Int64
-			var group sync.WaitGroup
-			begun := time.Now()
-			for number := 0; time.Since(begun) < duration; number++ {
-				for other := range test.atOnce {
-					group.Go(func() {
-						_, _, _ = bed.callWithPrompt((number+other)%4, fmt.Sprint("crashing-", number, "-", other), test.prompts(number))
-					})
-				}
-				group.Go(func() {
-					status, _, err := bed.callWithPrompt(number%test.soundGateways, fmt.Sprint("sound-", number), fmt.Sprintf("c:10,x%d:10,own-%d:10", number%20, number))
-					if time.Since(begun) > learnTime {
-						asked.Add(1)
-						if status == http.StatusOK && err == nil {
-							served.Add(1)
-						}
-					}
-				})
-				time.Sleep(interval)
-			}
-			group.Wait()
-			late, all := lateArrivals(targets, "d")
-			t.Logf("%s: %d requests with the part reached targets, %d of them late; %d of %d sound ones answered", name, all, late, served.Load(), asked.Load())
+			plays[name] = &probePlay{bed: bed, targets: targets, soundGateways: test.soundGateways, atOnce: test.atOnce, prompts: test.prompts}
+		}
+		var group sync.WaitGroup
+		for _, play := range plays {
+			group.Go(func() { play.run(duration, interval, learnTime) })
+		}
+		group.Wait()
+		for name, play := range plays {
+			late, all := lateArrivals(play.targets, "d")
+			asked, served := play.asked.Load(), play.served.Load()
+			t.Logf("%s: %d requests with the part reached targets, %d of them late; %d of %d sound ones answered", name, all, late, served, asked)
 			So(late, ShouldBeLessThanOrEqualTo, mostLate)
-			So(asked.Load(), ShouldBeGreaterThan, 20)
-			So(2*served.Load(), ShouldBeGreaterThan, asked.Load())
+			So(asked, ShouldBeGreaterThan, 20)
+			So(2*served, ShouldBeGreaterThan, asked)
+		}
+	})
+}
+
+// probePlay sends crashing and sound requests to a testbed of its own, beside other plays.
+type probePlay struct {
+	bed     *testbed
+	targets []*fragileTarget
+	// soundGateways and atOnce are the numbers of gateways that get sound requests, and crashing ones at the same moment.
+	soundGateways, atOnce int
+	// prompts returns the parts of the crashing request of a number.
+	prompts func(number int) string
+	// asked counts the sound requests after the learning time, and served those among them that were answered.
+	asked, served atomic.Int64
+}
+
+// run sends requests for the duration and waits for their answers.
+func (play *probePlay) run(duration, interval, learnTime time.Duration) {
+	var group sync.WaitGroup
+	begun := time.Now()
+	for number := 0; time.Since(begun) < duration; number++ {
+		for other := range play.atOnce {
+			group.Go(func() {
+				_, _, _ = play.bed.callWithPrompt((number+other)%4, fmt.Sprint("crashing-", number, "-", other), play.prompts(number))
+			})
+		}
+		group.Go(func() {
+			status, _, err := play.bed.callWithPrompt(number%play.soundGateways, fmt.Sprint("sound-", number), fmt.Sprintf("c:10,x%d:10,own-%d:10", number%20, number))
+			if time.Since(begun) <= learnTime {
+				return
+			}
+			play.asked.Add(1)
+			if status == http.StatusOK && err == nil {
+				play.served.Add(1)
+			}
 		})
+		time.Sleep(interval)
 	}
+	group.Wait()
 }
