An answer is not lost to a stop frame that arrives as the connection closes

Cause: suspected: a stop frame that is unread when the receiver closes the connection after its answer makes the kernel reset it, and the forwarder resets its caller, too, which may not have read the answer. Evidence: TestUnreadStopsDoNotResetAnswers failed before (connection reset by peer). Change: the receiver reads and drops what arrives before it closes a forwarded connection.

--- a/relay/frame_test.go
+++ b/relay/frame_test.go
@@ -134,3 +134,27 @@
 		})
 	}
 }
+
+// TestUnreadStopsDoNotResetAnswers guards against answers that are lost, because a stop frame that arrives as the connection is
+// closed makes the kernel reset it.
+func TestUnreadStopsDoNotResetAnswers(t *testing.T) {
+	stop := make([]byte, frameBytes)
+	frame{kind: stopFrame, first: 100, second: 5000}.put(stop)
+	cases := map[string]string{"a stop has arrived": string(stop), "nothing has arrived": ""}
+	for name, unread := range cases {
+		Convey("the answer arrives whole: "+name, t, func() {
+			near, far := pair(t)
+			conn := Receiver{Full: never}.Admit(far, nil)
+			_, err := io.WriteString(near, unread)
+			So(err, ShouldBeNil)
+			time.Sleep(20 * time.Millisecond)
+			_, err = io.WriteString(conn, "answer")
+			So(err, ShouldBeNil)
+			So(conn.Close(), ShouldBeNil)
+			time.Sleep(20 * time.Millisecond)
+			got, err := io.ReadAll(near)
+			So(err, ShouldBeNil)
+			So(string(got), ShouldEqual, string(rune(acceptByte))+"answer")
+		})
+	}
+}
--- a/relay/receiver.go
+++ b/relay/receiver.go
@@ -82,6 +82,13 @@
 	return err
 }
 
+// Close closes the connection so that what was written still arrives. A stop frame that has arrived and was not read would make
+// the kernel reset it, and the answer before could be lost.
+func (conn *forwardedConn) Close() error {
+	go closeAfterDrain(conn.TCPConn)
+	return nil
+}
+
 // TakeDelay returns the delay of the first bytes; each later call returns zero.
 func (conn *forwardedConn) TakeDelay() time.Duration {
 	return time.Duration(conn.delayMillis.Swap(0)) * time.Millisecond
