--- a/review/ground/successor.go
+++ b/review/ground/successor.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"os"
 	"time"
 
 	"coltsfootlink/platform"
@@ -15,10 +16,12 @@
 	secondOrder = time.Second
 	drainAfter  = 8 * time.Second
 	drainTime   = 2500 * time.Millisecond
+	// recallAfter is how long after the order to the bad version the operator orders the one before again.
+	recallAfter = 500 * time.Millisecond
 )
 
 // playSuccessor orders a service to a bad version, and once that is rolled back to the next one, which is good, while the servers
-// of the bad one have not drained yet.
+// of the bad one have not drained yet. RECALL=1 plays another one: the operator orders the version before again at once.
 func playSuccessor(current *ground) (bool, error) {
 	test := &rollout{ground: current, badShare: 4}
 	if _, err := test.servers("v1", false); err != nil {
@@ -45,6 +48,9 @@
 	if err := test.roll("v2"); err != nil {
 		return false, err
 	}
+	if os.Getenv("RECALL") != "" {
+		return test.recall(ordered)
+	}
 	state, err := test.awaitOutcome("v2", ordered)
 	if err != nil || state != platform.RolledBackStatus {
 		return false, fmt.Errorf("first rollout: %q %v", state, err)
@@ -73,6 +79,21 @@
 	return test.judge(state), nil
 }
 
+// recall orders the service back to the version before, while the order to the bad one runs.
+func (test *rollout) recall(ordered time.Time) (bool, error) {
+	time.Sleep(recallAfter)
+	if test.trouble {
+		if err := test.roll("v1"); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(time.Until(ordered.Add(rolloutSeconds * time.Second)))
+	test.mutex.Lock()
+	test.counting = false
+	test.mutex.Unlock()
+	return test.judge(""), nil
+}
+
 // roll orders the service to a version.
 func (test *rollout) roll(version string) error {
 	return test.order("rollout/desk", map[string]any{"service": "desk", "target": version, "duration_s": rolloutSeconds})
