--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -11,46 +11,24 @@
 // gets no requests.
 const moveAnnouncementTTL = 2 * time.Second
 
-// moveAnnouncement is the latest announcement of the coordinator of a pool's move.
-type moveAnnouncement struct {
-	coltsfootlink.MoveWord
-	validUntil time.Time
-}
-
-// moves holds the announcements of version moves, and the results of requests that are to be reported to their
-// coordinators.
+// moves holds what is known of version moves, and the results of requests that are to be reported to their coordinators.
 type moves struct {
-	announcements map[coltsfootlink.PoolName]moveAnnouncement
-	usages        map[coltsfootlink.PoolName][]coltsfootlink.MoveUsage
+	ledger move.Ledger
+	usages map[coltsfootlink.PoolName][]coltsfootlink.MoveUsage
 }
 
 func newMoves() moves {
-	return moves{
-		announcements: make(map[coltsfootlink.PoolName]moveAnnouncement),
-		usages:        make(map[coltsfootlink.PoolName][]coltsfootlink.MoveUsage),
-	}
-}
-
-// update takes an announcement, unless it is late: of an earlier move, or of a move that has ended since.
-func (moves moves) update(now time.Time, word coltsfootlink.MoveWord) {
-	if known, found := moves.announcements[word.Move.Pool]; found && !word.Replaces(known.MoveWord) {
-		return
-	}
-	moves.announcements[word.Move.Pool] = moveAnnouncement{MoveWord: word, validUntil: now.Add(moveAnnouncementTTL)}
+	return moves{usages: make(map[coltsfootlink.PoolName][]coltsfootlink.MoveUsage)}
 }
 
 // announcement returns the valid announcement of a pool's move; without one, the move counts as running with no
 // requests moved yet.
 func (moves moves) announcement(now time.Time, order coltsfootlink.Move) coltsfootlink.MoveWord {
-	latest := moves.announcements[order.Pool]
-	switch {
-	case !latest.Move.SameOrder(order):
-		return coltsfootlink.MoveWord{Move: order}
-	case latest.Move.State == coltsfootlink.MoveRunning && now.After(latest.validUntil):
+	latest, announcedAt := moves.ledger.Word(order)
+	if latest.Move.State == coltsfootlink.MoveRunning && now.After(announcedAt.Add(moveAnnouncementTTL)) {
 		return coltsfootlink.MoveWord{Move: latest.Move}
-	default:
-		return latest.MoveWord
 	}
+	return latest
 }
 
 // eligibleCatalog returns the catalog; if the request's pool has a move, its targets are limited to those that the
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -212,7 +212,7 @@
 	case coltsfootlink.TargetNotice:
 		task.handleNotice(delivery.From, message)
 	case coltsfootlink.MoveWord:
-		task.moves.update(task.Clock.Now(), message)
+		task.moves.ledger = task.moves.ledger.WithWord(task.Clock.Now(), message)
 	case coltsfootlink.TargetSpeeds:
 		task.placement = task.placement.WithSpeeds(task.Clock.Now(), message.Speeds)
 	case coltsfootlink.Shares:
@@ -228,6 +228,7 @@
 		task.endsAt = message.EndsAt
 	case coltsfootlink.CatalogChanged:
 		task.catalog = message.Catalog
+		task.moves.ledger = task.moves.ledger.WithCatalog(message.Catalog)
 		task.updatePlacement(task.Clock.Now())
 		task.notices = task.notices.WithCatalog(task.Clock.Now(), message.Catalog)
 		task.updateOwners()
--- a/move.go
+++ b/move.go
@@ -26,10 +26,10 @@
 	Pool PoolName
 	// From is the old version; empty for all versions other than To.
 	From, To Version
-	// Started is the revision that started the move. It identifies the move unless Shown is later; see Identity.
+	// Started is the revision that started the move.
 	Started Revision
 	// Shown is the revision of the newest record of the move's order. It differs from Started if the order was read again
-	// after a restore of the store; zero for moves that were started through the operators' interface.
+	// after a restore of the store; zero for moves that were started through the operators' interface. See OrderID.
 	Shown Revision
 	// OrderedAt is when the move order was first known; zero for moves that were started through the operators'
 	// interface, which do not need it.
@@ -54,30 +54,6 @@
 	return move
 }
 
-// Identity returns the revision by which instances and records identify the move now: that of the order's newest record, which
-// all instances read at the same position, whether they have seen the order before a restore of the store or not.
-func (move Move) Identity() Revision { return max(move.Started, move.Shown) }
-
-// WithIdentity returns the move as identified by the newest record of its order.
-func (move Move) WithIdentity() Move { return move.WithStarted(move.Identity()) }
-
-// SameOrder reports whether two moves of one pool result from the same order. After a restore of the store, operators write the
-// orders that were lost again, at other offsets, and those that were kept are read in the next era; so an order to the same
-// version in another era is the same order.
-func (move Move) SameOrder(other Move) bool {
-	return move.Pool == other.Pool && move.To == other.To && sameOrder(move.Identity(), other.Identity())
-}
-
-// sameOrder reports whether two revisions are of the same order if both orders are to the same version.
-func sameOrder(one, other Revision) bool {
-	before, after := one.Position(), other.Position()
-	if before.Era == 0 || after.Era == 0 {
-		// Builds without eras name the offset only.
-		return before.Offset == after.Offset
-	}
-	return before.Era != after.Era || before.Offset == after.Offset
-}
-
 // MoveRecord is the recorded state of a pool's newest move.
 type MoveRecord struct {
 	To Version
@@ -86,11 +62,6 @@
 	State   MoveState
 }
 
-// IsOf reports whether the record is of the given move, and not of an earlier or a later one of the pool.
-func (record MoveRecord) IsOf(move Move) bool {
-	return record.To == move.To && (record.Started == 0 || sameOrder(record.Started, move.Identity()))
-}
-
 // MoveRecords stores the state of moves on the platform.
 type MoveRecords interface {
 	// Moves returns the record of each pool, and the position at which the next change has to be recorded.
--- a/move/task.go
+++ b/move/task.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,9 +28,6 @@
 	// askTimeout is how long a coordinator waits for other instances to tell the outcome of a move that the store may have
 	// lost. It is longer than a message takes to another region and back, and a fraction of the time that moves have.
 	askTimeout = 300 * time.Millisecond
-	// outcomeRetention is how long the outcomes of earlier moves of a pool are kept. A restore of the store loses some seconds, in
-	// which orders of more than one version may have been written, and they are all written again.
-	outcomeRetention = 5 * time.Minute
 )
 
 // errSuperseded is the error of recording a move after a later one of the pool has been recorded.
@@ -49,30 +45,14 @@
 
 	catalog coltsfootlink.Catalog
 	view    coltsfootlink.View
-	// announcements are what coordinators have announced. They let this instance continue a move if it becomes the
-	// coordinator.
-	announcements map[coltsfootlink.PoolName]coltsfootlink.MoveWord
-	// outcomes are the latest outcomes that were announced of moves to each version, also if a later move was announced since.
-	outcomes map[target]knownOutcome
+	// ledger is what coordinators have announced. It lets this instance continue a move if it becomes the coordinator.
+	ledger Ledger
 	// coordinated are the moves that this instance coordinates.
 	coordinated map[coltsfootlink.PoolName]coordination
 	// ranAt is when the moves were last advanced.
 	ranAt time.Time
 }
 
-// target is the pool and the new version of moves.
-type target struct {
-	pool coltsfootlink.PoolName
-	to   coltsfootlink.Version
-}
-
-// knownOutcome is an announced outcome, and when it was last announced.
-type knownOutcome struct {
-	coltsfootlink.MoveWord
-
-	at time.Time
-}
-
 // coordination is a move that this instance coordinates.
 type coordination struct {
 	tracker Tracker
@@ -99,8 +79,7 @@
 type recordResult struct {
 	coltsfootlink.Local
 
-	pool    coltsfootlink.PoolName
-	started coltsfootlink.Revision
+	move    coltsfootlink.Move
 	attempt int
 	// state is the state that is now recorded, if the attempt succeeded.
 	state coltsfootlink.MoveState
@@ -112,8 +91,6 @@
 
 // Run coordinates moves until the context ends.
 func (task *Task) Run(ctx context.Context) error {
-	task.announcements = make(map[coltsfootlink.PoolName]coltsfootlink.MoveWord)
-	task.outcomes = make(map[target]knownOutcome)
 	task.coordinated = make(map[coltsfootlink.PoolName]coordination)
 	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
@@ -135,12 +112,13 @@
 	switch message := delivery.Message.(type) {
 	case coltsfootlink.CatalogChanged:
 		task.catalog = message.Catalog
+		task.ledger = task.ledger.WithCatalog(message.Catalog)
 	case coltsfootlink.ViewChanged:
 		task.view = message.View
 	case coltsfootlink.MoveWord:
 		task.handleWord(delivery.From, message)
 	case coltsfootlink.MoveUsages:
-		if current, found := task.coordinated[message.Pool]; found && current.reportedBy(message) {
+		if current, found := task.coordinated[message.Pool]; found && message.IsOf(current.tracker.Move()) {
 			current.tracker = current.tracker.WithUsages(task.Clock.Now(), delivery.From, message)
 			task.coordinated[message.Pool] = current
 		}
@@ -149,29 +127,18 @@
 	}
 }
 
-// reportedBy indicates whether a report is of this move. Builds without eras name the offset of the order only.
-func (current coordination) reportedBy(usages coltsfootlink.MoveUsages) bool {
-	own, reported := current.tracker.Move().Started, usages.Started
-	return own == reported || reported.Position().Era == 0 && own.Position().Offset == reported.Position().Offset
-}
-
 // handleWord takes an announcement unless it is late. An outcome that another coordinator has announced for a move that this
 // instance coordinates, too, holds until the recorded state is known. A coordinator that does not know the outcome of the move,
 // because the store has lost it, is told.
 func (task *Task) handleWord(from coltsfootlink.InstanceName, word coltsfootlink.MoveWord) {
-	if known, found := task.outcome(word.Move); found && !word.Replaces(known) {
+	known, _ := task.ledger.Word(word.Move)
+	if known.Move.State.Final() && !word.Replaces(known) {
 		if from != task.Self && from != "" && !word.Move.State.Final() && task.Records.Era() > coltsfootlink.FirstEra {
 			task.Sender.Send(from, known)
 		}
 		return
 	}
-	if known, found := task.announcements[word.Move.Pool]; found && !word.Replaces(known) {
-		return
-	}
-	task.announcements[word.Move.Pool] = word
-	if word.Move.State.Final() {
-		task.outcomes[target{word.Move.Pool, word.Move.To}] = knownOutcome{word, task.Clock.Now()}
-	}
+	task.ledger = task.ledger.WithWord(task.Clock.Now(), word)
 	current, found := task.coordinated[word.Move.Pool]
 	if !found || from == task.Self || !word.Move.State.Final() || !current.tracker.Move().SameOrder(word.Move) || current.tracker.Move().State == word.Move.State {
 		return
@@ -183,15 +150,6 @@
 	task.coordinated[word.Move.Pool] = current
 }
 
-// outcome returns the announced outcome of a move, if there is one.
-func (task *Task) outcome(move coltsfootlink.Move) (coltsfootlink.MoveWord, bool) {
-	if known := task.announcements[move.Pool]; known.Move.State.Final() && known.Move.SameOrder(move) {
-		return known, true
-	}
-	known, found := task.outcomes[target{move.Pool, move.To}]
-	return known.MoveWord, found && known.Move.SameOrder(move)
-}
-
 // withUnknownRecord returns the coordination after the state on the platform may have changed: nothing is announced or decided
 // until it has been read again. An attempt in progress may have read it before the change, so its result is ignored.
 func (current coordination) withUnknownRecord() coordination {
@@ -224,7 +182,6 @@
 func (task *Task) coordinate(ctx context.Context) {
 	now := task.Clock.Now()
 	task.recheckAfterStall(now)
-	maps.DeleteFunc(task.outcomes, func(_ target, known knownOutcome) bool { return now.After(known.at.Add(outcomeRetention)) })
 	for pool := range task.coordinated {
 		if _, ordered := task.catalog.Moves[pool]; !ordered {
 			delete(task.coordinated, pool)
@@ -244,20 +201,15 @@
 // new version gets no traffic before.
 func (task *Task) advance(ctx context.Context, order coltsfootlink.Move) {
 	now := task.Clock.Now()
-	order = order.WithIdentity()
 	current, found := task.coordinated[order.Pool]
 	if !found || !current.tracker.Move().SameOrder(order) {
-		current = coordination{tracker: NewTracker(order)}
-		if announced, known := task.announcements[order.Pool]; known && announced.Move.SameOrder(order) {
-			current.tracker = current.tracker.WithMove(announced.Move)
-		} else if outcome, known := task.outcome(order); known {
-			current.tracker = current.tracker.WithMove(outcome.Move)
-		}
-		task.Log.Info().Str("pool", string(order.Pool)).Str("to", string(order.To)).Uint64("started", uint64(order.Started)).
+		known, _ := task.ledger.Word(order)
+		current = coordination{tracker: NewTracker(order).WithMove(known.Move)}
+		task.Log.Info().Str("pool", string(order.Pool)).Str("to", string(order.To)).Uint64("started", uint64(order.Identity())).
 			Time("finish-by", current.tracker.Move().FinishBy).Str("state", string(current.tracker.Move().State)).Msg("move: instance became the coordinator of a version move")
 	}
-	if current.tracker.Move().Started < order.Started {
-		current.tracker = current.tracker.WithStarted(order.Started)
+	if current.tracker.Move().Identity() < order.Identity() {
+		current.tracker = current.tracker.WithOrder(order)
 		current = current.withUnknownRecord()
 	}
 	if current.recorded != "" && current.era < task.Records.Era() {
@@ -335,14 +287,14 @@
 func (task *Task) record(ctx context.Context, move coltsfootlink.Move, attempt int) {
 	ctx, cancel := context.WithDeadline(ctx, task.Clock.Now().Add(recordTimeout))
 	defer cancel()
-	result := recordResult{pool: move.Pool, started: move.Started, attempt: attempt}
+	result := recordResult{move: move, attempt: attempt}
 	records, next, err := task.Records.Moves(ctx)
 	result.era = next.Era
 	existing := records[move.Pool]
 	switch {
 	case err != nil:
 		result.err = err
-	case existing.Started > move.Started && !existing.IsOf(move):
+	case existing.Started > move.Identity() && !existing.IsOf(move):
 		result.err = errSuperseded
 	case existing.IsOf(move) && existing.State.Final() && outdated(existing, move):
 		result.state = existing.State
@@ -360,26 +312,27 @@
 // the same version could not be told apart from it.
 func outdated(record coltsfootlink.MoveRecord, move coltsfootlink.Move) bool {
 	era := record.Started.Position().Era
-	return era > 0 && era < move.Started.Position().Era
+	return era > 0 && era < move.Identity().Position().Era
 }
 
 func (task *Task) handleRecordResult(message recordResult) {
-	current, found := task.coordinated[message.pool]
-	if !found || current.tracker.Move().Started != message.started || current.attempt != message.attempt {
+	pool := message.move.Pool
+	current, found := task.coordinated[pool]
+	if !found || current.tracker.Move().Identity() != message.move.Identity() || current.attempt != message.attempt {
 		return
 	}
 	current.recording = false
 	if message.err != nil {
 		current.nextRecordAt = task.Clock.Now().Add(recordRetryDelay)
-		task.Log.Warn().Err(message.err).Str("pool", string(message.pool)).Msg("move: recording the state of a version move failed; retrying")
+		task.Log.Warn().Err(message.err).Str("pool", string(pool)).Msg("move: recording the state of a version move failed; retrying")
 	} else {
 		if own := current.tracker.Move().State; message.state.Final() && own != message.state {
-			task.Log.Warn().Str("pool", string(message.pool)).Str("own-state", string(own)).Str("state", string(message.state)).Msg("move: another coordinator has recorded the outcome")
+			task.Log.Warn().Str("pool", string(pool)).Str("own-state", string(own)).Str("state", string(message.state)).Msg("move: another coordinator has recorded the outcome")
 			current.tracker = current.tracker.WithMove(current.tracker.Move().WithState(message.state, "recorded before"))
 		}
 		if current.before != "" && message.written {
 			metrics.Count("move-records-written-again")
-			task.Log.Warn().Str("pool", string(message.pool)).Str("before", string(current.before)).Str("state", string(message.state)).Uint64("era", message.era).
+			task.Log.Warn().Str("pool", string(pool)).Str("before", string(current.before)).Str("state", string(message.state)).Uint64("era", message.era).
 				Msg("move: recorded state of a version move was lost in a restore of the store and was written again")
 		}
 		current.before = ""
@@ -387,9 +340,9 @@
 		if message.state.Final() {
 			current.announceAt = time.Time{}
 		}
-		task.Log.Info().Str("pool", string(message.pool)).Str("state", string(message.state)).Msg("move: state of a version move recorded")
+		task.Log.Info().Str("pool", string(pool)).Str("state", string(message.state)).Msg("move: state of a version move recorded")
 	}
-	task.coordinated[message.pool] = current
+	task.coordinated[pool] = current
 }
 
 // Coordinator returns the instance that coordinates the moves of a pool.
--- a/move/tracker.go
+++ b/move/tracker.go
@@ -81,9 +81,9 @@
 // Move returns the move and its state.
 func (tracker Tracker) Move() coltsfootlink.Move { return tracker.move }
 
-// WithStarted returns the tracker of a move whose order was read again at another position after a restore of the store.
-func (tracker Tracker) WithStarted(started coltsfootlink.Revision) Tracker {
-	tracker.move = tracker.move.WithStarted(started)
+// WithOrder returns the tracker of a move whose order was read again at another position after a restore of the store.
+func (tracker Tracker) WithOrder(shown coltsfootlink.Move) Tracker {
+	tracker.move = tracker.move.WithOrder(shown)
 	return tracker
 }
 
