Announcements of an earlier era are not taken by a later order at the same offset

Cause: an announcement counted for an order whose record has the same offset in another era, since a restore may have kept it.

Change: only a record on the platform may be matched so: a copy that has the record of an order has the order, too.

--- a/order.go
+++ b/order.go
@@ -7,22 +7,27 @@
 	First, Newest Revision
 }
 
-// Same reports whether the positions show that both identify the same order: they agree in an era that both name, or the record
-// was kept at its offset in a later era. Builds without eras name the offset only.
+// Same reports whether the positions show that both identify the same order: they agree in an era that both name. Builds without
+// eras name the offset only.
 //
-// Two orders of different eras that share no offset count as different, even to the same version. If they were one order, it is
-// judged a second time; if they were not and counted as one, a version would be completed that nobody has judged.
+// Two orders that name no common era count as different, even to the same version. If they were one order, it is judged a second
+// time; if they were not and counted as one, a version would be completed that nobody has judged.
 func (id OrderID) Same(other OrderID) bool {
-	kept := false
-	for _, one := range []Position{id.First.Position(), id.Newest.Position()} {
-		for _, two := range []Position{other.First.Position(), other.Newest.Position()} {
+	for _, one := range id.positions() {
+		for _, two := range other.positions() {
 			if one.Era == two.Era {
 				return one.Offset == two.Offset
 			}
-			kept = kept || one.Offset == two.Offset
+			if (one.Era == 0 || two.Era == 0) && one.Offset == two.Offset {
+				return true
+			}
 		}
 	}
-	return kept
+	return false
+}
+
+func (id OrderID) positions() []Position {
+	return []Position{id.First.Position(), id.Newest.Position()}
 }
 
 // Order returns what identifies the move's order.
@@ -43,13 +48,12 @@
 	return move.Pool == other.Pool && move.To == other.To && move.Order().Same(other.Order())
 }
 
-// IsOf reports whether the record is of the given move, and not of an earlier or a later one of the pool.
+// IsOf reports whether the record is of the given move, and not of an earlier or a later one of the pool. A restore that keeps the
+// record of a move keeps its order, too, at its offset.
 func (record MoveRecord) IsOf(move Move) bool {
-	return record.To == move.To && (record.Started == 0 || record.order().Same(move.Order()))
-}
-
-func (record MoveRecord) order() OrderID {
-	return OrderID{First: record.Started, Newest: record.Started}
+	id := OrderID{First: record.Started, Newest: record.Started}
+	kept := record.Started < move.Started && record.Started.Position().Offset == move.Identity().Position().Offset
+	return record.To == move.To && (record.Started == 0 || kept || id.Same(move.Order()))
 }
 
 // IsOf reports whether the usages are of requests to the pool of the given move while it ran.
