--- a/catalog.go
+++ b/catalog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -207,6 +208,22 @@
 	return signature
 }
 
+// InService returns the versions that serve a pool when a move of it is ordered and no earlier one is known: those with targets,
+// but the ordered one only if there are no others. They are sorted.
+func (catalog Catalog) InService(move Move) []Version {
+	var versions []Version
+	for _, target := range catalog.Targets {
+		if target.Pool == move.Pool && target.Version != move.To && !slices.Contains(versions, target.Version) {
+			versions = append(versions, target.Version)
+		}
+	}
+	if versions == nil {
+		return []Version{move.To}
+	}
+	slices.Sort(versions)
+	return versions
+}
+
 // Usable reports whether a target may get new work.
 func (catalog Catalog) Usable(target Target) bool {
 	return !target.Leaving && !catalog.ZonesOut[target.Zone]
--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -43,22 +43,23 @@
 }
 
 // versionCatalog returns the catalog with the targets to which requests for the new version, or for the old one, may be
-// sent while the version of their pool is moved.
+// sent while the version of their pool is moved. Rejected versions get none, even if no other targets are left.
 func (task *Task) versionCatalog(order coltsfootlink.Move, announcement coltsfootlink.MoveWord, toNew bool) coltsfootlink.Catalog {
 	groups := make(map[bool]map[coltsfootlink.TargetName]coltsfootlink.Target)
 	for _, isNew := range []bool{false, true} {
 		groups[isNew] = make(map[coltsfootlink.TargetName]coltsfootlink.Target)
 	}
 	for name, target := range task.catalog.Targets {
-		if target.Pool == order.Pool {
+		if target.Pool == order.Pool && !announcement.Move.Rejects(target.Version) {
 			groups[target.Version == order.To][name] = target
 		}
 	}
 	chosen := groups[toNew]
 	switch {
 	case len(chosen) > 0:
-	case toNew, announcement.Move.State == coltsfootlink.MoveRunning:
-		// One version has no targets: either the new ones have not started yet, or the old ones are gone.
+	case toNew, announcement.Move.State == coltsfootlink.MoveRunning, announcement.Move.Serves(order.To):
+		// One version has no targets: the new ones have not started yet, the old ones are gone, or the order was back to the
+		// version in service.
 		chosen = groups[!toNew]
 	}
 	return task.catalog.WithTargets(chosen)
@@ -67,6 +68,10 @@
 // recordUsage records how a request ended if its pool has a move.
 func (task *Task) recordUsage(request running, report Report) {
 	order, moving := task.catalog.Moves[request.want.Pool]
+	if known, _ := task.moves.ledger.Word(order); known.Move.Rejects(request.version) {
+		// The version is neither the one on trial nor the one that it is compared with.
+		return
+	}
 	if !moving || report.Result == coltsfootlink.Unused || report.Result == coltsfootlink.Cancelled {
 		return
 	}
--- a/message_gateway.go
+++ b/message_gateway.go
@@ -126,6 +126,9 @@
 	Recorded bool
 }
 
+// IsQuestion reports whether the sender asks for the outcome of the move: it coordinates the move and has not read its record.
+func (word MoveWord) IsQuestion() bool { return word.Move.State == MoveRunning && word.Share == 0 }
+
 // Replaces reports whether the announcement replaces what is known of the pool's move. A recorded outcome is final, and one
 // that is not recorded yet is replaced only by a recorded one, so that no late announcement revives a move.
 func (word MoveWord) Replaces(known MoveWord) bool {
--- a/move.go
+++ b/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -39,8 +40,52 @@
 	State    MoveState
 	// Reason is why the move was rolled back, or how it was completed.
 	Reason string
+	// Serving are the versions that were in service when the move was ordered, as far as is known.
+	Serving []Version
+	// Rejected are the other versions that get no requests: those that were rolled back, and those whose move was superseded
+	// before it had ended, unless they had been in service before. They are sorted.
+	Rejected []Version
 }
 
+// WithPredecessor returns the move with what has become of the versions of its pool by the move before it. A version that is
+// ordered again is on trial again. An empty predecessor changes nothing.
+func (move Move) WithPredecessor(previous Move) Move {
+	if previous.To == "" {
+		return move
+	}
+	serving, left := previous.Serving, previous.Rejected
+	switch {
+	case previous.State == MoveDone:
+		serving = []Version{previous.To}
+	case !previous.Serves(previous.To):
+		left = append(slices.Clone(left), previous.To)
+	}
+	if len(serving) == 0 {
+		// The record of an older build does not say.
+		serving = move.Serving
+	}
+	var rejected []Version
+	for _, version := range left {
+		if version != move.To && !slices.Contains(rejected, version) {
+			rejected = append(rejected, version)
+		}
+	}
+	slices.Sort(rejected)
+	return move.WithVersions(serving, rejected)
+}
+
+// WithVersions returns the move with other versions in service and rejected ones; the caller must not change the lists afterwards.
+func (move Move) WithVersions(serving, rejected []Version) Move {
+	move.Serving, move.Rejected = serving, rejected
+	return move
+}
+
+// Serves reports whether a version was in service when the move was ordered.
+func (move Move) Serves(version Version) bool { return slices.Contains(move.Serving, version) }
+
+// Rejects reports whether a version gets no requests because of what became of it before this move.
+func (move Move) Rejects(version Version) bool { return slices.Contains(move.Rejected, version) }
+
 // WithState returns the move in another state and the reason for it.
 func (move Move) WithState(state MoveState, reason string) Move {
 	move.State = state
@@ -60,6 +105,24 @@
 	// Started is the revision that started the move; zero if the record does not say.
 	Started Revision
 	State   MoveState
+	// Serving and Rejected are those of the move.
+	Serving, Rejected []Version
+}
+
+// Predecessor returns the pool's last move before a new one, from its record and from what an instance knows of it. A record
+// of an unknown order counts as earlier than a known move.
+func (record MoveRecord) Predecessor(known Move) Move {
+	recorded := Move{Pool: known.Pool, To: record.To, Started: record.Started, State: record.State, Serving: record.Serving, Rejected: record.Rejected}
+	switch {
+	case record.To == "":
+		return known
+	case known.To == "", record.IsOf(known) && !known.State.Final():
+		return recorded
+	case record.IsOf(known) || record.Started < known.Identity():
+		return known
+	default:
+		return recorded
+	}
 }
 
 // MoveRecords stores the state of moves on the platform.
--- a/move/ledger.go
+++ b/move/ledger.go
@@ -28,6 +28,8 @@
 	word heard
 	// ahead is the newest announcement of an order that the catalog does not show yet.
 	ahead heard
+	// before is what was known of the move before.
+	before coltsfootlink.Move
 }
 
 // Word returns what is known of a move and when it was announced. A move that nothing was announced of runs, without a share for
@@ -44,9 +46,21 @@
 	}
 }
 
+// Before returns what is known of the pool's move before the given one; an empty move if nothing is.
+func (ledger Ledger) Before(order coltsfootlink.Move) coltsfootlink.Move {
+	known := ledger.entries[order.Pool]
+	if !known.word.Move.SameOrder(order) {
+		return known.word.Move
+	}
+	return known.before
+}
+
 // WithWord returns the ledger with an announcement that was received now, unless it is late: of an earlier move, or of a move
-// that has ended since.
+// that has ended since. A question announces nothing.
 func (ledger Ledger) WithWord(now time.Time, word coltsfootlink.MoveWord) Ledger {
+	if word.IsQuestion() {
+		return ledger
+	}
 	known, found := ledger.entries[word.Move.Pool]
 	received := heard{word, now}
 	switch {
@@ -71,26 +85,27 @@
 // WithCatalog returns the ledger with the orders of a catalog.
 func (ledger Ledger) WithCatalog(catalog coltsfootlink.Catalog) Ledger {
 	for _, order := range catalog.Moves {
-		ledger = ledger.withOrder(order)
+		ledger = ledger.withOrder(catalog, order)
 	}
 	return ledger
 }
 
 // withOrder returns the ledger with an order that the catalog shows.
-func (ledger Ledger) withOrder(order coltsfootlink.Move) Ledger {
+func (ledger Ledger) withOrder(catalog coltsfootlink.Catalog, order coltsfootlink.Move) Ledger {
 	known, found := ledger.entries[order.Pool]
-	shown := entry{word: heard{MoveWord: coltsfootlink.MoveWord{Move: order}}}
-	ahead := known.ahead
-	switch {
-	case found && order.SameOrder(known.word.Move):
+	ahead, before := known.ahead, known.word.Move
+	if found && order.Identity() < before.Identity() {
+		// The announcement was received before the catalog showed any order.
+		ahead, before = known.word, coltsfootlink.Move{}
+	}
+	first := order.WithVersions(catalog.InService(order), nil)
+	shown := entry{word: heard{MoveWord: coltsfootlink.MoveWord{Move: first.WithPredecessor(before)}}, before: before}
+	if found && order.SameOrder(known.word.Move) {
 		if order.Order() == known.word.Move.Order() {
 			return ledger
 		}
-		shown.word = known.word
+		shown.word, shown.before = known.word, known.before
 		shown.word.Move = known.word.Move.WithOrder(order)
-	case found && order.Identity() < known.word.Move.Identity():
-		// The announcement was received before the catalog showed any order.
-		ahead = known.word
 	}
 	ledger = ledger.with(shown)
 	if !ahead.at.IsZero() {
--- a/move/restore_test.go
+++ b/move/restore_test.go
@@ -26,11 +26,13 @@
 	store.end = coltsfootlink.Position{Era: store.end.Era + 1, Offset: store.end.Offset / 2}
 }
 
-// record returns the record of the pool.
+// record returns the record of the pool, without what it says of other versions.
 func (store *recordStore) record() coltsfootlink.MoveRecord {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	return store.known["p"]
+	record := store.known["p"]
+	record.Serving, record.Rejected = nil, nil
+	return record
 }
 
 // eraFixture is instance a, which coordinates the move of the pool, beside the live instance b.
@@ -117,7 +119,8 @@
 				identity = test.shown
 			}
 			So(fixture.play(func() bool {
-				return fixture.store.record() == coltsfootlink.MoveRecord{To: "v2", Started: identity, State: test.recorded.State} && announced()
+				record := fixture.store.record()
+				return record.To == "v2" && record.Started == identity && record.State == test.recorded.State && announced()
 			}), ShouldBeTrue)
 			fixture.playFor(time.Second)
 			for _, word := range fixture.sender.takeSent() {
--- a/move/stale_test.go
+++ b/move/stale_test.go
@@ -189,22 +189,29 @@
 		recorded coltsfootlink.MoveRecord
 		state    coltsfootlink.MoveState
 		fails    bool
+		// rejected are the versions that get no requests while the move runs.
+		rejected []coltsfootlink.Version
 	}{
-		"an earlier order to the same version was rolled back": {coltsfootlink.MoveRecord{To: "v2", Started: 6, State: coltsfootlink.MoveRolledBack}, coltsfootlink.MoveRunning, false},
-		"an earlier order to another version runs":             {coltsfootlink.MoveRecord{To: "v1", Started: 6, State: coltsfootlink.MoveRunning}, coltsfootlink.MoveRunning, false},
-		"a later order runs":                                   {coltsfootlink.MoveRecord{To: "v3", Started: 8, State: coltsfootlink.MoveRunning}, "", true},
-		"this order was completed":                             {coltsfootlink.MoveRecord{To: "v2", Started: 7, State: coltsfootlink.MoveDone}, coltsfootlink.MoveDone, false},
-		"an older build completed the move":                    {coltsfootlink.MoveRecord{To: "v2", State: coltsfootlink.MoveDone}, coltsfootlink.MoveDone, false},
+		"an earlier order to the same version was rolled back": {coltsfootlink.MoveRecord{To: "v2", Started: 6, State: coltsfootlink.MoveRolledBack}, coltsfootlink.MoveRunning, false, nil},
+		"an earlier order to another version runs":             {coltsfootlink.MoveRecord{To: "v1", Started: 6, State: coltsfootlink.MoveRunning}, coltsfootlink.MoveRunning, false, []coltsfootlink.Version{"v1"}},
+		"an earlier order to another version was completed":    {coltsfootlink.MoveRecord{To: "v1", Started: 6, State: coltsfootlink.MoveDone}, coltsfootlink.MoveRunning, false, nil},
+		"two versions before were rolled back":                 {coltsfootlink.MoveRecord{To: "v1", Started: 6, State: coltsfootlink.MoveRolledBack, Rejected: []coltsfootlink.Version{"v0", "v2"}}, coltsfootlink.MoveRunning, false, []coltsfootlink.Version{"v0", "v1"}},
+		"this order runs beside a rejected version":            {coltsfootlink.MoveRecord{To: "v2", Started: 7, State: coltsfootlink.MoveRunning, Rejected: []coltsfootlink.Version{"v0"}}, coltsfootlink.MoveRunning, false, []coltsfootlink.Version{"v0"}},
+		"a later order runs":                                   {coltsfootlink.MoveRecord{To: "v3", Started: 8, State: coltsfootlink.MoveRunning}, "", true, nil},
+		"this order was completed":                             {coltsfootlink.MoveRecord{To: "v2", Started: 7, State: coltsfootlink.MoveDone}, coltsfootlink.MoveDone, false, nil},
+		"an older build completed the move":                    {coltsfootlink.MoveRecord{To: "v2", State: coltsfootlink.MoveDone}, coltsfootlink.MoveDone, false, nil},
 	}
 	for name, test := range cases {
 		Convey(name, t, func() {
 			store := &recordStore{known: map[coltsfootlink.PoolName]coltsfootlink.MoveRecord{"p": test.recorded}}
 			task := &Task{Records: store, Clock: coltsfootlink.SystemClock{}, Log: zerolog.Nop(), Inbox: mailbox.NewDeliveries()}
-			task.record(t.Context(), coltsfootlink.Move{Pool: "p", To: "v2", Started: 7, State: coltsfootlink.MoveRunning}, 1)
+			task.record(t.Context(), recordAttempt{move: coltsfootlink.Move{Pool: "p", To: "v2", Started: 7, State: coltsfootlink.MoveRunning}, attempt: 1})
 			result := task.Inbox.Drain()[0].Message.(recordResult)
 			So(result.state, ShouldEqual, test.state)
 			So(result.err != nil, ShouldEqual, test.fails)
-			if test.fails {
+			if !test.fails {
+				So(result.move.Rejected, ShouldResemble, test.rejected)
+			} else {
 				So(store.known["p"], ShouldResemble, test.recorded)
 			}
 		})
--- a/move/task.go
+++ b/move/task.go
@@ -60,6 +60,8 @@
 	// it was read or written.
 	recorded coltsfootlink.MoveState
 	era      uint64
+	// versionsKnown indicates that a coordinator has found what became of other versions from the record of the move before.
+	versionsKnown bool
 	// before is the state that was recorded before a restore of the store, until the record has been read again.
 	before coltsfootlink.MoveState
 	// asked indicates that other instances were asked for the outcome since the record became unknown; nothing is announced,
@@ -75,10 +77,20 @@
 	announceAt time.Time
 }
 
+// recordAttempt is an attempt to record the state of a move.
+type recordAttempt struct {
+	move          coltsfootlink.Move
+	versionsKnown bool
+	// before is what this instance knows of the pool's move before.
+	before  coltsfootlink.Move
+	attempt int
+}
+
 // recordResult is the result of an attempt to record the state of a move.
 type recordResult struct {
 	coltsfootlink.Local
 
+	// move has the versions that were found with the record.
 	move    coltsfootlink.Move
 	attempt int
 	// state is the state that is now recorded, if the attempt succeeded.
@@ -153,7 +165,7 @@
 // withUnknownRecord returns the coordination after the state on the platform may have changed: nothing is announced or decided
 // until it has been read again. An attempt in progress may have read it before the change, so its result is ignored.
 func (current coordination) withUnknownRecord() coordination {
-	return coordination{tracker: current.tracker, attempt: current.attempt + 1, before: current.before}
+	return coordination{tracker: current.tracker, versionsKnown: current.versionsKnown, attempt: current.attempt + 1, before: current.before}
 }
 
 // withRestoredStore returns the coordination after the store was restored from a copy, which may not have the recorded state.
@@ -203,8 +215,8 @@
 	now := task.Clock.Now()
 	current, found := task.coordinated[order.Pool]
 	if !found || !current.tracker.Move().SameOrder(order) {
-		known, _ := task.ledger.Word(order)
-		current = coordination{tracker: NewTracker(order).WithMove(known.Move)}
+		known, announcedAt := task.ledger.Word(order)
+		current = coordination{tracker: NewTracker(order).WithMove(known.Move).WithVersions(known.Move), versionsKnown: !announcedAt.IsZero()}
 		task.Log.Info().Str("pool", string(order.Pool)).Str("to", string(order.To)).Uint64("started", uint64(order.Identity())).
 			Time("finish-by", current.tracker.Move().FinishBy).Str("state", string(current.tracker.Move().State)).Msg("move: instance became the coordinator of a version move")
 	}
@@ -231,7 +243,7 @@
 	if current.recorded != current.tracker.Move().State && !current.recording && !now.Before(current.nextRecordAt) && !now.Before(current.decideAt) {
 		current.recording = true
 		current.attempt++
-		go task.record(ctx, current.tracker.Move(), current.attempt)
+		go task.record(ctx, recordAttempt{current.tracker.Move(), current.versionsKnown, task.ledger.Before(order), current.attempt})
 	}
 	task.coordinated[order.Pool] = current
 }
@@ -284,14 +296,20 @@
 
 // record writes the state of the move to the platform. A recorded outcome is never replaced, whoever recorded it, and returned
 // as the result. The write fails if others have written since the read.
-func (task *Task) record(ctx context.Context, move coltsfootlink.Move, attempt int) {
+func (task *Task) record(ctx context.Context, attempt recordAttempt) {
+	move := attempt.move
 	ctx, cancel := context.WithDeadline(ctx, task.Clock.Now().Add(recordTimeout))
 	defer cancel()
-	result := recordResult{move: move, attempt: attempt}
 	records, next, err := task.Records.Moves(ctx)
-	result.era = next.Era
 	existing := records[move.Pool]
 	switch {
+	case existing.IsOf(move) && len(existing.Serving) > 0:
+		move = move.WithVersions(existing.Serving, existing.Rejected)
+	case !attempt.versionsKnown:
+		move = move.WithPredecessor(existing.Predecessor(attempt.before))
+	}
+	result := recordResult{move: move, attempt: attempt.attempt, era: next.Era}
+	switch {
 	case err != nil:
 		result.err = err
 	case existing.Started > move.Identity() && !existing.IsOf(move):
@@ -337,10 +355,11 @@
 		}
 		current.before = ""
 		current.recorded, current.era = message.state, message.era
+		current.tracker, current.versionsKnown = current.tracker.WithVersions(message.move), true
 		if message.state.Final() {
 			current.announceAt = time.Time{}
 		}
-		task.Log.Info().Str("pool", string(pool)).Str("state", string(message.state)).Msg("move: state of a version move recorded")
+		task.Log.Info().Str("pool", string(pool)).Str("state", string(message.state)).Interface("serving", message.move.Serving).Interface("rejected", message.move.Rejected).Msg("move: state of a version move recorded")
 	}
 	task.coordinated[pool] = current
 }
--- a/move/task_test.go
+++ b/move/task_test.go
@@ -55,7 +55,7 @@
 		return errors.New("condition failed")
 	}
 	store.end = store.end.Next()
-	store.known[move.Pool] = coltsfootlink.MoveRecord{To: move.To, Started: move.Identity(), State: move.State}
+	store.known[move.Pool] = coltsfootlink.MoveRecord{To: move.To, Started: move.Identity(), State: move.State, Serving: move.Serving, Rejected: move.Rejected}
 	store.written = append(store.written, move.State)
 	return nil
 }
--- a/move/tracker.go
+++ b/move/tracker.go
@@ -99,6 +99,12 @@
 	return tracker
 }
 
+// WithVersions returns the tracker of a move with what is known of the other versions.
+func (tracker Tracker) WithVersions(known coltsfootlink.Move) Tracker {
+	tracker.move = tracker.move.WithVersions(known.Serving, known.Rejected)
+	return tracker
+}
+
 // WithUsages adds an instance's report: the results of ended requests and the number of running ones.
 func (tracker Tracker) WithUsages(now time.Time, from coltsfootlink.InstanceName, usages coltsfootlink.MoveUsages) Tracker {
 	for _, usage := range usages.Usages {
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -40,6 +40,7 @@
 	}},
 	"move word": coltsfootlink.MoveWord{Share: 0.25, Recorded: true, Move: coltsfootlink.Move{
 		Pool: "p", To: "v2", Started: 7, OrderedAt: at, FinishBy: at, State: coltsfootlink.MoveRolledBack, Reason: "requests fail",
+		Serving: []coltsfootlink.Version{"v3"}, Rejected: []coltsfootlink.Version{"v0", "v1"},
 	}},
 	"counters": coltsfootlink.Counters{
 		Pool:  "p",
--- a/peer/moves.go
+++ b/peer/moves.go
@@ -42,6 +42,8 @@
 		ReasonRef:           encoder.ref(announcement.Move.Reason),
 		Share:               float32(announcement.Share),
 		Recorded:            announcement.Recorded,
+		ServingRefs:         encoder.versions(announcement.Move.Serving),
+		RejectedRefs:        encoder.versions(announcement.Move.Rejected),
 	}
 }
 
@@ -55,8 +57,18 @@
 			FinishBy:  fromUnixMillis(announcement.GetFinishByUnixMillis()),
 			State:     coltsfootlink.MoveState(decoder.name(announcement.GetStateRef())),
 			Reason:    decoder.name(announcement.GetReasonRef()),
+			Serving:   decoder.versions(announcement.GetServingRefs()),
+			Rejected:  decoder.versions(announcement.GetRejectedRefs()),
 		},
 		Share:    float64(announcement.GetShare()),
 		Recorded: announcement.GetRecorded(),
 	}
 }
+
+func (encoder *encoder) versions(versions []coltsfootlink.Version) []uint32 {
+	return convertAll(versions, func(version coltsfootlink.Version) uint32 { return encoder.ref(string(version)) })
+}
+
+func (decoder *decoder) versions(refs []uint32) []coltsfootlink.Version {
+	return convertAll(refs, func(ref uint32) coltsfootlink.Version { return coltsfootlink.Version(decoder.name(ref)) })
+}
