Own interface: a rolled-back version gets no permits beside the pool's next move

Result: TestRolloutShare and TestMovesAfterARollback pass; the row of rejected versions fails without the change of Allows, and the rows of rejected versions of the second need the change of startMove. The tests of permit, settings and operator pass.

--- a/move/rollout.go
+++ b/move/rollout.go
@@ -109,7 +109,7 @@
 	case rollout.move.From:
 		return share < 1 || rollout.move.State == coltsfootlink.MoveRunning
 	default:
-		return true
+		return !rollout.move.Rejects(version)
 	}
 }
 
--- a/move/rollout_test.go
+++ b/move/rollout_test.go
@@ -95,17 +95,21 @@
 		rollout   coltsfootlink.Rollout
 		share     float64
 		allowsOld bool
+		// allowsOther tells of a version that is neither the old nor the new one.
+		allowsOther bool
 	}{
-		"first stage":                {NewRollout(runningMove), stages[0], true},
-		"move done":                  {NewRollout(runningMove).WithMove(runningMove.WithState(coltsfootlink.MoveDone, "")), 1, false},
-		"move rolled back":           {NewRollout(runningMove).WithMove(runningMove.WithState(coltsfootlink.MoveRolledBack, "")), 0, true},
-		"fault found":                {NewRollout(runningMove).WithFault("slow"), 0, true},
-		"fault found, and move done": {NewRollout(runningMove).WithMove(runningMove.WithState(coltsfootlink.MoveDone, "")).WithFault("slow"), 0, true},
+		"first stage":                {NewRollout(runningMove), stages[0], true, true},
+		"move done":                  {NewRollout(runningMove).WithMove(runningMove.WithState(coltsfootlink.MoveDone, "")), 1, false, true},
+		"move rolled back":           {NewRollout(runningMove).WithMove(runningMove.WithState(coltsfootlink.MoveRolledBack, "")), 0, true, true},
+		"fault found":                {NewRollout(runningMove).WithFault("slow"), 0, true, true},
+		"fault found, and move done": {NewRollout(runningMove).WithMove(runningMove.WithState(coltsfootlink.MoveDone, "")).WithFault("slow"), 0, true, true},
+		"other versions rejected":    {NewRollout(runningMove.WithVersions(nil, []coltsfootlink.Version{"v0"})), stages[0], true, false},
 	}
 	for name, test := range cases {
 		Convey(name, t, func() {
 			So(test.rollout.Share(), ShouldEqual, test.share)
 			So(test.rollout.Allows("v1"), ShouldEqual, test.allowsOld)
+			So(test.rollout.Allows("v0"), ShouldEqual, test.allowsOther)
 		})
 	}
 	Convey("the share of the first stage is never exceeded, and does not grow without results of requests", t, func() {
--- a/revision/move.go
+++ b/revision/move.go
@@ -14,17 +14,19 @@
 	if record.From == record.To {
 		return configuration, errors.Newf("revision: cannot start a move: the old and the new version are both %q", record.From)
 	}
-	if present, found := configuration.Moves[record.Pool]; found && present.State == coltsfootlink.MoveRunning {
+	present, found := configuration.Moves[record.Pool]
+	if found && present.State == coltsfootlink.MoveRunning {
 		return configuration, errors.Newf("revision: cannot start a move: pool %q already has a running move to version %q", record.Pool, present.To)
 	}
-	return configuration.WithMove(coltsfootlink.Move{
+	started := coltsfootlink.Move{
 		Pool:     record.Pool,
 		From:     record.From,
 		To:       record.To,
 		Started:  configuration.Revision + 1,
 		FinishBy: record.FinishBy,
 		State:    coltsfootlink.MoveRunning,
-	}), nil
+	}
+	return configuration.WithMove(started.WithVersions(nil, started.WithPredecessor(present).Rejected)), nil
 }
 
 // endMove returns the configuration with a move completed or rolled back. A completed move can still be rolled back; a
--- a/revision/state_test.go
+++ b/revision/state_test.go
@@ -149,3 +149,36 @@
 		}
 	})
 }
+
+// TestMovesAfterARollback guards against a version that was rolled back and gets requests again beside the pool's next move, also
+// after the configuration was read from a snapshot.
+func TestMovesAfterARollback(t *testing.T) {
+	cases := map[string]struct {
+		outcome  coltsfootlink.MoveState
+		to       coltsfootlink.Version
+		rejected []coltsfootlink.Version
+	}{
+		"another version":          {coltsfootlink.MoveRolledBack, "v3", []coltsfootlink.Version{"v2"}},
+		"the same version":         {coltsfootlink.MoveRolledBack, "v2", nil},
+		"after a completed move":   {coltsfootlink.MoveDone, "v3", nil},
+		"back to the one it was":   {coltsfootlink.MoveDone, "v1", nil},
+		"back after the roll-back": {coltsfootlink.MoveRolledBack, "v0", []coltsfootlink.Version{"v2"}},
+	}
+	for name, test := range cases {
+		Convey(name, t, func() {
+			configuration, err := settings.ParseFleet("fleet.toml", document(1), coltsfootlink.Configuration{})
+			So(err, ShouldBeNil)
+			configuration, err = startMove(configuration, Record{Pool: "p", From: "v1", To: "v2"})
+			So(err, ShouldBeNil)
+			configuration, err = endMove(configuration, Record{Pool: "p"}, test.outcome)
+			So(err, ShouldBeNil)
+			configuration, err = startMove(configuration, Record{Pool: "p", From: "v5", To: test.to})
+			So(err, ShouldBeNil)
+			snapshot, err := settings.FormatFleet(configuration)
+			So(err, ShouldBeNil)
+			configuration, err = settings.ParseFleet("snapshot.toml", snapshot, coltsfootlink.Configuration{})
+			So(err, ShouldBeNil)
+			So(configuration.Moves["p"].Rejected, ShouldResemble, test.rejected)
+		})
+	}
+}
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -42,6 +42,7 @@
 	FinishBy time.Time `toml:"finish-by"`
 	State    string    `toml:"state"`
 	Reason   string    `toml:"reason"`
+	Rejected []string  `toml:"rejected,omitempty"`
 }
 
 type fleetZone struct {
@@ -203,6 +204,7 @@
 		FinishBy: move.FinishBy,
 		State:    coltsfootlink.MoveState(move.State),
 		Reason:   move.Reason,
+		Rejected: convertVersions[coltsfootlink.Version](move.Rejected),
 	})
 }
 
@@ -215,9 +217,19 @@
 		FinishBy: move.FinishBy.UTC(),
 		State:    string(move.State),
 		Reason:   move.Reason,
+		Rejected: convertVersions[string](move.Rejected),
 	}
 }
 
+// convertVersions converts between the two forms of a list of versions; an empty list becomes nil.
+func convertVersions[To, From ~string](versions []From) []To {
+	var converted []To
+	for _, version := range versions {
+		converted = append(converted, To(version))
+	}
+	return converted
+}
+
 func (pool fleetPool) pool() coltsfootlink.Pool {
 	return coltsfootlink.Pool{
 		Name:            coltsfootlink.PoolName(pool.Name),
