--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -11,7 +11,6 @@
 	"coltsfootlink/explain"
 	"coltsfootlink/ownership"
 	"coltsfootlink/placement"
-	"coltsfootlink/quarantine"
 	"coltsfootlink/share"
 )
 
@@ -157,7 +156,7 @@
 
 // explainQuarantine returns the Want, as a trial if its prompt is barred and a trial is due; the refusal if none is due.
 func (task *Task) explainQuarantine(now time.Time, want Want) (Want, *coltsfootlink.Refusal) {
-	parts := want.Work.SharedParts(quarantine.MaxParts)
+	parts := want.Work.SharedParts
 	if len(parts) == 0 {
 		return want, nil
 	}
--- a/dispatch/explain_test.go
+++ b/dispatch/explain_test.go
@@ -161,7 +161,7 @@
 
 // TestExplainedRefusals guards against an explanation that misses what the gate refuses before dispatch sees the request.
 func TestExplainedRefusals(t *testing.T) {
-	parts := newWant(&fakeClock{}, nil).Work.SharedParts(quarantine.MaxParts)
+	parts := newWant(&fakeClock{}, nil).Work.SharedParts
 	bar := func(task *Task, trialAt time.Time) {
 		view := quarantine.View{}.WithSynced(true).WithBars("p", []quarantine.Bar{{Parts: parts, TrialAt: trialAt}})
 		task.handle(coltsfootlink.Delivery{Message: quarantine.Changed{View: view}})
--- a/dispatch/task_test.go
+++ b/dispatch/task_test.go
@@ -72,7 +72,7 @@
 func newWant(clock *fakeClock, reply chan<- Choice) Want {
 	return Want{
 		ID: "r", Pool: "p", Team: "x", Objective: clock.now.Add(time.Second), Deadline: clock.now.Add(time.Minute), Reply: reply,
-		Work: coltsfootlink.Work{Prompt: []coltsfootlink.CachePart{{Key: 7, Tokens: 100}, {Key: 8, Tokens: 10}}},
+		Work: coltsfootlink.Work{Prompt: []coltsfootlink.CachePart{{Key: 7, Tokens: 100}, {Key: 8, Tokens: 10}}, SharedParts: []coltsfootlink.PartID{9}},
 	}
 }
 
--- a/ingress/progress.go
+++ b/ingress/progress.go
@@ -108,11 +108,11 @@
 	line.Msg("ingress: connection to target broke during a request")
 }
 
-// partList returns the identities of the parts of a prompt in hexadecimal, separated by spaces.
+// partList returns the identities of the parts of a prompt that other requests may share, in hexadecimal and separated by spaces.
 func partList(work coltsfootlink.Work) string {
-	names := make([]string, 0, len(work.Prompt))
-	for _, part := range work.Prompt {
-		names = append(names, part.ID.String())
+	names := make([]string, 0, len(work.SharedParts))
+	for _, part := range work.SharedParts {
+		names = append(names, part.String())
 	}
 	return strings.Join(names, " ")
 }
--- a/ingress/quarantine.go
+++ b/ingress/quarantine.go
@@ -19,7 +19,7 @@
 // admittedByQuarantine reports whether the prompt is not held back because targets crash under it, and refuses the request
 // otherwise. This is decided before anything is counted for the team or kept waiting.
 func (current *exchange) admittedByQuarantine() bool {
-	current.sharedParts = current.head.Work.SharedParts(quarantine.MaxParts)
+	current.sharedParts = current.head.Work.SharedParts
 	if len(current.sharedParts) == 0 {
 		return true
 	}
--- a/ingress/quarantine_test.go
+++ b/ingress/quarantine_test.go
@@ -221,7 +221,7 @@
 		for number := range 3 {
 			at := trialAt.Add(time.Duration(number)*time.Second - 4*time.Second)
 			crash := coltsfootlink.PromptCrash{Pool: "p", Request: coltsfootlink.RequestID(fmt.Sprint(number)), SentAt: at.Add(-time.Millisecond), CrashedAt: at}
-			for _, part := range decodedParts("c:1,d:1,o:1")[1:] {
+			for _, part := range decodedParts("d:1,o:1") {
 				crash.Suspects = append(crash.Suspects, coltsfootlink.Suspect{Part: part})
 			}
 			state = state.WithCrash(now, crash)
@@ -270,9 +270,52 @@
 	}
 }
 
+// TestPartsBehindManyOthersAreHeldBack guards against a part that crashes targets and is never suspected because of its place in
+// the prompt.
+func TestPartsBehindManyOthersAreHeldBack(t *testing.T) {
+	cases := map[string]struct{ place, parts int }{
+		"near the beginning":              {2, 71},
+		"behind the 64th":                 {67, 71},
+		"the last but one":                {69, 71},
+		"behind the parts of predictions": {1500, 2000},
+	}
+	for name, test := range cases {
+		Convey(name, t, func() {
+			now := time.Now()
+			// promptOf returns the shared parts of a request with a subject of its own, and with the deadly part or without it.
+			promptOf := func(request int, deadly bool) []coltsfootlink.PartID {
+				list := make([]string, test.parts)
+				for index := range list {
+					list[index] = fmt.Sprintf("%x:1", index)
+				}
+				list[1], list[test.parts-1] = fmt.Sprintf("subject-%d:1", request), fmt.Sprintf("own-%d:1", request)
+				if deadly {
+					list[test.place] = "deadly:1"
+				}
+				return decodedParts(strings.Join(list, ","))
+			}
+			state := quarantine.NewState()
+			for request := range 3 {
+				crash := coltsfootlink.PromptCrash{Pool: "p", Request: coltsfootlink.RequestID(fmt.Sprint(request)), SentAt: now, CrashedAt: now.Add(time.Second)}
+				for _, part := range promptOf(request, true) {
+					crash.Suspects = append(crash.Suspects, coltsfootlink.Suspect{Part: part})
+				}
+				state = state.WithCrash(now.Add(time.Second), crash).WithAnswered(now.Add(time.Second+time.Millisecond), promptOf(10+request, false))
+				now = now.Add(2 * time.Second)
+			}
+			view := quarantine.View{}.WithSynced(true).WithBars("p", state.Bars())
+			_, barred := view.Bar("p", promptOf(20, true))
+			So(barred, ShouldBeTrue)
+			_, barred = view.Bar("p", promptOf(21, false))
+			So(barred, ShouldBeFalse)
+			So(state.Bars()[0].Parts, ShouldHaveLength, 1)
+		})
+	}
+}
+
 // decodedParts returns the identifiers of the parts of a prompt but its last.
 func decodedParts(parts string) []coltsfootlink.PartID {
 	request := httptest.NewRequest(http.MethodPost, "/", nil)
 	request.Header = promptHeader(parts)
-	return platform.DecodeCaller(request, time.Now()).Work.SharedParts(quarantine.MaxParts)
+	return platform.DecodeCaller(request, time.Now()).Work.SharedParts
 }
--- a/prompt.go
+++ b/prompt.go
@@ -12,8 +12,6 @@
 type CachePart struct {
 	// Key identifies the part together with the model and all parts before it.
 	Key uint64
-	// ID identifies the part alone, whatever comes before it. Permits are requested without it.
-	ID PartID
 	// Tokens is the size of the part in tokens.
 	Tokens int
 }
@@ -22,6 +20,9 @@
 type Work struct {
 	// Prompt is the sequence of parts of the prompt; the last one is specific to the request.
 	Prompt []CachePart
+	// SharedParts identifies all parts of the prompt but the last, each once, in ascending order. Permits are requested without
+	// it.
+	SharedParts []PartID
 	// PromptTokens is the size of the whole prompt in tokens.
 	PromptTokens int
 	// OutputTokens is the maximum number of tokens to generate.
@@ -44,16 +45,6 @@
 	return work.Prompt[:len(work.Prompt)-1]
 }
 
-// SharedParts returns the identifiers of all parts of the prompt but the last, at most limit.
-func (work Work) SharedParts(limit int) []PartID {
-	shared := work.SharedPrefix()
-	ids := make([]PartID, 0, min(limit, len(shared)))
-	for _, part := range shared[:min(limit, len(shared))] {
-		ids = append(ids, part.ID)
-	}
-	return ids
-}
-
 // Affinity is the same for requests with the same shared prefix; zero if there is no shared prefix.
 func (work Work) Affinity() uint64 {
 	shared := work.SharedPrefix()
--- a/quarantine/bar.go
+++ b/quarantine/bar.go
@@ -54,13 +54,32 @@
 	if now.Before(bar.TrialAt) {
 		return false
 	}
-	suspected := slices.ContainsFunc(bar.Suspects, func(part coltsfootlink.PartID) bool { return slices.Contains(parts, part) })
-	return !suspected || !now.Before(bar.AnyTrialAt)
+	return !shareAny(bar.Suspects, ascending(parts)) || !now.Before(bar.AnyTrialAt)
 }
 
 // Holds reports whether the bar holds back requests with the given parts.
 func (bar Bar) Holds(parts []coltsfootlink.PartID) bool {
-	return !slices.ContainsFunc(bar.Parts, func(part coltsfootlink.PartID) bool { return !slices.Contains(parts, part) })
+	parts = ascending(parts)
+	return !slices.ContainsFunc(bar.Parts, func(part coltsfootlink.PartID) bool { return !has(parts, part) })
+}
+
+// ascending returns the parts in ascending order.
+func ascending(parts []coltsfootlink.PartID) []coltsfootlink.PartID {
+	if slices.IsSorted(parts) {
+		return parts
+	}
+	return slices.Sorted(slices.Values(parts))
+}
+
+// has reports whether a part is among others, which are in ascending order.
+func has(parts []coltsfootlink.PartID, part coltsfootlink.PartID) bool {
+	_, found := slices.BinarySearch(parts, part)
+	return found
+}
+
+// shareAny reports whether one of the parts is among others, which are in ascending order.
+func shareAny(parts, others []coltsfootlink.PartID) bool {
+	return slices.ContainsFunc(parts, func(part coltsfootlink.PartID) bool { return has(others, part) })
 }
 
 // Key identifies the parts of the bar.
@@ -72,7 +91,7 @@
 	return xxhash.Sum64(text)
 }
 
-// evidence is a crash with the suspects that were not answered after it.
+// evidence is a crash with the suspects that were not answered after it, in ascending order.
 type evidence struct {
 	crash coltsfootlink.PromptCrash
 	parts []coltsfootlink.PartID
@@ -80,7 +99,7 @@
 
 // shares reports whether one of the parts is left as a suspect.
 func (found evidence) shares(parts []coltsfootlink.PartID) bool {
-	return slices.ContainsFunc(found.parts, func(part coltsfootlink.PartID) bool { return slices.Contains(parts, part) })
+	return shareAny(parts, found.parts)
 }
 
 // compare orders evidence by the time of the crash.
@@ -101,9 +120,14 @@
 // withBars derives the bars from the crashes and answers. The part that explains most crashes is barred first, together with
 // the parts that all prompts with it have in common; the crashes that this explains count against no other part.
 func (state State) withBars() State {
-	state.suspected = nil
-	for _, crash := range state.crashes {
-		if parts := state.left(crash, partsOf(crash)); len(parts) > 0 {
+	state.suspected, state.crashes = nil, slices.Clone(state.crashes)
+	for index, crash := range state.crashes {
+		parts := state.left(crash, partsOf(crash))
+		if len(parts) < len(crash.Suspects) {
+			// An answered part stays cleared even when it is forgotten that it was answered.
+			state.crashes[index].Suspects = slices.DeleteFunc(slices.Clone(crash.Suspects), func(suspect coltsfootlink.Suspect) bool { return !has(parts, suspect.Part) })
+		}
+		if len(parts) > 0 {
 			state.suspected = append(state.suspected, evidence{crash: crash, parts: parts})
 		}
 	}
@@ -116,6 +140,14 @@
 	if len(state.elsewhere) > 0 {
 		slices.SortStableFunc(state.unexplained, evidence.compare)
 	}
+	state.suspectedSince = make(map[coltsfootlink.PartID]time.Time)
+	for _, found := range state.unexplained {
+		for _, part := range found.parts {
+			if since, known := state.suspectedSince[part]; !known || found.crash.CrashedAt.Before(since) {
+				state.suspectedSince[part] = found.crash.CrashedAt
+			}
+		}
+	}
 	state.bars = nil
 	for {
 		bar, found := state.nextBar()
@@ -148,7 +180,7 @@
 // partsWithoutBar returns the suspects of a crash that no bar rests on.
 func (state State) partsWithoutBar(crash coltsfootlink.PromptCrash) []coltsfootlink.PartID {
 	return slices.DeleteFunc(partsOf(crash), func(part coltsfootlink.PartID) bool {
-		return slices.ContainsFunc(state.bars, func(bar Bar) bool { return slices.Contains(bar.Parts, part) })
+		return slices.ContainsFunc(state.bars, func(bar Bar) bool { return has(bar.Parts, part) })
 	})
 }
 
@@ -184,13 +216,20 @@
 
 // nextBar returns the bar for the part that is most likely to have caused the unexplained crashes; false if none is likely.
 func (state State) nextBar() (Bar, bool) {
-	var best candidate
-	for _, found := range state.unexplained {
+	crashes := make(map[coltsfootlink.PartID][]int)
+	for index, found := range state.unexplained {
 		for _, part := range found.parts {
-			next := state.candidateOf(part)
-			if next.excess() >= 0 && (best.successive == 0 || next.compare(best) < 0) {
-				best = next
-			}
+			crashes[part] = append(crashes[part], index)
+		}
+	}
+	var best candidate
+	for part, indices := range crashes {
+		if len(indices) < minCrashes {
+			continue
+		}
+		next := state.candidateOf(part, indices)
+		if next.excess() >= 0 && (best.successive == 0 || next.compare(best) < 0) {
+			best = next
 		}
 	}
 	if best.successive == 0 {
@@ -218,18 +257,16 @@
 	}
 	slices.Sort(beside)
 	beside = slices.Compact(beside)
-	return slices.DeleteFunc(beside, func(part coltsfootlink.PartID) bool { return slices.Contains(parts, part) })
+	return slices.DeleteFunc(beside, func(part coltsfootlink.PartID) bool { return has(parts, part) })
 }
 
-// candidateOf collects the unexplained crashes with a part. Only crashes of requests that were sent after the one before was
+// candidateOf collects the unexplained crashes with a part, which have the given indices. Only crashes of requests that were sent after the one before was
 // known count as successive: crashes at the same moment have one cause, which may be none of the prompts.
-func (state State) candidateOf(part coltsfootlink.PartID) candidate {
+func (state State) candidateOf(part coltsfootlink.PartID, indices []int) candidate {
 	found := candidate{part: part, answered: !state.answered.At(part).IsZero() || state.answered.Len() < minAnswered}
 	var counted coltsfootlink.PromptCrash
-	for _, next := range state.unexplained {
-		if !slices.Contains(next.parts, part) {
-			continue
-		}
+	for _, index := range indices {
+		next := state.unexplained[index]
 		found.all = append(found.all, next)
 		if found.successive == 0 || next.crash.Request != counted.Request && !next.crash.SentAt.Before(counted.CrashedAt) {
 			found.successive++
@@ -243,9 +280,8 @@
 func commonParts(all []evidence) []coltsfootlink.PartID {
 	common := slices.Clone(all[0].parts)
 	for _, found := range all[1:] {
-		common = slices.DeleteFunc(common, func(part coltsfootlink.PartID) bool { return !slices.Contains(found.parts, part) })
+		common = slices.DeleteFunc(common, func(part coltsfootlink.PartID) bool { return !has(found.parts, part) })
 	}
-	slices.Sort(common)
 	return slices.Compact(common)
 }
 
--- a/quarantine/fleet.go
+++ b/quarantine/fleet.go
@@ -13,8 +13,10 @@
 const (
 	// syncPeers is the number of instances that tell an instance that joins what they know.
 	syncPeers = 3
-	// maxGossip is the number of crashes in a message to a random instance.
+	// maxGossip is the number of crashes that a random instance is told of.
 	maxGossip = 16
+	// messageSuspects is the number of suspects after which a message ends and the next one begins.
+	messageSuspects = 4096
 )
 
 // handleFleet tells instances that have joined what this one knows. If most of the fleet is new to this instance, it has
@@ -28,8 +30,13 @@
 			continue
 		}
 		joined++
-		if len(news.Crashes) > 0 && task.tells(before, member.Name) {
-			task.Sender.Send(member.Name, news)
+		if !task.tells(before, member.Name) {
+			continue
+		}
+		for _, message := range news {
+			if len(message.Crashes) > 0 {
+				task.Sender.Send(member.Name, message)
+			}
 		}
 	}
 	if joined > 0 && 2*joined >= len(fleet.Live()) {
@@ -66,17 +73,24 @@
 	}
 }
 
-// news returns the newest crashes of each pool, up to a number, those that bars rest on first.
-func (task *Task) news(limit int) coltsfootlink.QuarantineNews {
-	var news coltsfootlink.QuarantineNews
+// news returns messages with the newest crashes of each pool, up to a number, those that bars rest on first; at least one
+// message, which may be empty.
+func (task *Task) news(limit int) []coltsfootlink.QuarantineNews {
+	messages, suspects := make([]coltsfootlink.QuarantineNews, 1), 0
 	for _, state := range task.pools.states {
-		crashes := state.Crashes()
+		crashes := slices.DeleteFunc(state.Crashes(), func(crash coltsfootlink.PromptCrash) bool { return len(crash.Suspects) == 0 })
 		slices.SortStableFunc(crashes, func(one, other coltsfootlink.PromptCrash) int {
 			return cmp.Or(cmp.Compare(state.rank(one), state.rank(other)), other.CrashedAt.Compare(one.CrashedAt))
 		})
-		news.Crashes = append(news.Crashes, crashes[:min(limit, len(crashes))]...)
+		for _, crash := range crashes[:min(limit, len(crashes))] {
+			if suspects > messageSuspects {
+				messages, suspects = append(messages, coltsfootlink.QuarantineNews{}), 0
+			}
+			last := &messages[len(messages)-1]
+			last.Crashes, suspects = append(last.Crashes, crash), suspects+len(crash.Suspects)
+		}
 	}
-	return news
+	return messages
 }
 
 // others returns the names of the other live instances.
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -3,6 +3,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -10,10 +11,10 @@
 )
 
 const (
-	// MaxParts is the number of parts of a prompt, from its beginning, that can be suspected.
-	MaxParts = 64
-	// maxCrashes is the number of crashes that are kept for a pool.
-	maxCrashes = 64
+	// maxCrashes is the number of crashes that are kept for a pool, and maxSuspects that of their suspects. All parts of a
+	// prompt are suspected, so that crashes with many parts are fewer; those that were answered since are not kept.
+	maxCrashes  = 64
+	maxSuspects = 64 << 10
 	// crashTTL is how long a crash is kept; one that a bar rests on is kept until the bar's trial has been due for as long.
 	crashTTL = time.Hour
 )
@@ -28,6 +29,8 @@
 	suspected, elsewhere []evidence
 	// unexplained are the crashes, here and elsewhere, that no bar explains, with the suspects that are left.
 	unexplained []evidence
+	// suspectedSince is the time of the earliest crash, here and elsewhere, of which each part is a suspect.
+	suspectedSince map[coltsfootlink.PartID]time.Time
 }
 
 // NewState returns a state without crashes.
@@ -61,6 +64,8 @@
 	if known || len(crash.Suspects) == 0 {
 		return state
 	}
+	crash.Suspects = slices.SortedFunc(slices.Values(crash.Suspects), func(one, other coltsfootlink.Suspect) int { return cmp.Compare(one.Part, other.Part) })
+	crash.Suspects = slices.CompactFunc(crash.Suspects, func(one, other coltsfootlink.Suspect) bool { return one.Part == other.Part })
 	position, _ := slices.BinarySearchFunc(state.crashes, crash.CrashedAt, func(known coltsfootlink.PromptCrash, at time.Time) int {
 		return known.CrashedAt.Compare(at)
 	})
@@ -82,11 +87,8 @@
 
 // clears reports whether an answer clears the part of a crash that it was not cleared of before.
 func (state State) clears(part coltsfootlink.PartID, at time.Time) bool {
-	known := state.answered.At(part)
-	clears := func(crash coltsfootlink.PromptCrash) bool {
-		return !known.After(crash.CrashedAt) && at.After(crash.CrashedAt) && slices.ContainsFunc(crash.Suspects, func(suspect coltsfootlink.Suspect) bool { return suspect.Part == part })
-	}
-	return slices.ContainsFunc(state.crashes, clears) || slices.ContainsFunc(state.elsewhere, func(found evidence) bool { return clears(found.crash) })
+	since, suspected := state.suspectedSince[part]
+	return suspected && at.After(since)
 }
 
 // withElsewhere replaces the evidence of the crashes in other pools.
@@ -126,9 +128,9 @@
 	})
 }
 
-// withoutExcess drops the oldest crashes beyond maxCrashes, those that no bar rests on first.
+// withoutExcess drops the oldest crashes beyond maxCrashes and maxSuspects, those that no bar rests on first.
 func (state State) withoutExcess() State {
-	for len(state.crashes) > maxCrashes {
+	for len(state.crashes) > maxCrashes || state.countSuspects() > maxSuspects && len(state.crashes) > 1 {
 		index := max(0, slices.IndexFunc(state.crashes, func(crash coltsfootlink.PromptCrash) bool { return !state.explains(crash) }))
 		state.crashes = slices.Delete(state.crashes, index, index+1)
 		state = state.withBars()
@@ -136,6 +138,14 @@
 	return state
 }
 
+func (state State) countSuspects() int {
+	count := 0
+	for _, crash := range state.crashes {
+		count += len(crash.Suspects)
+	}
+	return count
+}
+
 // Bars returns the bars in force.
 func (state State) Bars() []Bar { return state.bars }
 
@@ -185,7 +195,7 @@
 	return one.Request == other.Request && one.Target == other.Target && one.Incarnation == other.Incarnation
 }
 
-// partsOf returns the suspects of a crash.
+// partsOf returns the suspects of a crash, in ascending order.
 func partsOf(crash coltsfootlink.PromptCrash) []coltsfootlink.PartID {
 	parts := make([]coltsfootlink.PartID, 0, len(crash.Suspects))
 	for _, suspect := range crash.Suspects {
--- a/quarantine/state_test.go
+++ b/quarantine/state_test.go
@@ -296,3 +296,24 @@
 		}
 	})
 }
+
+// BenchmarkAnswersAfterCrashes measures what an answered request with a thousand parts costs while crashes are known, and the
+// decision on the next one.
+func BenchmarkAnswersAfterCrashes(b *testing.B) {
+	var parts []coltsfootlink.PartID
+	for number := range 1000 {
+		parts = append(parts, coltsfootlink.PartID(number+1)<<20)
+	}
+	state := NewState()
+	for number := range 8 {
+		crash := crashOf(fmt.Sprint(number), "", 1000*number, 1000*number+100)
+		for _, part := range append(parts[:990:990], coltsfootlink.PartID(number)) {
+			crash.Suspects = append(crash.Suspects, coltsfootlink.Suspect{Part: part})
+		}
+		state = state.WithCrash(start, crash)
+	}
+	for number := range b.N {
+		state = state.WithAnswered(start.Add(time.Duration(number)*time.Microsecond), parts)
+		View{}.WithBars("p", state.Bars()).Bar("p", parts)
+	}
+}
--- a/quarantine/task.go
+++ b/quarantine/task.go
@@ -79,7 +79,9 @@
 	case coltsfootlink.QuarantineNews:
 		task.handleNews(message)
 	case coltsfootlink.QuarantineRequest:
-		task.Sender.Send(delivery.From, task.news(maxCrashes))
+		for _, news := range task.news(maxCrashes) {
+			task.Sender.Send(delivery.From, news)
+		}
 	case coltsfootlink.BarLift:
 		task.lift(message)
 	case coltsfootlink.ViewChanged:
@@ -130,7 +132,7 @@
 	task.update(message.Pool, task.pools.State(message.Pool).WithAnswered(message.At, message.Parts))
 	var news coltsfootlink.QuarantineNews
 	for _, part := range message.Parts {
-		if slices.ContainsFunc(barred, func(bar Bar) bool { return slices.Contains(bar.Parts, part) }) {
+		if slices.ContainsFunc(barred, func(bar Bar) bool { return has(bar.Parts, part) }) {
 			news.Answered = append(news.Answered, coltsfootlink.PartAnswered{Pool: message.Pool, Part: part, At: message.At})
 		}
 	}
@@ -156,7 +158,6 @@
 func (task *Task) handleNews(news coltsfootlink.QuarantineNews) {
 	crashes := make(map[coltsfootlink.PoolName][]coltsfootlink.PromptCrash)
 	for _, crash := range news.Crashes {
-		crash.Suspects = crash.Suspects[:min(len(crash.Suspects), MaxParts)]
 		crashes[crash.Pool] = append(crashes[crash.Pool], crash)
 	}
 	for pool, found := range crashes {
@@ -183,9 +184,15 @@
 		return
 	}
 	task.gossipAt = now.Add(gossipInterval)
-	news, others := task.news(maxGossip), task.others()
-	if len(news.Crashes) > 0 && len(others) > 0 {
-		task.Sender.Send(others[rand.IntN(len(others))], news)
+	others := task.others()
+	if len(others) == 0 {
+		return
+	}
+	to := others[rand.IntN(len(others))]
+	for _, news := range task.news(maxGossip) {
+		if len(news.Crashes) > 0 {
+			task.Sender.Send(to, news)
+		}
 	}
 }
 
