--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -223,11 +223,11 @@
 	return buffered, len(buffered) < bufferedAnswerBytes, reserved, err
 }
 
-// checkEnd returns an error if the answer ended with its connection because its target crashed. The end of an answer without a
-// length or chunks looks the same in both cases, so the target is asked whether it is still there.
+// checkEnd returns an error if the answer ended with its connection, and another process has registered as its target since.
 func (current *exchange) checkEnd(choice dispatch.Choice, answer upstream.Answer) error {
 	hasBody := current.incoming.Method != http.MethodHead
-	if hasBody && !answer.Framed() && current.service.Client.Unreachable(current.incoming.Context(), choice.Target) {
+	registered, found := current.service.Gate.Catalog().Targets[choice.Target.Name]
+	if hasBody && !answer.Framed() && found && registered.Incarnation != choice.Target.Incarnation {
 		return io.ErrUnexpectedEOF
 	}
 	return nil
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"coltsfootlink"
 	"coltsfootlink/mailbox"
@@ -86,7 +87,11 @@
 		failure.Begun = conn.answerBegun
 		return Answer{}, failure
 	}
-	answer.Body = &body{ReadCloser: answer.Response.Body, answer: answer.Response, conn: conn, client: client, written: written, stopAbort: stopAbort}
+	received := &body{ReadCloser: answer.Response.Body, ctx: ctx, answer: answer.Response, conn: conn, client: client, written: written, stopAbort: stopAbort}
+	if request.Incoming.Method != http.MethodHead && !endsBeforeClose(answer.Response) {
+		received.ending = client.newEnding(ctx, request.Target, conn, written)
+	}
+	answer.Body = received
 	return answer, nil
 }
 
@@ -204,21 +209,35 @@
 type body struct {
 	io.ReadCloser
 
+	// ctx is that of the call.
+	ctx     context.Context
 	answer  *http.Response
 	conn    *conn
 	client  *Client
 	written <-chan error
 	// stopAbort cancels the abort of the connection at the end of the context; false if that has already started.
 	stopAbort func() bool
-	ended     bool
+	// ending tells whether an answer that ends with its connection is complete; nil for others.
+	ending *ending
+	ended  bool
+	// cut indicates that the answer has ended and is not complete.
+	cut bool
 }
 
 // Read returns io.EOF only at the end of a complete answer.
 func (body *body) Read(buffer []byte) (int, error) {
 	count, err := body.ReadCloser.Read(buffer)
-	if err == io.EOF {
-		body.finish()
+	if err != io.EOF {
+		return count, err
+	}
+	if body.ending != nil && !body.ended {
+		body.cut = !body.ending.whole(body.ctx)
+		body.ending = nil
 	}
+	if body.cut {
+		return count, io.ErrUnexpectedEOF
+	}
+	body.finish()
 	return count, err
 }
 
@@ -230,6 +249,9 @@
 	body.ended = true
 	body.stopAbort()
 	body.conn.abort()
+	if body.ending != nil {
+		body.ending.release()
+	}
 	return nil
 }
 
@@ -291,7 +313,7 @@
 	if err != nil {
 		return ctx.Err() == nil
 	}
-	if conn.resetBefore(client.Clock.Now().Add(exitTimeout)) {
+	if errors.Is(conn.endsBefore(client.Clock.Now().Add(exitTimeout)), unix.ECONNRESET) {
 		_ = conn.Close()
 		return true
 	}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"syscall"
 	"time"
 
@@ -14,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"coltsfootlink"
+	"coltsfootlink/web"
 )
 
 const (
@@ -89,12 +91,12 @@
 		if dialContext.Err() != nil {
 			return
 		}
-		switch tcpState(raw) {
+		switch web.RawTCPState(raw) {
 		case unix.BPF_TCP_ESTABLISHED:
 		case unix.BPF_TCP_CLOSE:
 			// The dial has not started, or its failure has not been processed yet. It gets one more timeout.
 			time.AfterFunc(dialTimeout, func() {
-				if tcpState(raw) != unix.BPF_TCP_ESTABLISHED {
+				if web.RawTCPState(raw) != unix.BPF_TCP_ESTABLISHED {
 					cancel(errNotAccepted)
 				}
 			})
@@ -104,21 +106,6 @@
 	})
 }
 
-// tcpState returns the kernel's TCP state of a socket; zero if the socket is closed or the state cannot be read.
-func tcpState(raw syscall.RawConn) uint8 {
-	var state uint8
-	err := raw.Control(func(descriptor uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
-		if err == nil {
-			state = info.State
-		}
-	})
-	if err != nil {
-		return 0
-	}
-	return state
-}
-
 // dialError returns errNotAccepted if cancelSlowDial cancelled the dial, where the dialer reports only a cancellation,
 // and otherwise err.
 func dialError(dialContext context.Context, err error) error {
@@ -180,13 +167,17 @@
 	_ = conn.Close()
 }
 
-// resetBefore reports whether the target resets an unused connection before a deadline.
-func (conn *conn) resetBefore(deadline time.Time) bool {
+// endsBefore returns the error with which an unused connection ends before a deadline, io.EOF if the target closes it; nil if it
+// stays open.
+func (conn *conn) endsBefore(deadline time.Time) error {
 	// The calls fail only for a connection that is closed already, and then Peek fails, too.
 	_ = conn.SetReadDeadline(deadline)
 	_, err := conn.reader.Peek(1)
 	_ = conn.SetReadDeadline(time.Time{})
-	return errors.Is(err, unix.ECONNRESET)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return err
 }
 
 // setUnackedTimeout makes the kernel break the connection if sent bytes are not acknowledged within unackedTimeout.
--- /dev/null
+++ b/upstream/ending_test.go
@@ -0,0 +1,96 @@
+package upstream
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const (
+	unframedHalf = "HTTP/1.1 200 OK\r\nAttempt-Id: r-1\r\nAnswer-Stamp: s\r\n\r\nroo"
+	// uploadBytes is more than the buffers of a connection hold.
+	uploadBytes = 12 << 20
+)
+
+// answerEarly writes text when only the head of a request was read, and ends the connection some time after it.
+func answerEarly(text string, after time.Duration, end func(conn *net.TCPConn, rest io.Reader)) behaviour {
+	return func(conn net.Conn, requests *bufio.Reader) {
+		request, err := http.ReadRequest(requests)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, text)
+		time.Sleep(after)
+		end(conn.(*net.TCPConn), request.Body)
+	}
+}
+
+func resetNow(conn *net.TCPConn, _ io.Reader) {
+	_ = conn.SetLinger(0)
+	_ = conn.Close()
+}
+
+// TestAnswersDuringTheUpload guards against half an answer without a length that passes for a whole one, because the error of its
+// connection was reported to the write of the request.
+func TestAnswersDuringTheUpload(t *testing.T) {
+	closeNow := func(conn *net.TCPConn, _ io.Reader) { _ = conn.Close() }
+	readAll := func(conn *net.TCPConn, rest io.Reader) {
+		_, _ = io.Copy(io.Discard, rest)
+		_ = conn.Close()
+	}
+	framed := strings.Replace(unframedHalf, "\r\n\r\nroo", "\r\nContent-Length: 3\r\n\r\nroo", 1)
+	cases := map[string]struct {
+		behave behaviour
+		whole  bool
+	}{
+		"reset at once":                            {answerEarly(unframedHalf, 0, resetNow), false},
+		"reset after 2 ms":                         {answerEarly(unframedHalf, 2*time.Millisecond, resetNow), false},
+		"reset after 20 ms":                        {answerEarly(unframedHalf, 20*time.Millisecond, resetNow), false},
+		"closed with the request unread":           {answerEarly(unframedHalf, 0, closeNow), false},
+		"its direction closed, the request unread": {answerEarly(unframedHalf, 0, func(conn *net.TCPConn, _ io.Reader) { _ = conn.CloseWrite(); time.Sleep(time.Second) }), false},
+		"ended once the request was read":          {answerEarly(unframedHalf, 0, readAll), true},
+		"with a length, reset after 20 ms":         {answerEarly(framed, 20*time.Millisecond, resetNow), true},
+	}
+	for name, test := range cases {
+		Convey(name, t, func() {
+			target, _ := startTarget(t, test.behave)
+			client := newClient(t)
+			for range 5 {
+				answer, err := client.Call(t.Context(), "r-1", requestTo(target, strings.Repeat("x", uploadBytes)), true)
+				if err != nil {
+					// The reset may overtake the head.
+					So(test.whole, ShouldBeFalse)
+					continue
+				}
+				_, err = io.ReadAll(answer.Body)
+				_ = answer.Body.Close()
+				So(err == nil, ShouldEqual, test.whole)
+			}
+		})
+	}
+}
+
+// TestEvidence checks what is concluded from what is known of the end of an answer.
+func TestEvidence(t *testing.T) {
+	cases := map[string]struct {
+		known evidence
+		whole bool
+	}{
+		"the witness is open":                                  {evidence{requestReceived: true, witnessOpen: true}, true},
+		"the witness is open, read long after the end":         {evidence{requestReceived: true, witnessOpen: true, quiet: time.Minute}, true},
+		"no witness, the target accepts connections":           {evidence{requestReceived: true, reachable: true, quiet: time.Millisecond}, true},
+		"no witness, read when another process may have begun": {evidence{requestReceived: true, reachable: true, quiet: restartTime}, false},
+		"no witness, and the target accepts nothing":           {evidence{requestReceived: true}, false},
+		"reset, and the target accepts connections":            {evidence{requestReceived: true, reset: true, reachable: true}, false},
+		"the request was not taken":                            {evidence{witnessOpen: true, reachable: true}, false},
+	}
+	for name, test := range cases {
+		Convey(name, t, func() { So(test.known.whole(), ShouldEqual, test.whole) })
+	}
+}
