--- a/upstream/client.go
+++ b/upstream/client.go
@@ -95,12 +95,15 @@
 	return answer, nil
 }
 
-// callError classifies the failure of a call that had a connection. A head that is too long counts as a failed answer,
-// not as a crash of the target.
+// callError classifies the failure of a call that had a connection. A head that is too long or has an invalid status counts as a
+// failed answer, not as a crash of the target.
 func callError(ctx context.Context, err error) *coltsfootlink.CallError {
 	failure := coltsfootlink.NewCallError(ctx, !errors.Is(err, errNotWritten), err)
-	if errors.Is(err, errHeadTooLong) {
+	switch {
+	case errors.Is(err, errHeadTooLong):
 		failure.Result, failure.Reason = coltsfootlink.Failed, coltsfootlink.AnswerTooLong
+	case errors.Is(err, errInvalidStatus) && failure.Result == coltsfootlink.Crashed:
+		failure.Result = coltsfootlink.Failed
 	}
 	return failure
 }
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -36,6 +36,8 @@
 	// decoded header takes many times the bytes of a short line.
 	maxHeadBytes = 64 << 10
 	maxHeadLines = 256
+	// maxStatus is the highest status of RFC 9110, section 15.
+	maxStatus = 599
 	// maxInterimAnswers is the largest number of interim (1xx) answers that are skipped before a final one.
 	maxInterimAnswers = 5
 )
@@ -146,12 +148,22 @@
 	return response, err
 }
 
+// errInvalidStatus marks answers whose status is none of HTTP, or 101 without a request to switch protocols. What follows such a
+// head on the connection can't be told.
+var errInvalidStatus = errors.New("the status of the answer is invalid")
+
 // readFinal reads the head of the next final answer and skips up to maxInterimAnswers interim ones.
 func (conn *conn) readFinal(method string) (*http.Response, error) {
 	for range maxInterimAnswers + 1 {
 		response, err := conn.readHead(method)
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
+		if err != nil {
+			return nil, err
+		}
+		switch status := response.StatusCode; {
+		case status < http.StatusContinue, status > maxStatus, status == http.StatusSwitchingProtocols:
+			return nil, errors.Wrapf(errInvalidStatus, "status %q", response.Status)
+		case status >= http.StatusOK:
+			return response, nil
 		}
 	}
 	return nil, errors.New("too many interim (1xx) answers before the final one")
--- a/upstream/ending_test.go
+++ b/upstream/ending_test.go
@@ -9,7 +9,10 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/smartystreets/goconvey/convey"
+
+	"coltsfootlink"
 )
 
 const (
@@ -94,3 +97,40 @@
 		Convey(name, t, func() { So(test.known.whole(), ShouldEqual, test.whole) })
 	}
 }
+
+// TestInvalidStatuses guards against a status that is none of HTTP and is passed on, or taken for that of an interim answer, so
+// that its body is read as an answer.
+func TestInvalidStatuses(t *testing.T) {
+	const inner = "HTTP/1.1 200 OK\r\nAttempt-Id: r-1\r\nAnswer-Stamp: s\r\nContent-Length: 4\r\n\r\nroof"
+	cases := map[string]struct {
+		status  string
+		invalid bool
+	}{
+		"000":                      {"000 Nothing", true},
+		"099":                      {"099 Nothing", true},
+		"101 without a request":    {"101 Switching Protocols", true},
+		"103, then the final one":  {"103 Early Hints", false},
+		"600":                      {"600 Much", true},
+		"999":                      {"999 More", true},
+		"200, the lowest final":    {"200 OK", false},
+		"599, the highest of HTTP": {"599 Last", false},
+	}
+	for name, test := range cases {
+		Convey(name, t, func() {
+			head := "HTTP/1.1 " + test.status + "\r\nAttempt-Id: r-1\r\nAnswer-Stamp: s\r\n"
+			if !strings.HasPrefix(test.status, "1") {
+				head += "Content-Length: 78\r\n"
+			}
+			target, _ := startTarget(t, answerOnce(head+"\r\n"+inner))
+			answer, err := newClient(t).Call(t.Context(), "r-1", requestTo(target, "plan"), true)
+			var failure *coltsfootlink.CallError
+			So(errors.As(err, &failure), ShouldEqual, test.invalid)
+			if test.invalid {
+				So(failure.Result, ShouldEqual, coltsfootlink.Failed)
+				So(failure.Sent, ShouldBeTrue)
+				return
+			}
+			_ = answer.Body.Close()
+		})
+	}
+}
