--- a/cmd/soak/operator.go
+++ b/cmd/soak/operator.go
@@ -155,9 +155,10 @@
 func (operator *operator) writeOdd(ctx context.Context, begin bool) {
 	for index, value := range []string{
 		strings.Repeat("[", 100_000), "\xff\xfe", "{}", `{"state":"ready"}`,
-		`{"service":"plain","address":"127.0.0.1:99999","zone":"zone-0","slots":4,"state":"ready"}`,
-		`{"service":"plain","address":"127.0.0.1:80","zone":"zone-0","slots":9e99,"state":"ready"}`,
-		`{"service":"plain","address":"127.0.0.1:80","zone":"zone-0","slots":4,"state":"ready","cold_remaining_ms":1e300}`,
+		`{"service":"plain","address":"127.0.0.1:99999","zone":"zone-0","version":"v1","slots":4,"state":"ready","cold_remaining_ms":0,"born":1,"sequence":1}`,
+		`{"service":"plain","address":"127.0.0.1:80","zone":"zone-0","slots":4,"state":"ready"}`,
+		`{"service":"plain","address":"127.0.0.1:80","zone":"zone-0","version":"v1","slots":9e99,"state":"ready","cold_remaining_ms":0,"born":1,"sequence":1}`,
+		`{"service":"plain","address":"127.0.0.1:80","zone":"zone-0","version":"v1","slots":4,"state":"ready","cold_remaining_ms":1e300,"born":1,"sequence":1}`,
 	} {
 		content := []byte(value)
 		if !begin {
--- a/integration/odd_test.go
+++ b/integration/odd_test.go
@@ -62,7 +62,7 @@
 
 // oddRecords are records that name no target to use.
 func oddRecords() map[string]string {
-	const sound = `{"service":"p","address":"%s","zone":"zone","version":"v1","slots":%s,"state":"ready","cold_remaining_ms":%s,"born":%s}`
+	const sound = `{"service":"p","address":"%s","zone":"zone","version":"v1","slots":%s,"state":"ready","cold_remaining_ms":%s,"born":%s,"sequence":1}`
 	entry := func(address, slots, cold, born string) string { return fmt.Sprintf(sound, address, slots, cold, born) }
 	return map[string]string{
 		"not JSON":                     "\x00\xff",
@@ -80,7 +80,8 @@
 		"a start after all time":       entry("127.0.0.1:80", "4", "0", "18446744073709551615"),
 		"another type in a field":      `{"service":["p"],"address":{},"zone":1}`,
 		"fields missing":               `{"state":"ready"}`,
-		"a service that is not a name": `{"service":"p\u0000\n","address":"127.0.0.1:80","zone":"z","slots":4,"state":"ready"}`,
+		"version and sequence missing": `{"service":"p","address":"127.0.0.1:80","zone":"zone","slots":4,"state":"ready","cold_remaining_ms":0,"born":1}`,
+		"a service that is not a name": `{"service":"p\u0000\n","address":"127.0.0.1:80","zone":"z","version":"v1","slots":4,"state":"ready","cold_remaining_ms":0,"born":1,"sequence":1}`,
 		"an empty document":            "{}",
 		"a list":                       "[]",
 		"a number":                     "7",
