A forwarded response that is reset during the upload does not end like a complete one

If the copy of the request is told of it, the copy of the response sees a plain end, and the caller's connection was closed normally. Instances mark the ends of their answers, so no caller is known to have been misled.

Change: after a plain end the forwarder asks the kernel for the state of the connection, and whether the copy of the request failed, in this order, since that closes the connection.

--- a/relay/forwarding.go
+++ b/relay/forwarding.go
@@ -10,9 +10,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"coltsfootlink"
 	"coltsfootlink/metrics"
+	"coltsfootlink/web"
 )
 
 const (
@@ -79,15 +81,21 @@
 	})
 	defer stop()
 	defer forwarding.task.shutdown.subscribe(func(stopping coltsfootlink.Stopping) { forwarding.announce(other, stopping) })()
+	var requestBroken atomic.Bool
 	go func() {
 		// A caller that has closed its direction waits for no further response.
 		if err := copyStream(other, forwarding.caller, frameBytes, forwarding.frameRequest); err != nil {
+			requestBroken.Store(true)
 			reset(other)
 		} else {
 			_ = other.Close()
 		}
 	}()
 	err := copyStream(forwarding.caller, other, 0, forwarding.markResponse)
+	// The kernel reports a reset once, here to the copy of the request, which then closes the connection.
+	if wasReset := web.TCPState(other) == unix.BPF_TCP_CLOSE; err == nil && (wasReset || requestBroken.Load()) {
+		err = unix.ECONNRESET
+	}
 	switch {
 	case forwarding.awaitsResponse.Load():
 		metrics.Count("passed-on-unanswered")
--- a/relay/task_test.go
+++ b/relay/task_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sys/unix"
 
 	"coltsfootlink"
 	"coltsfootlink/loopback"
@@ -250,6 +251,34 @@
 	}
 }
 
+// TestResetsDuringAnUploadReachTheCaller guards against a response that breaks off and ends like a complete one, because the copy
+// of the request was told of the reset.
+func TestResetsDuringAnUploadReachTheCaller(t *testing.T) {
+	for _, after := range []time.Duration{0, time.Millisecond, 5 * time.Millisecond, 20 * time.Millisecond} {
+		Convey("reset after "+after.String(), t, func() {
+			for range 20 {
+				caller, here := pair(t)
+				there, other := pair(t)
+				forwarding := &forwarding{task: &Task{Clock: coltsfootlink.SystemClock{}}, caller: here}
+				go forwarding.copyBoth(t.Context(), there)
+				go func() {
+					_, _ = io.WriteString(caller, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 8388608\r\n\r\n"+strings.Repeat("x", 8<<20))
+				}()
+				_, err := other.Read(make([]byte, 1<<10))
+				So(err, ShouldBeNil)
+				_, err = io.WriteString(other, "HTTP/1.1 200 OK\r\n\r\nro")
+				So(err, ShouldBeNil)
+				time.Sleep(after)
+				reset(other)
+				got, err := io.ReadAll(caller)
+				// The caller's own write may be told of the reset, too. A reset that overtakes the response is answered.
+				So(err != nil || string(got) == badGateway || web.TCPState(caller) == unix.BPF_TCP_CLOSE, ShouldBeTrue)
+				_ = caller.Close()
+			}
+		})
+	}
+}
+
 // pair returns both ends of a TCP connection.
 func pair(t *testing.T) (net.Conn, net.Conn) {
 	t.Helper()
