Soak: a move to a bad version that another order follows at once

Change: one such move a plan, drawn after all other faults so that earlier seeds keep theirs. Its bad version must stay within the bounds of exposure until the end of the fault.

--- a/cmd/soak/operator.go
+++ b/cmd/soak/operator.go
@@ -20,6 +20,8 @@
 	storePollInterval = 20 * time.Millisecond
 	// moveSeconds is the time allowed for a version move, in seconds.
 	moveSeconds = 12
+	// supersedeDelay is the time from an order to move to the one that supersedes it.
+	supersedeDelay = time.Second
 	// routeHost is the host of all routes.
 	routeHost = "h"
 	// targetConnections is the number of connections that a target accepts.
@@ -228,8 +230,13 @@
 		operator.write(ctx, platform.OperatorTopic, key, nil)
 		return
 	}
-	acked := operator.write(ctx, platform.OperatorTopic, key, platform.MoveOrderDocument{Service: plainPool, Target: version, Seconds: moveSeconds})
+	acked := operator.orderMove(ctx, version)
 	if bad {
 		operator.record(order{kind: badMove, name: version, acked: acked})
 	}
 }
+
+// orderMove orders the move of the plain service to a version, and returns the time of the acknowledgement.
+func (operator *operator) orderMove(ctx context.Context, version string) time.Time {
+	return operator.write(ctx, platform.OperatorTopic, "rollout/"+plainPool, platform.MoveOrderDocument{Service: plainPool, Target: version, Seconds: moveSeconds})
+}
--- a/cmd/soak/plan.go
+++ b/cmd/soak/plan.go
@@ -68,6 +68,8 @@
 	evacuateKind        faultKind = "evacuate"
 	moveGoodKind        faultKind = "move-good"
 	moveBadKind         faultKind = "move-bad"
+	// moveSupersededKind is a move to a bad version that another order follows at once.
+	moveSupersededKind  faultKind = "move-superseded"
 	crashingPromptsKind faultKind = "crashing-prompts"
 )
 
@@ -146,6 +148,7 @@
 		evacuateKind:        {onZone, 6 * second, 9 * second, true, rig.Pass},
 		moveGoodKind:        {onTable, 12 * second, 14 * second, true, rig.Pass},
 		moveBadKind:         {onTable, 12 * second, 14 * second, true, rig.Pass},
+		moveSupersededKind:  {onTable, 8 * second, 12 * second, true, rig.Pass},
 		crashingPromptsKind: {onTable, 8 * second, 12 * second, false, rig.Pass},
 	}
 }
@@ -167,13 +170,14 @@
 	random := rand.New(rand.NewPCG(seed, 0))
 	kinds := slices.Sorted(maps.Keys(faultSpecs()))
 	kinds = slices.DeleteFunc(kinds, func(kind faultKind) bool {
-		return slices.Contains(addedKinds, kind) || kind == crashingPromptsKind || kind == storeRestoredKind
+		return slices.Contains(addedKinds, kind) || kind == crashingPromptsKind || kind == storeRestoredKind || kind == moveSupersededKind
 	})
 	faultsPerSecond := minFaultsPerSecond + random.Float64()*(maxFaultsPerSecond-minFaultsPerSecond)
 	plan := drawFaults(random, nil, kinds, faultsPerSecond, size, duration)
 	plan = drawFaults(rand.New(rand.NewPCG(seed, 1)), plan, addedKinds, addedFaultsPerSecond, size, duration)
 	plan = drawFaults(rand.New(rand.NewPCG(seed, 2)), plan, []faultKind{crashingPromptsKind}, 0, size, duration)
 	plan = drawFaults(rand.New(rand.NewPCG(seed, 3)), plan, []faultKind{storeRestoredKind}, 0, size, duration)
+	plan = drawFaults(rand.New(rand.NewPCG(seed, 4)), plan, []faultKind{moveSupersededKind}, 0, size, duration)
 	slices.SortStableFunc(plan, func(one, other step) int { return int(one.Starts - other.Starts) })
 	return plan
 }
@@ -239,7 +243,7 @@
 		return fmt.Sprint("target-", step.Index)
 	case storeDownKind, storeSlowKind, storeLossyKind, storeRestoredKind:
 		return "store"
-	case moveGoodKind, moveBadKind:
+	case moveGoodKind, moveBadKind, moveSupersededKind:
 		return "move"
 	}
 	return fmt.Sprint(step.Kind, step.Index)
--- a/cmd/soak/replica.go
+++ b/cmd/soak/replica.go
@@ -104,7 +104,7 @@
 			replica.reportColdUntil = time.Now().Add(coldStartDuration)
 			replica.keepalive(ctx)
 		}
-	case moveGoodKind, moveBadKind:
+	case moveGoodKind, moveBadKind, moveSupersededKind:
 		replica.move(ctx, fault)
 	default:
 		behaviour := replica.behaviour.WithFault(fault.step.Kind, fault.begin)
@@ -237,7 +237,7 @@
 		return
 	}
 	if fault.begin {
-		replica.start(ctx, moveVersion(fault.step), true, fault.step.Kind == moveBadKind, "", coldStartDuration)
+		replica.start(ctx, moveVersion(fault.step), true, fault.step.Kind != moveGoodKind, "", coldStartDuration)
 		return
 	}
 	replica.followMove(ctx)
--- a/cmd/soak/site.go
+++ b/cmd/soak/site.go
@@ -261,8 +261,8 @@
 		work = func(ctx context.Context) { operator.writeOdd(ctx, transition.begin) }
 	case evacuateKind:
 		work = func(ctx context.Context) { operator.evacuate(ctx, zoneName(step.Index), transition.begin) }
-	case moveGoodKind, moveBadKind:
-		bad := step.Kind == moveBadKind
+	case moveGoodKind, moveBadKind, moveSupersededKind:
+		bad := step.Kind != moveGoodKind
 		for _, replica := range site.replicas {
 			replica.inbox.Put(targetFault{transition: transition})
 		}
@@ -272,6 +272,9 @@
 				coltsfootlink.Sleep(ctx, keepaliveInterval)
 			}
 			operator.move(ctx, moveVersion(step), bad, transition.begin)
+			if step.Kind == moveSupersededKind && transition.begin && coltsfootlink.Sleep(ctx, supersedeDelay) {
+				operator.orderMove(ctx, moveVersion(step)+"-next")
+			}
 		}
 	}
 	operator.inbox.Put(work)
