Tasks of duties, catalog and claims in files by what they do

Cause: duty/holder.go (491 lines), catalog/task.go (505) and claim/task.go (381) had grown over several jobs.

Lines are moved, none is changed.

--- a/catalog/task.go
+++ b/catalog/task.go
@@ -11,8 +11,6 @@
 
 	"coltsfootlink"
 	"coltsfootlink/mailbox"
-	"coltsfootlink/metrics"
-	"coltsfootlink/ownership"
 	"coltsfootlink/supervisor"
 )
 
@@ -179,62 +177,6 @@
 	task.checkSignature(from, news)
 }
 
-// learnEras takes over what a peer knows of eras of the store, and reports whether one of them is new here.
-func (task *Task) learnEras(news coltsfootlink.News) bool {
-	now, before := task.Clock.Now(), task.state
-	for stream, era := range news.Eras {
-		task.state = task.state.WithEra(now, stream, era)
-	}
-	for stream, end := range news.Ends {
-		if end.Era > 0 {
-			// Builds that do not know eras send positions of era 0, whatever the era of the store is.
-			task.state = task.state.WithPosition(now, stream, end)
-		}
-	}
-	for _, record := range news.Records {
-		task.state = task.state.WithRecordEra(now, record)
-	}
-	return task.noteRestore(before)
-}
-
-// noteRestore logs restores of the store that the task has learned of, and reports whether there are any.
-func (task *Task) noteRestore(before State) bool {
-	if task.state.Era() != before.Era() {
-		metrics.SetStoreEra(task.state.Era())
-	}
-	streams := task.state.LaterEras(before)
-	for _, stream := range streams {
-		era, _ := task.state.StreamEra(stream)
-		task.Log.Warn().Str("stream", string(stream)).Uint64("era", era.Begun.Era).Time("settle-by", era.SettleBy).
-			Msg("catalog: store was restored, what was known before stays in force until it has been written again")
-	}
-	return len(streams) > 0
-}
-
-// settle puts the records of an era in force once it has settled, and returns those that other instances need.
-func (task *Task) settle() []coltsfootlink.CatalogRecord {
-	state, settlements := task.state.WithSettled(task.Clock.Now())
-	task.state = state
-	var needed []coltsfootlink.CatalogRecord
-	changed := false
-	for _, settled := range settlements {
-		task.agreeUntil = task.Clock.Now().Add(agreementTime)
-		metrics.Count("store-eras-settled")
-		task.Log.Info().Str("stream", string(settled.Stream)).Uint64("era", settled.Era).Int("kept", settled.Kept).
-			Int("written-again", settled.Rewritten).Int("replaced", settled.Replaced).Int("missing", settled.Missing).
-			Msg("catalog: records after a restore of the store are in force")
-		for _, record := range settled.Changed {
-			task.logChange(record)
-		}
-		changed = changed || len(settled.Changed) > 0
-		needed = slices.Concat(needed, settled.Changed, settled.Written)
-	}
-	if changed {
-		task.publish()
-	}
-	return needed
-}
-
 // handleRead applies the records of a read and sends the changes to the peers.
 func (task *Task) handleRead(result readResult) {
 	now, before := task.Clock.Now(), task.state
@@ -272,108 +214,6 @@
 	task.sendToZone(task.update(update))
 }
 
-// update returns an update with this instance's signature and what it knows of eras of the store.
-func (task *Task) update(news coltsfootlink.News) coltsfootlink.News {
-	news.Signature, news.Era = task.signature, task.state.Era()
-	if len(news.Records) > 0 || task.settling() || task.Clock.Now().Before(task.agreeUntil) {
-		news.Eras = task.state.Eras()
-	}
-	return news
-}
-
-// settling reports whether an era of some stream has not settled yet.
-func (task *Task) settling() bool {
-	return task.state.Settling(coltsfootlink.OperatorStream) || task.state.Settling(coltsfootlink.TargetStream)
-}
-
-// sendUpdate sends an update to the zone and to the readers of the other zones.
-func (task *Task) sendUpdate(news coltsfootlink.News) {
-	update := task.update(news)
-	task.sendToZone(update)
-	task.sendToOtherReaders(update)
-}
-
-// sendToZone sends an update to the other live instances of the zone.
-func (task *Task) sendToZone(update coltsfootlink.News) {
-	for _, member := range task.view.Live() {
-		if member.Name != task.Self.Name && member.Zone == task.Self.Zone {
-			task.Sender.Send(member.Name, update)
-		}
-	}
-}
-
-// sendToOtherReaders sends an update to the readers of the other zones, which may be cut off from the platform themselves.
-func (task *Task) sendToOtherReaders(update coltsfootlink.News) {
-	zones := make(map[coltsfootlink.ZoneName]bool)
-	for _, member := range task.view.Live() {
-		zones[member.Zone] = member.Zone != task.Self.Zone
-	}
-	for zone, other := range zones {
-		if !other {
-			continue
-		}
-		for _, reader := range task.readers(zone) {
-			task.Sender.Send(reader, update)
-		}
-	}
-}
-
-// readers returns the instances of a zone that always read the platform.
-func (task *Task) readers(zone coltsfootlink.ZoneName) []coltsfootlink.InstanceName {
-	ranked := task.ranked(zone)
-	return ranked[:min(readersPerZone, len(ranked))]
-}
-
-// ranked returns the instances of a zone that may read the platform, in the order in which they do: the capable ones first.
-func (task *Task) ranked(zone coltsfootlink.ZoneName) []coltsfootlink.InstanceName {
-	name := "catalog " + string(zone)
-	ranked := ownership.Ranked(name, task.view.Capable(zone))
-	for _, candidate := range ownership.Ranked(name, task.view.Candidates(zone)) {
-		if !slices.Contains(ranked, candidate) {
-			ranked = append(ranked, candidate)
-		}
-	}
-	return ranked
-}
-
-// newestPerKey returns the newest record of each key, in the order in which the keys first occur.
-func newestPerKey(records []coltsfootlink.CatalogRecord) []coltsfootlink.CatalogRecord {
-	kept := make([]coltsfootlink.CatalogRecord, 0, len(records))
-	indexes := make(map[recordKey]int, len(records))
-	for _, record := range records {
-		key := recordKey{stream: record.Stream, key: record.Key}
-		if index, found := indexes[key]; found {
-			kept[index] = record
-			continue
-		}
-		indexes[key] = len(kept)
-		kept = append(kept, record)
-	}
-	return kept
-}
-
-// checkSignature asks a reader for all its records if its signature differs, since messages between instances may be lost.
-// While the catalog is changing, it waits: the missing updates are then most likely still in transit, and all instances
-// would ask the readers at once.
-func (task *Task) checkSignature(from coltsfootlink.InstanceName, news coltsfootlink.News) {
-	now := task.Clock.Now()
-	switch {
-	case news.Signature == 0:
-		return
-	case news.Signature == task.signature:
-		task.divergedAt = time.Time{}
-		return
-	case task.divergedAt.IsZero():
-		task.divergedAt = now
-	}
-	inTransit := now.Before(task.changedAt.Add(resyncInterval)) && now.Before(task.divergedAt.Add(maxDivergence))
-	if inTransit || now.Before(task.resyncAt) {
-		return
-	}
-	task.resyncAt, task.divergedAt = now.Add(resyncInterval), now
-	task.Sender.Send(from, coltsfootlink.NewsRequest{})
-}
-
 // apply adds records to the state and returns those that changed the catalog.
 func (task *Task) apply(records []coltsfootlink.CatalogRecord) []coltsfootlink.CatalogRecord {
 	var changed []coltsfootlink.CatalogRecord
--- a/duty/holder.go
+++ b/duty/holder.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -67,15 +66,6 @@
 	err       error
 }
 
-// callResult is the result of a call to the platform.
-type callResult struct {
-	coltsfootlink.Local
-
-	token uint64
-	call  Call
-	err   error
-}
-
 // useStore begins the call of the store that is due. One is in progress at a time, because each append needs the offset after
 // the one before.
 func (task *Task) useStore(ctx context.Context, now time.Time) {
@@ -123,45 +113,6 @@
 	}()
 }
 
-// dueWindow returns the window that has to be recorded now. A window before a recorded one is never recorded, nor one that has
-// not ended.
-func (task *Task) dueWindow(now time.Time) (coltsfootlink.UsageWindow, bool) {
-	if !task.Usage {
-		return coltsfootlink.UsageWindow{}, false
-	}
-	var live []coltsfootlink.InstanceName
-	for _, member := range task.view.Live() {
-		live = append(live, member.Name)
-	}
-	for range maxPassedWindows {
-		window, due := task.held.ledger.Due(task.steady(now), live)
-		if !due || window.Index >= task.counter.Index(task.steady(now)) {
-			return coltsfootlink.UsageWindow{}, false
-		}
-		if window.Index >= task.held.next {
-			return window, true
-		}
-		task.held.ledger = task.held.ledger.WithRecorded(window.Index)
-	}
-	return coltsfootlink.UsageWindow{}, false
-}
-
-// removable returns the windows in the store that are confirmed, if they are many. The newest one is kept, because it tells
-// which windows are recorded.
-func (held *holding) removable() []uint64 {
-	var confirmed []uint64
-	for index := range held.stored {
-		if index < held.reported && index+1 < held.next {
-			confirmed = append(confirmed, index)
-		}
-	}
-	if len(confirmed) < removeAfter {
-		return nil
-	}
-	slices.Sort(confirmed)
-	return confirmed[:min(len(confirmed), maxRemoved)]
-}
-
 func (task *Task) handleStoreResult(result storeResult) {
 	if result.incarnation != task.incarnation {
 		return
@@ -249,30 +200,6 @@
 		Str("previous-holder", task.records.Lease.Holder).Msg("duty: this instance holds the lease of the singleton duties")
 }
 
-// refused returns the first window that this instance may record if it is not known as recorded.
-func (task *Task) refused() uint64 { return task.recordedWindows.Refused(task.records) }
-
-// countRewritten counts what was written again after a restore, and forgets that it was lost.
-func (task *Task) countRewritten(result storeResult) {
-	task.lost = nil
-	if len(result.rewritten) > 0 {
-		metrics.Count("duty-rewrites")
-		task.Log.Info().Uint64("first", result.rewritten[0].Index).Int("windows", len(result.rewritten)).Uint64("token", task.held.token).
-			Msg("duty: lost usage windows were written again with the lease")
-	}
-}
-
-// logRefused logs which windows a new holder refuses to record, because an earlier one may have reported them before a restore.
-func (task *Task) logRefused() {
-	first, refused := task.records.NextWindow(), task.refused()
-	if refused <= first+uint64(len(task.lost)) || !task.Usage {
-		return
-	}
-	metrics.Count("usage-refusals")
-	task.Log.Warn().Uint64("first", first).Uint64("next", refused).Int("written-again", len(task.lost)).
-		Msg("duty: usage windows are not recorded any more, because their records may have been lost after they were reported")
-}
-
 // adopt takes over the windows that are recorded in the store.
 func (task *Task) adopt(now time.Time, records coltsfootlink.DutyRecords) {
 	held := task.held
@@ -284,48 +211,6 @@
 	}
 }
 
-// recorded reports a window that is recorded in the store, if it is not confirmed.
-func (task *Task) recorded(now time.Time, window coltsfootlink.UsageWindow) {
-	held := task.held
-	held.stored[window.Index] = true
-	task.recordedUntil(window.Index + 1)
-	if window.Index >= held.reported && task.Usage {
-		held.calls = held.calls.WithWindow(now, window)
-	}
-}
-
-// recordedUntil notes that no window before an index may be recorded any more.
-func (task *Task) recordedUntil(next uint64) {
-	if next > task.held.next {
-		task.held.next = next
-		task.held.ledger = task.held.ledger.WithRecorded(next - 1)
-	}
-}
-
-// applyStored takes over what a successful call of the store has read or appended.
-func (task *Task) applyStored(now time.Time, result storeResult) {
-	held := task.held
-	switch {
-	case result.step == lease.Read:
-		task.adopt(now, result.records)
-	case result.window != nil:
-		metrics.Count("usage-windows-recorded")
-		task.recordedWindows = task.recordedWindows.WithWindow(*result.window)
-		task.recorded(now, *result.window)
-	case result.step == lease.Use:
-		for _, index := range result.removed {
-			delete(held.stored, index)
-		}
-	case result.step == lease.Renew:
-		held.reported = result.reported
-		for _, window := range result.rewritten {
-			task.recorded(now, window)
-		}
-		task.countRewritten(result)
-		held.calls = held.calls.WithoutBefore(held.reported)
-	}
-}
-
 // loseLease ends the duties after another instance has acquired the lease.
 func (task *Task) loseLease() {
 	if task.held == nil {
@@ -401,91 +286,3 @@
 		task.held.planner = task.held.planner.WithLoads(task.Clock.Now(), from, report.Loads)
 	}
 }
-
-func (task *Task) updatePlanner() {
-	if task.held != nil && task.Scaling {
-		task.held.planner = task.held.planner.WithCatalog(task.Clock.Now(), task.catalog, task.view)
-	}
-}
-
-// plan takes the planner's orders of targets.
-func (task *Task) plan(now time.Time) {
-	if !task.Scaling {
-		return
-	}
-	planner, orders := task.held.planner.Orders(now)
-	task.held.planner = planner
-	for _, order := range orders {
-		metrics.Count("scale-orders")
-		task.Log.Info().Str("pool", string(order.Pool)).Str("zone", string(order.Zone)).Int("count", order.Count).Str("reason", order.Reason).
-			Msg("duty: ordering targets")
-		task.held.calls = task.held.calls.WithOrder(now, order.Pool, order.Zone, order.Count)
-	}
-}
-
-// call makes the calls that are due, as far as the platform accepts them.
-func (task *Task) call(ctx context.Context, now time.Time) {
-	if len(task.lost) > 0 {
-		return
-	}
-	for call, due := task.held.calls.Due(now); due; call, due = task.held.calls.Due(now) {
-		if !task.limiter.AllowN(now, 1) {
-			return
-		}
-		task.held.calls = task.held.calls.WithBegun(call.Subject)
-		call.Attempts++
-		go task.send(ctx, task.held.ctx, task.lease, call)
-	}
-}
-
-// send makes a call within the lease, which it checks right before. It ends with the task or when the lease is lost.
-func (task *Task) send(ctx, held context.Context, state lease.State, call Call) {
-	result := callResult{token: state.Token(), call: call}
-	now := task.Clock.Now()
-	deadline, valid := state.CallDeadline(now)
-	if limit := now.Add(callTimeout); limit.Before(deadline) {
-		deadline = limit
-	}
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
-	defer context.AfterFunc(held, cancel)()
-	fence := coltsfootlink.FencedCall{Holder: task.Holder, Token: state.Token()}
-	switch {
-	case !valid || held.Err() != nil:
-		result.err = errLeaseEnded
-	case call.Pool != "":
-		result.err = task.Caller.Scale(ctx, fence, call.Pool, call.Zone, call.Count)
-	default:
-		result.err = task.Caller.ReportUsage(ctx, fence, call.Window, call.Teams)
-	}
-	task.Inbox.Put(coltsfootlink.Delivery{Message: result})
-}
-
-func (task *Task) handleCallResult(result callResult) {
-	if task.held == nil || task.held.token != result.token {
-		return
-	}
-	now, call := task.Clock.Now(), result.call
-	var failure *coltsfootlink.DutyError
-	switch answered := result.err == nil || errors.As(result.err, &failure) && failure.Answered; {
-	case errors.Is(result.err, errLeaseEnded):
-	case answered:
-		task.held.unansweredSince, task.held.yieldUntil = time.Time{}, time.Time{}
-	case task.held.unansweredSince.IsZero():
-		task.held.unansweredSince = now
-	}
-	if result.err == nil {
-		task.held.calls = task.held.calls.WithConfirmed(call.Subject)
-		task.logConfirmed(now, call)
-		return
-	}
-	if failure != nil && failure.Rejected && call.Pool == "" && call.Attempts >= maxRejections {
-		// A window that is always refused would keep all later ones in the store.
-		metrics.Count("usage-windows-abandoned")
-		describe(task.Log.Error(), call).Err(result.err).Msg("duty: the platform refuses a usage window each time, giving it up")
-		task.held.calls = task.held.calls.WithConfirmed(call.Subject)
-		return
-	}
-	task.held.calls = task.held.calls.WithFailure(now, call.Subject, rand.Float64())
-	task.logFailure(result)
-}
