Versions in service are not guessed before the targets are known

Cause: found in reading the change of rejected versions: an instance that starts may read the first order of a pool before its targets, and took the ordered version for the one in service. Without a record it would then not be rejected after its rollback.

Change: no version counts as in service until targets are known, and the ledger fills it in then. TestVersionsInServiceAtTheFirstOrder has both orders of reading.

--- a/catalog.go
+++ b/catalog.go
@@ -209,15 +209,20 @@
 }
 
 // InService returns the versions that serve a pool when a move of it is ordered and no earlier one is known: those with targets,
-// but the ordered one only if there are no others. They are sorted.
+// but the ordered one only if there are no others. They are sorted; none are returned if no targets are known.
 func (catalog Catalog) InService(move Move) []Version {
 	var versions []Version
+	ordered := false
 	for _, target := range catalog.Targets {
-		if target.Pool == move.Pool && target.Version != move.To && !slices.Contains(versions, target.Version) {
+		switch {
+		case target.Pool != move.Pool:
+		case target.Version == move.To:
+			ordered = true
+		case !slices.Contains(versions, target.Version):
 			versions = append(versions, target.Version)
 		}
 	}
-	if versions == nil {
+	if versions == nil && ordered {
 		return []Version{move.To}
 	}
 	slices.Sort(versions)
--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -68,11 +68,11 @@
 // recordUsage records how a request ended if its pool has a move.
 func (task *Task) recordUsage(request running, report Report) {
 	order, moving := task.catalog.Moves[request.want.Pool]
-	if known, _ := task.moves.ledger.Word(order); known.Move.Rejects(request.version) {
-		// The version is neither the one on trial nor the one that it is compared with.
+	if !moving || report.Result == coltsfootlink.Unused || report.Result == coltsfootlink.Cancelled {
 		return
 	}
-	if !moving || report.Result == coltsfootlink.Unused || report.Result == coltsfootlink.Cancelled {
+	if known, _ := task.moves.ledger.Word(order); known.Move.Rejects(request.version) {
+		// The version is neither the one on trial nor the one that it is compared with.
 		return
 	}
 	millis := request.firstEventMillis
--- a/move/ledger.go
+++ b/move/ledger.go
@@ -101,11 +101,16 @@
 	first := order.WithVersions(catalog.InService(order), nil)
 	shown := entry{word: heard{MoveWord: coltsfootlink.MoveWord{Move: first.WithPredecessor(before)}}, before: before}
 	if found && order.SameOrder(known.word.Move) {
-		if order.Order() == known.word.Move.Order() {
+		// An instance that starts may read the order before the targets.
+		unserved := len(known.word.Move.Serving) == 0 && len(first.Serving) > 0
+		if order.Order() == known.word.Move.Order() && !unserved {
 			return ledger
 		}
 		shown.word, shown.before = known.word, known.before
 		shown.word.Move = known.word.Move.WithOrder(order)
+		if unserved {
+			shown.word.Move = shown.word.Move.WithVersions(first.Serving, known.word.Move.Rejected)
+		}
 	}
 	ledger = ledger.with(shown)
 	if !ahead.at.IsZero() {
--- a/move/ledger_test.go
+++ b/move/ledger_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
 	"coltsfootlink"
@@ -67,3 +68,36 @@
 		}
 	})
 }
+
+// TestVersionsInServiceAtTheFirstOrder guards against an ordered version that counts as the one in service, because an instance that
+// starts reads the order before the targets.
+func TestVersionsInServiceAtTheFirstOrder(t *testing.T) {
+	order := coltsfootlink.Move{Pool: "p", To: "v2", Started: at(1, 9), State: coltsfootlink.MoveRunning}
+	with := func(versions ...coltsfootlink.Version) coltsfootlink.Catalog {
+		catalog := coltsfootlink.Catalog{}.WithMove(order)
+		for _, version := range versions {
+			catalog = catalog.WithTarget(coltsfootlink.Target{Name: coltsfootlink.TargetName(version), Pool: "p", Version: version})
+		}
+		return catalog
+	}
+	cases := map[string]struct {
+		catalogs []coltsfootlink.Catalog
+		serving  []coltsfootlink.Version
+	}{
+		"no targets yet":                     {[]coltsfootlink.Catalog{with()}, nil},
+		"targets of both after the order":    {[]coltsfootlink.Catalog{with(), with("v1", "v2")}, []coltsfootlink.Version{"v1"}},
+		"the new targets come after it":      {[]coltsfootlink.Catalog{with("v1"), with("v1", "v2")}, []coltsfootlink.Version{"v1"}},
+		"two versions":                       {[]coltsfootlink.Catalog{with("v3", "v1")}, []coltsfootlink.Version{"v1", "v3"}},
+		"an order to the version in service": {[]coltsfootlink.Catalog{with("v2")}, []coltsfootlink.Version{"v2"}},
+	}
+	for name, test := range cases {
+		Convey(name, t, func() {
+			var ledger Ledger
+			for _, catalog := range test.catalogs {
+				ledger = ledger.WithCatalog(catalog)
+			}
+			known, _ := ledger.Word(order)
+			So(known.Move.Serving, ShouldResemble, test.serving)
+		})
+	}
+}
