Own interface: half an answer without a length is not taken for a whole one after a reset

Same cause as on the users' platform: the kernel reports a reset once, here to the write of net/http, which then closes the connection; the read of an answer without a length saw a plain end. Pools without an end marker passed the half on.

Change: a connection that the kernel has closed, or net/http, does not end with io.EOF.

--- a/target/conn.go
+++ b/target/conn.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http/httptrace"
 	"sync/atomic"
+
+	"golang.org/x/sys/unix"
+
+	"coltsfootlink/web"
 )
 
 // conn is a connection to a target that counts received bytes.
@@ -14,15 +19,28 @@
 	echoesIDs atomic.Bool
 	// receivedBytes is the number of bytes received since the current request obtained the connection.
 	receivedBytes atomic.Int64
+	// closed indicates that net/http has closed the connection, as it does when the write of the request fails.
+	closed atomic.Bool
 }
 
-// Read reads from the connection and counts the bytes.
+// Read reads from the connection and counts the bytes. A connection that was reset does not end with io.EOF: the kernel reports the
+// reset once, and possibly to the write of the request.
 func (conn *conn) Read(buffer []byte) (int, error) {
 	count, err := conn.Conn.Read(buffer)
 	conn.receivedBytes.Add(int64(count))
+	// The state is not known once the connection is closed.
+	if wasReset := err == io.EOF && web.TCPState(conn.Conn) == unix.BPF_TCP_CLOSE; wasReset || err == io.EOF && conn.closed.Load() {
+		err = unix.ECONNRESET
+	}
 	return count, err
 }
 
+// Close closes the connection.
+func (conn *conn) Close() error {
+	conn.closed.Store(true)
+	return conn.Conn.Close()
+}
+
 // dial opens a connection to a target.
 func dial(ctx context.Context, network, address string) (net.Conn, error) {
 	opened, err := new(net.Dialer).DialContext(ctx, network, address)
