--- a/review/play-3/fleet.go
+++ b/review/play-3/fleet.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -27,6 +28,8 @@
 	key  = "key-1"
 	// drainTime is how long a server that leaves goes on serving at least.
 	drainTime = 2 * time.Second
+	// maxSeeds is the number of machines that the platform lists as seeds.
+	maxSeeds = 3
 	// startTimeout limits the start of the fleet.
 	startTimeout = 15 * time.Second
 )
@@ -37,7 +40,7 @@
 memory-mb = 134
 processor-share = 0.4
 cores = 1
-seeds = ["%[3]s:8785"]
+seeds = [%[3]s]
 
 [listen]
 callers = "%[4]s:8783"
@@ -89,10 +92,10 @@
 
 // gateway is one process of the project.
 type gateway struct {
-	name, ip string
-	settings string
-	command  *exec.Cmd
-	exited   chan error
+	name, zone, ip string
+	settings       string
+	command        *exec.Cmd
+	exited         chan error
 }
 
 // callers is the address for clients.
@@ -129,11 +132,12 @@
 		if err != nil {
 			return fleet, err
 		}
-		fleet.gateways = append(fleet.gateways, &gateway{name: fmt.Sprintf("front-%s-%d", zone, index), ip: ip})
-		added := fleet.gateways[index]
+		added := &gateway{name: fmt.Sprintf("front-%s-%d", zone, index), zone: zone, ip: ip}
 		added.settings = filepath.Join(folder, added.name+".toml")
-		text := fmt.Sprintf(settingsText, added.name, zone, fleet.gateways[0].ip, ip, address)
-		if err := os.WriteFile(added.settings, []byte(text), 0o600); err != nil {
+		fleet.gateways = append(fleet.gateways, added)
+	}
+	for _, added := range fleet.gateways {
+		if err := fleet.writeSettings(added, fleet.gateways[:min(maxSeeds, len(fleet.gateways))]); err != nil {
 			return fleet, err
 		}
 		if err := fleet.start(added); err != nil {
@@ -143,6 +147,16 @@
 	return fleet, nil
 }
 
+// writeSettings writes the settings of a gateway, with some gateways as seeds.
+func (fleet *fleet) writeSettings(written *gateway, seeds []*gateway) error {
+	var addresses []string
+	for _, seed := range seeds {
+		addresses = append(addresses, strconv.Quote(seed.ip+":8785"))
+	}
+	text := fmt.Sprintf(settingsText, written.name, written.zone, strings.Join(addresses, ", "), written.ip, fleet.address)
+	return os.WriteFile(written.settings, []byte(text), 0o600)
+}
+
 // start starts a gateway as the deploy file does.
 func (fleet *fleet) start(gateway *gateway) error {
 	log, err := os.OpenFile(filepath.Join(fleet.folder, gateway.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
--- a/review/play-3/main.go
+++ b/review/play-3/main.go
@@ -56,6 +56,7 @@
 var plays = map[string]func(ctx context.Context, trouble bool) (bool, error){
 	"leave":  playLeave,
 	"stale":  playStale,
+	"split":  playSplit,
 	"crash":  playCrash,
 	"forget": playForget,
 }
--- a/review/play-3/server.go
+++ b/review/play-3/server.go
@@ -41,6 +41,7 @@
 	// crashPart is the part of a prompt that crashes the server when it begins to write an answer on it; crashBytes is how much
 	// of that answer it has sent by then.
 	crashPart  string
+	coldMillis int
 	crashBytes int
 	store      *platform.Store
 	born       int64
@@ -65,6 +66,7 @@
 	flags.StringVar(&store, "store", "", "address of the store")
 	flags.StringVar(&server.crashPart, "crash-part", "", "part of a prompt that crashes the server; none if empty")
 	flags.IntVar(&server.crashBytes, "crash-bytes", 0, "bytes of the answer that are sent before such a crash")
+	flags.IntVar(&server.coldMillis, "cold-ms", 0, "cold start that the entry reports")
 	flags.BoolVar(&server.framed, "framed", false, "answers are sent in chunks")
 	flags.IntVar(&server.slots, "slots", 128, "number of requests at a time")
 	if err := flags.Parse(arguments); err != nil {
@@ -130,7 +132,7 @@
 	server.mutex.Unlock()
 	return put(ctx, server.store, platform.TargetTopic, server.name, platform.TargetDocument{
 		Service: server.service, Address: server.address, Zone: server.zone, Version: "v1", Slots: server.slots, State: state,
-		Born: uint64(server.born), Sequence: 1,
+		Born: uint64(server.born), Sequence: 1, ColdMillis: float64(server.coldMillis),
 	})
 }
 
