--- a/review/play-3/fleet.go
+++ b/review/play-3/fleet.go
@@ -43,11 +43,11 @@
 seeds = [%[3]s]
 
 [listen]
-callers = "%[4]s:8783"
-ready = "%[4]s:8780"
-peers = "%[4]s:8785"
-metrics = "%[4]s:7415"
-relay = "%[4]s:7414"
+callers = "%[4]s:%[6]s"
+ready = "%[4]s:%[7]s"
+peers = "%[4]s:%[8]s"
+metrics = "%[4]s:%[9]s"
+relay = "%[4]s:%[10]s"
 
 [store]
 address = "%[5]s"
@@ -93,13 +93,32 @@
 // gateway is one process of the project.
 type gateway struct {
 	name, zone, ip string
+	ports          ports
 	settings       string
 	command        *exec.Cmd
 	exited         chan error
 }
 
+// ports are the ports of a gateway, which are the same on all machines.
+type ports struct{ callers, ready, peers, metrics, relay string }
+
+// freePorts returns ports that are free on a host.
+func freePorts() (ports, error) {
+	var found ports
+	for _, port := range []*string{&found.callers, &found.ready, &found.peers, &found.metrics, &found.relay} {
+		address, err := loopback.FreeAddress()
+		if err != nil {
+			return found, err
+		}
+		if _, *port, err = net.SplitHostPort(address); err != nil {
+			return found, err
+		}
+	}
+	return found, nil
+}
+
 // callers is the address for clients.
-func (gateway *gateway) callers() string { return gateway.ip + ":8783" }
+func (gateway *gateway) callers() string { return net.JoinHostPort(gateway.ip, gateway.ports.callers) }
 
 // startFleet starts a store with a configuration and gateways, and waits until they are ready.
 func startFleet(ctx context.Context, zones []string, table map[string]any) (*fleet, error) {
@@ -123,6 +142,10 @@
 	if err := fleet.configure(ctx, table); err != nil {
 		return fleet, err
 	}
+	shared, err := freePorts()
+	if err != nil {
+		return fleet, err
+	}
 	for index, zone := range zones {
 		free, err := loopback.FreeAddress()
 		if err != nil {
@@ -132,7 +155,7 @@
 		if err != nil {
 			return fleet, err
 		}
-		added := &gateway{name: fmt.Sprintf("front-%s-%d", zone, index), zone: zone, ip: ip}
+		added := &gateway{name: fmt.Sprintf("front-%s-%d", zone, index), zone: zone, ip: ip, ports: shared}
 		added.settings = filepath.Join(folder, added.name+".toml")
 		fleet.gateways = append(fleet.gateways, added)
 	}
@@ -151,9 +174,10 @@
 func (fleet *fleet) writeSettings(written *gateway, seeds []*gateway) error {
 	var addresses []string
 	for _, seed := range seeds {
-		addresses = append(addresses, strconv.Quote(seed.ip+":8785"))
+		addresses = append(addresses, strconv.Quote(net.JoinHostPort(seed.ip, seed.ports.peers)))
 	}
-	text := fmt.Sprintf(settingsText, written.name, written.zone, strings.Join(addresses, ", "), written.ip, fleet.address)
+	text := fmt.Sprintf(settingsText, written.name, written.zone, strings.Join(addresses, ", "), written.ip, fleet.address,
+		written.ports.callers, written.ports.ready, written.ports.peers, written.ports.metrics, written.ports.relay)
 	return os.WriteFile(written.settings, []byte(text), 0o600)
 }
 
@@ -181,7 +205,7 @@
 // awaitReady waits until a gateway says that it is ready.
 func (gateway *gateway) awaitReady(ctx context.Context) error {
 	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline) && ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
-		response, err := http.Get("http://" + gateway.ip + ":8780" + platform.ReadinessPath)
+		response, err := http.Get("http://" + net.JoinHostPort(gateway.ip, gateway.ports.ready) + platform.ReadinessPath)
 		if err != nil {
 			continue
 		}
