--- a/review/play-3/stale.go
+++ b/review/play-3/stale.go
@@ -15,9 +15,9 @@
 const (
 	// staleRounds is the number of times that the two gateways which read the store are killed, staleGap apart; they are started
 	// again after staleDown. The operator's change is acknowledged in between.
-	staleRounds = 6
-	staleGap    = 6*time.Second + 500*time.Millisecond
-	staleDown   = 500 * time.Millisecond
+	staleRounds = 8
+	staleGap    = 6*time.Second + 200*time.Millisecond
+	staleDown   = 800 * time.Millisecond
 	// applyTime is how long after its acknowledgement a configuration may take to be followed.
 	applyTime = 2 * time.Second
 	// staleWarmUp is how long the fleet runs first, and staleProbe the time between two requests to the gateway that is left.
