Answers without a length: the reason why one counts as cut is logged and counted

Neither the log ("unexpected EOF") nor a counter told which evidence had an answer without a length or chunks counted as cut: a reset, a request that was not taken, or no sign of its process. The judgement is now a verdict, counted as unframed-answers-<verdict>, and the log line of the request has the evidence. Which answers count as whole is unchanged (TestEvidence, TestAnswersDuringTheUpload: pass).

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -223,8 +223,8 @@
 	// ending tells whether an answer that ends with its connection is complete; nil for others.
 	ending *ending
 	ended  bool
-	// cut indicates that the answer has ended and is not complete.
-	cut bool
+	// cut is the error of an answer that has ended and may not be complete.
+	cut error
 }
 
 // Read returns io.EOF only at the end of a complete answer.
@@ -234,11 +234,11 @@
 		return count, err
 	}
 	if body.ending != nil && !body.ended {
-		body.cut = !body.ending.whole(body.ctx)
+		body.cut = body.ending.check(body.ctx)
 		body.ending = nil
 	}
-	if body.cut {
-		return count, io.ErrUnexpectedEOF
+	if body.cut != nil {
+		return count, body.cut
 	}
 	body.finish()
 	return count, err
--- a/upstream/ending.go
+++ b/upstream/ending.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"time"
 
 	"golang.org/x/sys/unix"
 
 	"coltsfootlink"
+	"coltsfootlink/metrics"
 	"coltsfootlink/web"
 )
 
@@ -38,15 +41,48 @@
 	quiet time.Duration
 }
 
-// whole reports whether the answer is complete. What accepts connections at the address belongs to the process that has sent the
-// answer only if no other one can have started since.
-func (known evidence) whole() bool {
-	if !known.requestReceived || known.reset {
-		return false
+// verdict says why an answer is complete, or why it may have been cut.
+type verdict string
+
+const (
+	processAlive    verdict = "process-alive"
+	requestUnread   verdict = "request-unread"
+	connectionReset verdict = "connection-reset"
+	processGone     verdict = "process-gone"
+)
+
+// verdict judges the end of the answer. What accepts connections at the address belongs to the process that has sent the answer
+// only if no other one can have started since.
+func (known evidence) verdict() verdict {
+	switch {
+	case !known.requestReceived:
+		return requestUnread
+	case known.reset:
+		return connectionReset
+	case known.witnessOpen, known.reachable && known.quiet < restartTime:
+		return processAlive
+	default:
+		return processGone
 	}
-	return known.witnessOpen || known.reachable && known.quiet < restartTime
 }
 
+// whole reports whether the answer is complete.
+func (verdict verdict) whole() bool { return verdict == processAlive }
+
+// incompleteError is the error of an answer without a length or chunks that may have been cut.
+type incompleteError struct {
+	verdict verdict
+	known   evidence
+}
+
+// Error gives the verdict and the evidence.
+func (incomplete *incompleteError) Error() string {
+	return fmt.Sprintf("the answer has no length and may have been cut: %s (%+v)", incomplete.verdict, incomplete.known)
+}
+
+// Unwrap makes it an unexpected end.
+func (incomplete *incompleteError) Unwrap() error { return io.ErrUnexpectedEOF }
+
 // ending collects the evidence for one answer. It holds the witness.
 type ending struct {
 	client  *Client
@@ -80,8 +116,8 @@
 	return witness
 }
 
-// whole reports whether the answer, whose connection has just ended without an error, is complete.
-func (ending *ending) whole(ctx context.Context) bool {
+// check returns an error unless the answer, whose connection has just ended without an error, is complete.
+func (ending *ending) check(ctx context.Context) error {
 	known := evidence{requestReceived: ending.awaitRequestReceived()}
 	known.reset = web.TCPState(ending.conn.Conn) == unix.BPF_TCP_CLOSE
 	known.quiet = web.SinceLastByte(ending.conn.Conn)
@@ -91,7 +127,12 @@
 	if !known.witnessOpen && !known.reset && known.requestReceived {
 		known.reachable = !ending.client.Unreachable(ctx, ending.target)
 	}
-	return known.whole()
+	verdict := known.verdict()
+	metrics.Count("unframed-answers-" + string(verdict))
+	if !verdict.whole() {
+		return &incompleteError{verdict: verdict, known: known}
+	}
+	return nil
 }
 
 // awaitRequestReceived reports whether the target's kernel has acknowledged the whole request, receiveTimeout after the end of the
--- a/upstream/ending_test.go
+++ b/upstream/ending_test.go
@@ -83,18 +83,18 @@
 func TestEvidence(t *testing.T) {
 	cases := map[string]struct {
 		known evidence
-		whole bool
+		want  verdict
 	}{
-		"the witness is open":                                  {evidence{requestReceived: true, witnessOpen: true}, true},
-		"the witness is open, read long after the end":         {evidence{requestReceived: true, witnessOpen: true, quiet: time.Minute}, true},
-		"no witness, the target accepts connections":           {evidence{requestReceived: true, reachable: true, quiet: time.Millisecond}, true},
-		"no witness, read when another process may have begun": {evidence{requestReceived: true, reachable: true, quiet: restartTime}, false},
-		"no witness, and the target accepts nothing":           {evidence{requestReceived: true}, false},
-		"reset, and the target accepts connections":            {evidence{requestReceived: true, reset: true, reachable: true}, false},
-		"the request was not taken":                            {evidence{witnessOpen: true, reachable: true}, false},
+		"the witness is open":                                  {evidence{requestReceived: true, witnessOpen: true}, processAlive},
+		"the witness is open, read long after the end":         {evidence{requestReceived: true, witnessOpen: true, quiet: time.Minute}, processAlive},
+		"no witness, the target accepts connections":           {evidence{requestReceived: true, reachable: true, quiet: time.Millisecond}, processAlive},
+		"no witness, read when another process may have begun": {evidence{requestReceived: true, reachable: true, quiet: restartTime}, processGone},
+		"no witness, and the target accepts nothing":           {evidence{requestReceived: true}, processGone},
+		"reset, and the target accepts connections":            {evidence{requestReceived: true, reset: true, reachable: true}, connectionReset},
+		"the request was not taken":                            {evidence{witnessOpen: true, reachable: true}, requestUnread},
 	}
 	for name, test := range cases {
-		Convey(name, t, func() { So(test.known.whole(), ShouldEqual, test.whole) })
+		Convey(name, t, func() { So(test.known.verdict(), ShouldEqual, test.want) })
 	}
 }
 
