Last answers of targets that shut down are not cut

Cause: the end of an answer without a length was believed only if the target's process still lived. A target that shuts down has closed its listener and unused connections by then.

Change: a crash ends everything at one moment, a shutdown does not. The target is watched while the answer comes, so it is known whether its listener closed before the last bytes; the connection pool knows the other answers of the process. Such an end is whole if the shutdown was announced and no other answer ended with it. What cannot be told apart stays cut.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -89,7 +89,7 @@
 	}
 	received := &body{ReadCloser: answer.Response.Body, ctx: ctx, answer: answer.Response, conn: conn, client: client, written: written, stopAbort: stopAbort}
 	if request.Incoming.Method != http.MethodHead && !endsBeforeClose(answer.Response) {
-		received.ending = client.newEnding(ctx, request.Target, conn, written)
+		received.ending = client.newEnding(ctx, request.Target, conn, written, answer.Head.Leaving)
 	}
 	answer.Body = received
 	return answer, nil
@@ -251,10 +251,10 @@
 	}
 	body.ended = true
 	body.stopAbort()
-	body.conn.abort()
 	if body.ending != nil {
 		body.ending.release()
 	}
+	body.conn.abort()
 	return nil
 }
 
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -56,6 +56,8 @@
 	answerBegun bool
 	// reused indicates that the connection was taken from the pool, so it has usually carried a request before.
 	reused bool
+	// openedAt is when the connection was opened.
+	openedAt time.Time
 	// idleSince is when the connection became idle, and idleUntil when it may no longer be reused.
 	idleSince, idleUntil time.Time
 }
@@ -81,7 +83,7 @@
 	if err != nil {
 		return nil, dialError(dialContext, err)
 	}
-	opened := &conn{Conn: socket, target: target.Name, headBytesLeft: -1}
+	opened := &conn{Conn: socket, target: target.Name, headBytesLeft: -1, openedAt: time.Now()}
 	opened.reader = bufio.NewReaderSize(opened, readBytes)
 	return opened, nil
 }
@@ -192,6 +194,28 @@
 	return err
 }
 
+// awaitEnd returns the error with which an unused connection ends; nil if the context ends first.
+func (conn *conn) awaitEnd(ctx context.Context) error {
+	interrupted := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		_ = conn.SetReadDeadline(time.Now())
+		close(interrupted)
+	})
+	_, err := conn.reader.Peek(1)
+	if err == nil {
+		// Bytes that nobody has asked for; the end behind them is not seen.
+		<-ctx.Done()
+	}
+	if !stop() {
+		<-interrupted
+	}
+	_ = conn.SetReadDeadline(time.Time{})
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return err
+}
+
 // setUnackedTimeout makes the kernel break the connection if sent bytes are not acknowledged within unackedTimeout.
 func setUnackedTimeout(raw syscall.RawConn) error {
 	var failure error
--- a/upstream/connpool.go
+++ b/upstream/connpool.go
@@ -39,8 +39,10 @@
 	Inbox *mailbox.Deliveries
 
 	// idle holds the idle connections, the most recently used last.
-	idle    map[coltsfootlink.TargetName][]*conn
-	catalog coltsfootlink.Catalog
+	idle map[coltsfootlink.TargetName][]*conn
+	// unframed holds the answers without a length or chunks that are being received.
+	unframed map[coltsfootlink.TargetName]unframedAnswers
+	catalog  coltsfootlink.Catalog
 	// instances is the number of live instances. They share the connection limits of the targets.
 	instances int
 }
@@ -48,6 +50,7 @@
 // Run hands out and takes back idle connections until the context ends, and then closes them.
 func (pool *ConnPool) Run(ctx context.Context) error {
 	pool.idle = make(map[coltsfootlink.TargetName][]*conn)
+	pool.unframed = make(map[coltsfootlink.TargetName]unframedAnswers)
 	defer pool.closeAll()
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
@@ -71,6 +74,14 @@
 		message.reply <- pool.get(message)
 	case putConn:
 		pool.put(message.conn)
+	case unframedBegun:
+		pool.setUnframed(message.conn.target, pool.unframed[message.conn.target].WithBegun(message.conn))
+	case unframedEnded:
+		pool.setUnframed(message.conn.target, pool.unframed[message.conn.target].WithEnded(message.conn, message.at))
+	case unframedDropped:
+		pool.setUnframed(message.conn.target, pool.unframed[message.conn.target].Without(message.conn))
+	case processQuery:
+		message.reply <- pool.process(message)
 	case coltsfootlink.CatalogChanged:
 		pool.catalog = message.Catalog
 		pool.closeRemoved()
@@ -136,6 +147,9 @@
 			delete(pool.idle, name)
 		}
 	}
+	for name, answers := range pool.unframed {
+		pool.setUnframed(name, answers.After(now))
+	}
 }
 
 // closeRemoved closes the connections to targets that are no longer in the catalog.
--- a/upstream/ending.go
+++ b/upstream/ending.go
@@ -39,6 +39,13 @@
 	// quiet is the time since the last byte of the answer was received, as the kernel measures it, also while this process does
 	// not run; zero if it is not known.
 	quiet time.Duration
+	// leaving indicates that the target has announced its shutdown.
+	leaving bool
+	// servedOn indicates that bytes of the answer came after the target had closed its listener, as it does when it shuts down.
+	servedOn bool
+	// othersOpen and othersEnded indicate that other answers of the same process are still being received, or ended together with
+	// this one.
+	othersOpen, othersEnded bool
 }
 
 // verdict says why an answer is complete, or why it may have been cut.
@@ -46,28 +53,35 @@
 
 const (
 	processAlive    verdict = "process-alive"
+	orderlyShutdown verdict = "orderly-shutdown"
 	requestUnread   verdict = "request-unread"
 	connectionReset verdict = "connection-reset"
+	endedWithOthers verdict = "ended-with-others"
 	processGone     verdict = "process-gone"
 )
 
 // verdict judges the end of the answer. What accepts connections at the address belongs to the process that has sent the answer
-// only if no other one can have started since.
+// only if no other one can have started since. A process that is gone has cut its answers, unless it was shutting down: it had
+// announced that and closed its listener, served on, and this answer did not end together with others.
 func (known evidence) verdict() verdict {
 	switch {
 	case !known.requestReceived:
 		return requestUnread
 	case known.reset:
 		return connectionReset
-	case known.witnessOpen, known.reachable && known.quiet < restartTime:
+	case known.witnessOpen, known.othersOpen, known.reachable && known.quiet < restartTime:
 		return processAlive
+	case known.leaving && known.servedOn && known.othersEnded:
+		return endedWithOthers
+	case known.leaving && known.servedOn:
+		return orderlyShutdown
 	default:
 		return processGone
 	}
 }
 
 // whole reports whether the answer is complete.
-func (verdict verdict) whole() bool { return verdict == processAlive }
+func (verdict verdict) whole() bool { return verdict == processAlive || verdict == orderlyShutdown }
 
 // incompleteError is the error of an answer without a length or chunks that may have been cut.
 type incompleteError struct {
@@ -89,43 +103,41 @@
 	target  coltsfootlink.Target
 	conn    *conn
 	written <-chan error
-	// witness receives one value: the witness, or nil if there is none.
-	witness chan *conn
+	// leaving indicates that the head of the answer announces the target's shutdown.
+	leaving bool
+	// seen receives one value, once stopWatch was called.
+	seen      chan observation
+	stopWatch context.CancelFunc
 }
 
-// newEnding opens a witness in the background.
-func (client *Client) newEnding(ctx context.Context, target coltsfootlink.Target, answering *conn, written <-chan error) *ending {
-	ending := &ending{client: client, target: target, conn: answering, written: written, witness: make(chan *conn, 1)}
-	go func() { ending.witness <- ending.openWitness(ctx) }()
+// newEnding begins to watch the target's process in the background.
+func (client *Client) newEnding(ctx context.Context, target coltsfootlink.Target, answering *conn, written <-chan error, leaving bool) *ending {
+	ending := &ending{client: client, target: target, conn: answering, written: written, leaving: leaving, seen: make(chan observation, 1)}
+	ctx, ending.stopWatch = context.WithCancel(ctx)
+	client.tell(unframedBegun{conn: answering})
+	go func() { ending.seen <- ending.watch(ctx) }()
 	return ending
 }
 
-// openWitness returns a new connection to the target, or nil if the answer had ended before it was accepted.
-func (ending *ending) openWitness(ctx context.Context) *conn {
-	if web.TCPState(ending.conn.Conn) != unix.BPF_TCP_ESTABLISHED {
-		return nil
-	}
-	witness, err := dial(ctx, ending.target)
-	if err != nil {
-		return nil
-	}
-	if web.TCPState(ending.conn.Conn) != unix.BPF_TCP_ESTABLISHED {
-		ending.client.returnUnused(witness)
-		return nil
-	}
-	return witness
-}
-
 // check returns an error unless the answer, whose connection has just ended without an error, is complete.
 func (ending *ending) check(ctx context.Context) error {
+	endedAt := ending.client.Clock.Now()
+	ending.client.tell(unframedEnded{conn: ending.conn, at: endedAt})
+	ending.stopWatch()
 	known := evidence{requestReceived: ending.awaitRequestReceived()}
 	known.reset = web.TCPState(ending.conn.Conn) == unix.BPF_TCP_CLOSE
 	known.quiet = web.SinceLastByte(ending.conn.Conn)
-	if witness := <-ending.witness; witness != nil {
-		known.witnessOpen = ending.client.staysOpen(witness)
+	lastByteAt := ending.client.Clock.Now().Add(-known.quiet)
+	seen := <-ending.seen
+	if seen.witness != nil {
+		known.witnessOpen = ending.client.staysOpen(seen.witness)
 	}
-	if !known.witnessOpen && !known.reset && known.requestReceived {
+	if known.requestReceived && !known.reset && !known.witnessOpen {
 		known.reachable = !ending.client.Unreachable(ctx, ending.target)
+		known.servedOn = !seen.refusedAt.IsZero() && lastByteAt.Sub(seen.refusedAt) >= exitTimeout
+	}
+	if known.verdict() == processGone {
+		known = ending.withProcess(ctx, known, endedAt, lastByteAt)
 	}
 	verdict := known.verdict()
 	metrics.Count("unframed-answers-" + string(verdict))
@@ -135,6 +147,20 @@
 	return nil
 }
 
+// withProcess adds what the pool knows of the target and of its other answers. Answers that are cut by the same crash end within
+// exitTimeout.
+func (ending *ending) withProcess(ctx context.Context, known evidence, endedAt, lastByteAt time.Time) evidence {
+	query := processQuery{conn: ending.conn, lastByteAt: lastByteAt}
+	process := ending.client.askProcess(ctx, query)
+	known.leaving = process.leaving || ending.leaving
+	if process.open > 0 || known.leaving && known.servedOn {
+		pause(ctx, endedAt.Add(exitTimeout).Sub(ending.client.Clock.Now()))
+		process = ending.client.askProcess(ctx, query)
+	}
+	known.othersOpen, known.othersEnded = process.open > 0, process.ended > 0
+	return known
+}
+
 // awaitRequestReceived reports whether the target's kernel has acknowledged the whole request, receiveTimeout after the end of the
 // answer at the latest.
 func (ending *ending) awaitRequestReceived() bool {
@@ -156,11 +182,13 @@
 	return true
 }
 
-// release gives the witness back if it was not needed.
+// release ends the watch if its result is not needed.
 func (ending *ending) release() {
+	ending.client.tell(unframedDropped{conn: ending.conn})
+	ending.stopWatch()
 	go func() {
-		if witness := <-ending.witness; witness != nil {
-			ending.client.returnUnused(witness)
+		if seen := <-ending.seen; seen.witness != nil {
+			ending.client.returnUnused(seen.witness)
 		}
 	}()
 }
--- a/upstream/ending_test.go
+++ b/upstream/ending_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +15,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"coltsfootlink"
+	"coltsfootlink/loopback"
 )
 
 const (
@@ -81,6 +84,7 @@
 
 // TestEvidence checks what is concluded from what is known of the end of an answer.
 func TestEvidence(t *testing.T) {
+	leaving := evidence{requestReceived: true, leaving: true, servedOn: true}
 	cases := map[string]struct {
 		known evidence
 		want  verdict
@@ -90,14 +94,160 @@
 		"no witness, the target accepts connections":           {evidence{requestReceived: true, reachable: true, quiet: time.Millisecond}, processAlive},
 		"no witness, read when another process may have begun": {evidence{requestReceived: true, reachable: true, quiet: restartTime}, processGone},
 		"no witness, and the target accepts nothing":           {evidence{requestReceived: true}, processGone},
+		"no witness, another answer is still coming":           {evidence{requestReceived: true, othersOpen: true, othersEnded: true}, processAlive},
 		"reset, and the target accepts connections":            {evidence{requestReceived: true, reset: true, reachable: true}, connectionReset},
 		"the request was not taken":                            {evidence{witnessOpen: true, reachable: true}, requestUnread},
+		"shutting down in order":                               {leaving, orderlyShutdown},
+		"shutting down, and others ended at the same time":     {evidence{requestReceived: true, leaving: true, servedOn: true, othersEnded: true}, endedWithOthers},
+		"shutting down, and reset":                             {evidence{requestReceived: true, leaving: true, servedOn: true, reset: true}, connectionReset},
+		"shutting down, and the request was not taken":         {evidence{leaving: true, servedOn: true}, requestUnread},
+		"announced, and the listener closed with the answer":   {evidence{requestReceived: true, leaving: true}, processGone},
+		"the listener closed before, nothing announced":        {evidence{requestReceived: true, servedOn: true}, processGone},
 	}
 	for name, test := range cases {
 		Convey(name, t, func() { So(test.known.verdict(), ShouldEqual, test.want) })
 	}
 }
 
+// processTarget is a target whose process can be shut down or crash while it sends answers without a length.
+type processTarget struct {
+	target        coltsfootlink.Target
+	stopListening context.CancelFunc
+	// answers are the connections with an answer, unused all connections.
+	answers, unused chan net.Conn
+}
+
+func startProcess(t *testing.T) *processTarget {
+	t.Helper()
+	process := &processTarget{answers: make(chan net.Conn, 8), unused: make(chan net.Conn, 64)}
+	ctx, stopListening := context.WithCancel(t.Context())
+	address, err := loopback.Serve(ctx, func(conn net.Conn) {
+		process.unused <- conn
+		if readRequest(bufio.NewReader(conn)) {
+			_, _ = io.WriteString(conn, unframedHalf)
+			process.answers <- conn
+			<-t.Context().Done()
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	process.target, process.stopListening = coltsfootlink.Target{Name: "t", Address: address}, stopListening
+	return process
+}
+
+// closeListener returns once connections are refused.
+func (process *processTarget) closeListener() {
+	process.stopListening()
+	for {
+		probe, err := net.Dial("tcp4", process.target.Address)
+		if err != nil {
+			return
+		}
+		_ = probe.Close()
+	}
+}
+
+// closeUnused closes the connections that carry no answer of those given.
+func (process *processTarget) closeUnused(answers ...net.Conn) {
+	for len(process.unused) > 0 {
+		if conn := <-process.unused; !slices.Contains(answers, conn) {
+			_ = conn.Close()
+		}
+	}
+}
+
+// finish sends the last byte of an answer and closes its connection.
+func finish(answer net.Conn) {
+	_, _ = io.WriteString(answer, "f")
+	_ = answer.Close()
+}
+
+// TestLastAnswersOfProcesses guards against whole answers of a target that shuts down which pass for cut ones, and against cut
+// answers of one that crashes which pass for whole ones.
+func TestLastAnswersOfProcesses(t *testing.T) {
+	const apart = 4 * exitTimeout
+	shutDown := func(process *processTarget, answers []net.Conn) {
+		process.closeListener()
+		process.closeUnused(answers...)
+		time.Sleep(apart)
+	}
+	finishInTurn := func(answers []net.Conn) {
+		for _, answer := range answers {
+			finish(answer)
+			time.Sleep(apart)
+		}
+	}
+	cases := map[string]struct {
+		announced bool
+		answers   int
+		end       func(process *processTarget, answers []net.Conn)
+		whole     int
+	}{
+		"shut down in order, the answers end in turn": {true, 3, func(process *processTarget, answers []net.Conn) {
+			shutDown(process, answers)
+			finishInTurn(answers)
+		}, 3},
+		"shut down, unused connections end with the process": {true, 1, func(process *processTarget, answers []net.Conn) {
+			process.closeListener()
+			time.Sleep(shutdownProbeInterval + apart)
+			finish(answers[0])
+			process.closeUnused()
+		}, 1},
+		"shut down without an announcement, but for the last one": {false, 3, func(process *processTarget, answers []net.Conn) {
+			shutDown(process, answers)
+			finishInTurn(answers)
+		}, 2},
+		"crashed": {false, 3, func(process *processTarget, answers []net.Conn) {
+			process.closeListener()
+			process.closeUnused()
+			for _, answer := range answers {
+				_ = answer.Close()
+			}
+		}, 0},
+		"crashed after the announcement": {true, 1, func(process *processTarget, answers []net.Conn) {
+			time.Sleep(apart)
+			process.closeListener()
+			process.closeUnused()
+			_ = answers[0].Close()
+		}, 0},
+		"crashed while it shut down": {true, 3, func(process *processTarget, answers []net.Conn) {
+			shutDown(process, answers)
+			for _, answer := range answers {
+				_ = answer.Close()
+			}
+		}, 0},
+	}
+	for name, test := range cases {
+		Convey(name, t, func() {
+			process, client := startProcess(t), newClient(t)
+			catalog := coltsfootlink.Catalog{Targets: map[coltsfootlink.TargetName]coltsfootlink.Target{"t": process.target.WithLeaving(test.announced)}}
+			client.ConnPool.Put(coltsfootlink.Delivery{Message: coltsfootlink.CatalogChanged{Catalog: catalog}})
+			results := make(chan error, test.answers)
+			var answers []net.Conn
+			for range test.answers {
+				answer, err := client.Call(t.Context(), "r-1", requestTo(process.target, "plan"), true)
+				So(err, ShouldBeNil)
+				answers = append(answers, <-process.answers)
+				go func() {
+					_, err := io.ReadAll(answer.Body)
+					_ = answer.Body.Close()
+					results <- err
+				}()
+			}
+			time.Sleep(apart)
+			test.end(process, answers)
+			whole := 0
+			for range test.answers {
+				if <-results == nil {
+					whole++
+				}
+			}
+			So(whole, ShouldEqual, test.whole)
+		})
+	}
+}
+
 // TestInvalidStatuses guards against a status that is none of HTTP and is passed on, or taken for that of an interim answer, so
 // that its body is read as an answer.
 func TestInvalidStatuses(t *testing.T) {
