Instances notice within 1.2 s that the readers of their zone are gone

Cause: restarted readers sent the configuration before they knew anybody, and again only when a read returned, up to 3 s later: the keepalive was looked at in handleRead alone. Nor did anything but membership, after 2 to 3 s, tell the third instance that its readers were silent.

Two tests were changed with the rule and are as strict: TestReaderSelection said that a third instance does not read after 2.5 s of silence, and an era test let updates of an unknown instance stand for readers.

--- a/catalog/era_test.go
+++ b/catalog/era_test.go
@@ -245,12 +245,17 @@
 		task.handle(coltsfootlink.Delivery{Message: read})
 		So(task.shouldRead(), ShouldBeFalse)
 		clock.now = clock.now.Add(updateTimeout + time.Minute)
-		task.handle(coltsfootlink.Delivery{From: "i-9", Message: coltsfootlink.News{
+		fromReaders := func(news coltsfootlink.News) {
+			for _, reader := range task.readers("a") {
+				task.handle(coltsfootlink.Delivery{From: reader, Message: news})
+			}
+		}
+		fromReaders(coltsfootlink.News{
 			ReadAt: clock.now, Records: []coltsfootlink.CatalogRecord{targetRecord(9, "t", "target h:1")}, Ends: map[coltsfootlink.CatalogStream]coltsfootlink.Position{coltsfootlink.TargetStream: {Offset: 9}},
-		}})
+		})
 		So(task.shouldRead(), ShouldBeTrue)
 		So(task.state.Settling(coltsfootlink.TargetStream), ShouldBeFalse)
-		task.handle(coltsfootlink.Delivery{From: "i-9", Message: coltsfootlink.News{ReadAt: clock.now, Era: 3}})
+		fromReaders(coltsfootlink.News{ReadAt: clock.now, Era: 3})
 		So(task.shouldRead(), ShouldBeFalse)
 	})
 }
--- a/catalog/share.go
+++ b/catalog/share.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"coltsfootlink"
-	"coltsfootlink/ownership"
 )
 
 // update returns an update with this instance's signature and what it knows of eras of the store.
@@ -24,6 +23,41 @@
 	task.sendToOtherReaders(update)
 }
 
+// sendKeepalive sends the zone an update without changes, from which it sees that the reader lives and whether it lacks any; while
+// an era settles and is agreed on, other readers get it, too.
+func (task *Task) sendKeepalive(now, readAt time.Time) {
+	task.keepaliveAt = now.Add(keepaliveInterval)
+	update := coltsfootlink.News{ReadAt: readAt}
+	if task.settling() || now.Before(task.agreeUntil) {
+		task.sendUpdate(update)
+		return
+	}
+	task.sendToZone(task.update(update))
+}
+
+// keepAlive sends a keepalive if it is time, and other instances of the zone rely on this one.
+func (task *Task) keepAlive() {
+	now := task.Clock.Now()
+	if task.readAt.IsZero() || now.Before(task.keepaliveAt) || !task.isRegularReader(now) {
+		return
+	}
+	task.sendKeepalive(now, task.readAt)
+}
+
+// tellJoined sends the signature of this reader's catalog to the instances that have joined since an earlier view, and to all that
+// rely on this one if it has joined itself: they do not have what was sent before they knew each other.
+func (task *Task) tellJoined(before coltsfootlink.View) {
+	if task.readAt.IsZero() || !task.isRegularReader(task.Clock.Now()) {
+		return
+	}
+	update := task.update(coltsfootlink.News{ReadAt: task.readAt})
+	for _, member := range task.view.JoinedSince(before) {
+		if member.Name != task.Self.Name && (member.Zone == task.Self.Zone || slices.Contains(task.readers(member.Zone), member.Name)) {
+			task.Sender.Send(member.Name, update)
+		}
+	}
+}
+
 // sendToZone sends an update to the other live instances of the zone.
 func (task *Task) sendToZone(update coltsfootlink.News) {
 	for _, member := range task.view.Live() {
@@ -49,24 +83,6 @@
 	}
 }
 
-// readers returns the instances of a zone that always read the platform.
-func (task *Task) readers(zone coltsfootlink.ZoneName) []coltsfootlink.InstanceName {
-	ranked := task.ranked(zone)
-	return ranked[:min(readersPerZone, len(ranked))]
-}
-
-// ranked returns the instances of a zone that may read the platform, in the order in which they do: the capable ones first.
-func (task *Task) ranked(zone coltsfootlink.ZoneName) []coltsfootlink.InstanceName {
-	name := "catalog " + string(zone)
-	ranked := ownership.Ranked(name, task.view.Capable(zone))
-	for _, candidate := range ownership.Ranked(name, task.view.Candidates(zone)) {
-		if !slices.Contains(ranked, candidate) {
-			ranked = append(ranked, candidate)
-		}
-	}
-	return ranked
-}
-
 // newestPerKey returns the newest record of each key, in the order in which the keys first occur.
 func newestPerKey(records []coltsfootlink.CatalogRecord) []coltsfootlink.CatalogRecord {
 	kept := make([]coltsfootlink.CatalogRecord, 0, len(records))
--- a/catalog/task.go
+++ b/catalog/task.go
@@ -17,13 +17,6 @@
 const (
 	// tickInterval is the interval at which the task checks whether this instance has to read the platform.
 	tickInterval = 200 * time.Millisecond
-	// updateTimeout is how old the last update from a reader may be before another instance of the zone reads, too.
-	updateTimeout = 5 * time.Second
-	// readersPerZone is the number of instances of a zone that always read. A single one may be cut off or rejected by the
-	// platform, and this may go unnoticed for longer than an update may take.
-	readersPerZone = 2
-	// rankDelay is added to updateTimeout once for each instance of the zone that ranks higher as a reader.
-	rankDelay = 300 * time.Millisecond
 	// keepaliveInterval is the interval at which a reader sends updates to its zone even if nothing has changed.
 	keepaliveInterval = 500 * time.Millisecond
 	// resyncInterval is the minimum time between two requests for all records of a reader whose signature differs, and the
@@ -59,14 +52,20 @@
 
 	state State
 	view  coltsfootlink.View
+	// ranking are the instances of the zone that may read the platform, in the order in which they do.
+	ranking []coltsfootlink.InstanceName
 	// phase is when the waits of this instance's readers end within each period of maxFollowWait; the readers load it.
 	phase atomic.Int64
 	// stopFuncs stop the readers; nil if the instance does not read.
 	stopFuncs []func()
 	// loaded are the streams that have been read completely since the task started.
 	loaded map[coltsfootlink.CatalogStream]bool
-	// lastUpdateAt is when a reader last had the newest records, according to its updates.
+	// lastUpdateAt is when a reader last had the newest records, according to its updates, and heard when each of the zone's
+	// readers last sent one.
 	lastUpdateAt time.Time
+	heard        heardReaders
+	// readAt is when this instance last read the platform; zero before.
+	readAt time.Time
 	// keepaliveAt is when this reader next sends an update to its zone even if nothing has changed.
 	keepaliveAt time.Time
 	// bootstrapAt is when the instance may next ask a peer for all its records, and bootstrapped the peers that have sent
@@ -94,6 +93,7 @@
 	task.loaded = make(map[coltsfootlink.CatalogStream]bool)
 	task.bootstrapped = make(map[coltsfootlink.InstanceName]bool)
 	task.awaitUntil = task.Clock.Now().Add(bootstrapWait)
+	task.heard, task.readAt = nil, time.Time{}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	defer task.stopReaders()
@@ -105,6 +105,7 @@
 		case <-ticker.C:
 			task.bootstrap()
 			task.publishAwaited()
+			task.keepAlive()
 		case <-task.Inbox.Ready():
 		}
 		for _, delivery := range task.Inbox.Drain() {
@@ -122,8 +123,10 @@
 	case coltsfootlink.NewsRequest:
 		task.Sender.Send(delivery.From, task.update(coltsfootlink.News{Records: task.state.Records(), Ends: task.state.Ends()}))
 	case coltsfootlink.ViewChanged:
-		task.view = message.View
+		before := task.view
+		task.setView(message.View)
 		task.phase.Store(int64(task.followPhase()))
+		task.tellJoined(before)
 	}
 }
 
@@ -149,6 +152,10 @@
 // removed are removed here, too, unless they may still be written again after a restore of the store. A reader of the zone
 // passes on what is new and comes from another zone. A peer that does not know the era has not got the newest records.
 func (task *Task) handleNews(from coltsfootlink.InstanceName, news coltsfootlink.News) {
+	sender, _ := task.view.Member(from)
+	if !news.ReadAt.IsZero() && sender.Zone == task.Self.Zone {
+		task.heard = task.heard.With(from, task.Clock.Now())
+	}
 	if news.ReadAt.After(task.lastUpdateAt) && news.Era >= task.state.Era() {
 		task.lastUpdateAt = news.ReadAt
 	}
@@ -166,7 +173,6 @@
 			task.state = task.state.WithEnd(stream, end)
 		}
 	}
-	sender, _ := task.view.Member(from)
 	if (len(changed) > 0 || learned) && sender.Zone != task.Self.Zone && slices.Contains(task.readers(task.Self.Zone), task.Self.Name) {
 		task.sendToZone(task.update(coltsfootlink.News{Records: changed, ReadAt: news.ReadAt}))
 	}
@@ -180,6 +186,7 @@
 // handleRead applies the records of a read and sends the changes to the peers.
 func (task *Task) handleRead(result readResult) {
 	now, before := task.Clock.Now(), task.state
+	task.readAt = result.readAt
 	if result.newest {
 		task.state = task.state.WithPosition(now, result.stream, result.end)
 	}
@@ -205,13 +212,12 @@
 	if len(changed) == 0 && !learned && now.Before(task.keepaliveAt) {
 		return
 	}
-	task.keepaliveAt = now.Add(keepaliveInterval)
-	update := coltsfootlink.News{Records: changed, ReadAt: result.readAt}
-	if len(changed) > 0 || learned || task.settling() || now.Before(task.agreeUntil) {
-		task.sendUpdate(update)
+	if len(changed) == 0 && !learned {
+		task.sendKeepalive(now, result.readAt)
 		return
 	}
-	task.sendToZone(task.update(update))
+	task.keepaliveAt = now.Add(keepaliveInterval)
+	task.sendUpdate(coltsfootlink.News{Records: changed, ReadAt: result.readAt})
 }
 
 // apply adds records to the state and returns those that changed the catalog.
@@ -302,20 +308,6 @@
 	}
 }
 
-// shouldRead reports whether the instance has to read the platform: until it has read all streams once, if it is one of its
-// zone's regular readers, or if these have sent no update for too long.
-func (task *Task) shouldRead() bool {
-	if !task.loaded[coltsfootlink.OperatorStream] || !task.loaded[coltsfootlink.TargetStream] {
-		return true
-	}
-	rank := slices.Index(task.ranked(task.Self.Zone), task.Self.Name)
-	if rank >= 0 && rank < readersPerZone {
-		return true
-	}
-	timeout := updateTimeout + time.Duration(max(0, rank))*rankDelay
-	return task.Clock.Now().Sub(task.lastUpdateAt) > timeout
-}
-
 // bootstrap asks random live peers for all their records while the instance has not read the platform itself, or awaits them:
 // until bootstrapPeers have sent theirs, since one that is cut off from the platform may have outdated ones.
 func (task *Task) bootstrap() {
--- a/catalog/task_test.go
+++ b/catalog/task_test.go
@@ -48,30 +48,44 @@
 	}
 	task.state = NewState(textDecoder{})
 	task.loaded = map[coltsfootlink.CatalogStream]bool{coltsfootlink.OperatorStream: true, coltsfootlink.TargetStream: true}
-	task.view = view
+	task.setView(view)
 	task.bootstrapped = make(map[coltsfootlink.InstanceName]bool)
 	task.lastUpdateAt = baseTime
+	for _, member := range view.Members {
+		task.heard = task.heard.With(member.Name, baseTime)
+	}
 	return task, sender, clock
 }
 
 func TestReaderSelection(t *testing.T) {
 	view := viewOf("i-1", "i-2", "i-3", "i-4")
 	ranked := ownership.Ranked("catalog a", view.Candidates("a"))
+	const silent, heard = readerTimeout + substituteDelay/2, readerTimeout / 2
 	cases := map[string]struct {
-		rank        int
+		rank int
+		// sinceHeard is how long ago the readers before it were heard of, in the order of their ranks.
+		sinceHeard  []time.Duration
 		sinceUpdate time.Duration
 		reads       bool
 	}{
-		"first reads": {0, 0, true},
-		"second reads, since the first may be cut off": {1, 0, true},
-		"third does not read":                          {2, updateTimeout / 2, false},
-		"third reads after the timeout":                {2, updateTimeout + time.Second, true},
-		"fourth waits longer than the third":           {3, updateTimeout + 2*rankDelay, false},
+		"first reads": {0, nil, 0, true},
+		"second reads, since the first may be cut off":                  {1, []time.Duration{heard}, 0, true},
+		"third does not read":                                           {2, []time.Duration{heard, heard}, updateTimeout / 2, false},
+		"third reads in place of a silent one":                          {2, []time.Duration{heard, silent}, 0, true},
+		"third reads in place of both":                                  {2, []time.Duration{silent, silent}, 0, true},
+		"third reads after the timeout, though both are heard of":       {2, []time.Duration{heard, heard}, updateTimeout + time.Second, true},
+		"fourth does not read if the third does":                        {3, []time.Duration{heard, time.Minute, heard}, 0, false},
+		"fourth waits longer for readers than the third":                {3, []time.Duration{heard, silent, time.Minute}, 0, false},
+		"fourth reads in place of the third":                            {3, []time.Duration{heard, time.Minute, silent + substituteDelay}, 0, true},
+		"fourth waits longer than the third for readers that are heard": {3, []time.Duration{heard, heard, time.Minute}, updateTimeout + 2*rankDelay, false},
 	}
 	for name, test := range cases {
 		Convey(name, t, func() {
 			task, _, clock := newTask(ranked[test.rank], view)
 			clock.now = clock.now.Add(test.sinceUpdate)
+			for rank, since := range test.sinceHeard {
+				task.heard = task.heard.With(ranked[rank], clock.now.Add(-since))
+			}
 			So(task.shouldRead(), ShouldEqual, test.reads)
 		})
 	}
