Prompts that crash targets before a byte of the answer are held back

Cause: a crash counted against a prompt only if a part of the head was received. Evidence: breaks before-head in the log without a line of the quarantine, and no answer under the part.

Change: such a crash counts if the target had received the request, accepts no connection and was not shutting down. A crash takes all waiting requests along, so each instance reports its two oldest, and a part with no other crashes needs one more.

TestCrashesBeforeAByteAreReported fails without it in the rows of crashes.

--- a/engine.go
+++ b/engine.go
@@ -56,10 +56,12 @@
 	// Sent indicates that at least one byte of the request may have been sent to the target.
 	Sent bool
 	// Begun indicates that a part of the head of the answer was received.
-	Begun  bool
-	Result Result
-	Reason Reason
-	Cause  error
+	Begun bool
+	// Received indicates that the target's kernel has acknowledged the whole request.
+	Received bool
+	Result   Result
+	Reason   Reason
+	Cause    error
 }
 
 // NewCallError classifies a failed call: Cancelled or Unused if the context ended after or before the request was sent,
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -103,6 +103,7 @@
 	switch {
 	case err != nil:
 		failure, result, progress.begun = current.callFailure(err)
+		progress.received = hasReceived(err)
 	default:
 		current.attempts++
 		current.reportNotice(choice.Target, answer.Head)
@@ -171,6 +172,12 @@
 	return coltsfootlink.Refuse(call.Reason, call.Cause.Error()).WithOutcome(coltsfootlink.MayHaveRun), call.Result, call.Begun
 }
 
+// hasReceived reports whether the target had received the whole request when a call failed.
+func hasReceived(err error) bool {
+	var call *coltsfootlink.CallError
+	return errors.As(err, &call) && call.Received
+}
+
 // forward sends the target's answer to the caller, or returns why it is not a valid answer.
 func (current *exchange) forward(choice dispatch.Choice, answer upstream.Answer, sentAt time.Time) (*coltsfootlink.Refusal, coltsfootlink.Result) {
 	status := answer.Response.StatusCode
--- a/ingress/progress.go
+++ b/ingress/progress.go
@@ -34,6 +34,8 @@
 	// begun indicates that a part of the head of the answer was received, and headAt when all of it was; zero before.
 	begun  bool
 	headAt time.Time
+	// received indicates that the target had received the whole request when it broke the connection before an answer.
+	received bool
 	// bytes is the number of bytes read of the body, and events the number of complete events among them.
 	bytes  int64
 	events int
--- a/ingress/quarantine.go
+++ b/ingress/quarantine.go
@@ -72,10 +72,14 @@
 	}
 }
 
-// reportCrash reports that the target crashed when it had just begun to answer. A connection that broke for another reason
-// leaves the target reachable, and an answer that was well under way shows that its prompt is not the cause.
+// reportCrash reports that the target crashed when it had just begun to answer, or was to. A connection that broke for another
+// reason leaves the target reachable, and an answer that was well under way shows that its prompt is not the cause. Without a byte of
+// the answer, the target must have received the request, and not be shutting down.
 func (current *exchange) reportCrash(ctx context.Context, choice dispatch.Choice, progress *answerProgress, sentAt time.Time) {
-	if len(current.sharedParts) == 0 || !progress.begun || progress.events >= minEvents {
+	if len(current.sharedParts) == 0 || progress.events >= minEvents {
+		return
+	}
+	if !progress.begun && (!progress.received || current.isLeaving(choice.Target)) {
 		return
 	}
 	crashedAt := current.service.Clock.Now()
@@ -86,7 +90,7 @@
 	}
 	reply := make(chan bool, 1)
 	current.service.Quarantine.Put(coltsfootlink.Delivery{Message: quarantine.Crashed{
-		Crash: current.promptCrash(choice, sentAt, crashedAt),
+		Crash: current.promptCrash(choice, sentAt, crashedAt).WithUnbegun(!progress.begun),
 		Reply: reply,
 	}})
 	select {
@@ -96,6 +100,12 @@
 	}
 }
 
+// isLeaving reports whether a target has announced its shutdown, or is no longer registered.
+func (current *exchange) isLeaving(target coltsfootlink.Target) bool {
+	registered, found := current.service.Gate.Catalog().Targets[target.Name]
+	return !found || registered.Leaving
+}
+
 // reportTrial reports that the request is being sent as a trial, before a target can crash under it.
 func (current *exchange) reportTrial(choice dispatch.Choice, sentAt time.Time) {
 	if current.trial != 0 {
--- a/ingress/quarantine_test.go
+++ b/ingress/quarantine_test.go
@@ -118,7 +118,7 @@
 		"a crash within the first event":                          {streamHead + chunk("id: 1\nda"), true, false, 1, 0},
 		"a crash after one event":                                 {streamHead + one, true, false, 1, 0},
 		"a crash after two events":                                {streamHead + two, true, false, 0, 1},
-		"a crash before the head":                                 {"", true, false, 0, 0},
+		"a crash before the head, the target is not registered":   {"", true, false, 0, 0},
 		"a crash after one byte":                                  {"H", true, false, 1, 0},
 		"a crash within the status line":                          {"HTTP/1.1 20", true, false, 1, 0},
 		"a crash within the head":                                 {"HTTP/1.1 200 OK\r\nAttempt-Id: r-1\r\n", true, false, 1, 0},
@@ -159,6 +159,36 @@
 	}
 }
 
+// TestCrashesBeforeAByteAreReported guards against prompts that crash targets before a byte of the answer is sent, and are never held
+// back, and against prompts that are blamed for the end of a target which shuts down.
+func TestCrashesBeforeAByteAreReported(t *testing.T) {
+	cases := map[string]struct {
+		text             string
+		leaving, crashes bool
+		crash            bool
+	}{
+		"a crash":                               {text: "", crashes: true, crash: true},
+		"a crash after an interim answer":       {text: "HTTP/1.1 103 Early Hints\r\n\r\n", crashes: true, crash: true},
+		"a target that shuts down":              {text: "", leaving: true, crashes: true},
+		"a connection that breaks":              {text: ""},
+		"a crash after the head, shutting down": {text: streamHead, leaving: true, crashes: true, crash: true},
+	}
+	for name, test := range cases {
+		Convey(name, t, func() {
+			target := startCrashing(t, "t", test.text, test.crashes)
+			service := newService(t, &fakeDispatcher{targets: []*fakeTarget{target}}, true)
+			service.Gate.setCatalog(service.Gate.Catalog().WithTarget(target.Target.WithLeaving(test.leaving)))
+			reported := startQuarantine(t, service, false)
+			server := httptest.NewServer(service)
+			defer server.Close()
+			_, _, _, _ = requestWith(t, server.URL, "/stream/a", "plan", promptHeader("c:10,d:10,own:10"))
+			crashes, _ := reported()
+			So(len(crashes) > 0, ShouldEqual, test.crash)
+			So(test.crash && crashes[0].Unbegun, ShouldEqual, test.crash && test.text != streamHead)
+		})
+	}
+}
+
 // TestCrashesCountThoughConnectionsBreakBeforeTheListener guards against taking a target whose process is just ending for one
 // that still runs.
 func TestCrashesCountThoughConnectionsBreakBeforeTheListener(t *testing.T) {
--- a/peer/quarantine.go
+++ b/peer/quarantine.go
@@ -43,6 +43,7 @@
 		}),
 		SentMillisAgo:    ageInMillis(crash.SentAt),
 		CrashedMillisAgo: ageInMillis(crash.CrashedAt),
+		Unbegun:          crash.Unbegun,
 	}
 }
 
@@ -68,6 +69,7 @@
 		}),
 		SentAt:    timeOfAge(crash.GetSentMillisAgo()),
 		CrashedAt: timeOfAge(crash.GetCrashedMillisAgo()),
+		Unbegun:   crash.GetUnbegun(),
 	}
 }
 
--- a/quarantine.go
+++ b/quarantine.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// PromptCrash is the crash of a target that had just begun to answer a request.
+// PromptCrash is the crash of a target that had just begun to answer a request, or had it when it crashed.
 type PromptCrash struct {
 	Pool PoolName
 	// Request is the request that the target was answering, and Target with its Incarnation the target.
@@ -13,10 +13,18 @@
 	Suspects []Suspect
 	// Barred are the parts of the bar that rested on the crash when it was recorded; empty for one that was not read from the store.
 	Barred []PartID
+	// Unbegun indicates that no byte of the answer was received. The target may have been answering another request.
+	Unbegun bool
 	// SentAt is when the request was sent to the target, and CrashedAt when its connection broke.
 	SentAt, CrashedAt time.Time
 }
 
+// WithUnbegun returns the crash with its Unbegun mark set or cleared.
+func (crash PromptCrash) WithUnbegun(unbegun bool) PromptCrash {
+	crash.Unbegun = unbegun
+	return crash
+}
+
 // Suspect is a part of a prompt under which a target has crashed.
 type Suspect struct {
 	Part PartID
--- a/quarantine/bar.go
+++ b/quarantine/bar.go
@@ -18,6 +18,9 @@
 	minCrashes         = 2
 	minCrashesAnswered = 3
 	minAnswered        = 8
+	// unbegunCrashes is the number of further crashes that a part needs if no byte of an answer was received in any of them: a crash
+	// takes all requests along that wait on the target.
+	unbegunCrashes = 1
 	// firstTrialDelay is the time from the last crash until a request is let through as a trial; it is short because parts may
 	// be blamed wrongly. It grows by trialBackoff with each further crash.
 	firstTrialDelay = 2 * time.Second
@@ -189,6 +192,8 @@
 	part coltsfootlink.PartID
 	// answered indicates that a request with the part was answered before, or that too little is known to tell.
 	answered bool
+	// unbegun indicates that no byte of an answer was received in any of the crashes.
+	unbegun bool
 	// successive is the number of crashes one after the other, and all are all crashes with the part.
 	successive int
 	all        []evidence
@@ -208,10 +213,14 @@
 
 // excess returns the number of successive crashes beyond those from which the part is barred; negative if there are too few.
 func (one candidate) excess() int {
+	needed := minCrashes
 	if one.answered {
-		return one.successive - minCrashesAnswered
+		needed = minCrashesAnswered
 	}
-	return one.successive - minCrashes
+	if one.unbegun {
+		needed += unbegunCrashes
+	}
+	return one.successive - needed
 }
 
 // nextBar returns the bar for the part that is most likely to have caused the unexplained crashes; false if none is likely.
@@ -263,7 +272,7 @@
 // candidateOf collects the unexplained crashes with a part, which have the given indices. Only crashes of requests that were sent after the one before was
 // known count as successive: crashes at the same moment have one cause, which may be none of the prompts.
 func (state State) candidateOf(part coltsfootlink.PartID, indices []int) candidate {
-	found := candidate{part: part, answered: !state.answered.At(part).IsZero() || state.answered.Len() < minAnswered}
+	found := candidate{part: part, unbegun: true, answered: !state.answered.At(part).IsZero() || state.answered.Len() < minAnswered}
 	var counted coltsfootlink.PromptCrash
 	for _, index := range indices {
 		next := state.unexplained[index]
@@ -272,6 +281,7 @@
 			found.answered = false
 		}
 		found.all = append(found.all, next)
+		found.unbegun = found.unbegun && next.crash.Unbegun
 		if found.successive == 0 || next.crash.Request != counted.Request && !next.crash.SentAt.Before(counted.CrashedAt) {
 			found.successive++
 			counted = next.crash
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -15,6 +15,8 @@
 	// prompt are suspected, so that crashes with many parts are fewer; those that were answered since are not kept.
 	maxCrashes  = 64
 	maxSuspects = 64 << 10
+	// maxUnbegun is the number of crashes that are kept with those before a byte of the answer, which come in dozens.
+	maxUnbegun = 256
 	// crashTTL is how long a crash is kept; one that a bar rests on is kept until the bar's trial has been due for as long.
 	crashTTL = time.Hour
 )
@@ -137,14 +139,31 @@
 
 // withoutExcess drops the oldest crashes beyond maxCrashes and maxSuspects, those that no bar rests on first.
 func (state State) withoutExcess() State {
-	for len(state.crashes) > maxCrashes || state.countSuspects() > maxSuspects && len(state.crashes) > 1 {
-		index := max(0, slices.IndexFunc(state.crashes, func(crash coltsfootlink.PromptCrash) bool { return !state.explains(crash) }))
+	for state.countBegun() > maxCrashes || len(state.crashes) > maxUnbegun || state.countSuspects() > maxSuspects && len(state.crashes) > 1 {
+		tooMany := state.countBegun() > maxCrashes
+		index := slices.IndexFunc(state.crashes, func(crash coltsfootlink.PromptCrash) bool {
+			return !state.explains(crash) && crash.Unbegun != tooMany
+		})
+		if index < 0 {
+			index = max(0, slices.IndexFunc(state.crashes, func(crash coltsfootlink.PromptCrash) bool { return crash.Unbegun != tooMany }))
+		}
 		state.crashes = slices.Delete(state.crashes, index, index+1)
 		state = state.withBars()
 	}
 	return state
 }
 
+// countBegun returns the number of crashes in which a byte of the answer was received.
+func (state State) countBegun() int {
+	count := 0
+	for _, crash := range state.crashes {
+		if !crash.Unbegun {
+			count++
+		}
+	}
+	return count
+}
+
 func (state State) countSuspects() int {
 	count := 0
 	for _, crash := range state.crashes {
@@ -172,12 +191,16 @@
 // AnsweredAt returns when a request with the part was last answered; zero if that is not known.
 func (state State) AnsweredAt(part coltsfootlink.PartID) time.Time { return state.answered.At(part) }
 
-// rank is 0 for a crash that a bar rests on, and otherwise 1.
+// rank is 0 for a crash that a bar rests on, 2 for one before a byte of the answer, and otherwise 1.
 func (state State) rank(crash coltsfootlink.PromptCrash) int {
-	if state.explains(crash) {
+	switch {
+	case state.explains(crash):
 		return 0
+	case crash.Unbegun:
+		return 2
+	default:
+		return 1
 	}
-	return 1
 }
 
 // explains reports whether a bar explains a crash.
--- a/quarantine/state_test.go
+++ b/quarantine/state_test.go
@@ -35,6 +35,11 @@
 	return crash
 }
 
+// unbegun returns what crashOf does, of a crash before a byte of the answer.
+func unbegun(request, letters string, sent, crashed int) coltsfootlink.PromptCrash {
+	return crashOf(request, letters, sent, crashed).WithUnbegun(true)
+}
+
 // knownState returns the state of an instance that has seen answers of other prompts.
 func knownState() State {
 	return NewState().WithAnswered(start.Add(-time.Minute), prompt("STUVWXYZ")[:minAnswered])
@@ -72,6 +77,12 @@
 		"the same session in two of three crashes":      {nil, []coltsfootlink.PromptCrash{crashOf("1", "dx", 0, 100), crashOf("2", "dx", 100, 200), crashOf("3", "dy", 200, 300)}, nil, 0, []string{"d"}, false},
 		"two crashes, and nothing is known of others":   {nil, []coltsfootlink.PromptCrash{crashOf("1", "cd", 0, 100), crashOf("2", "ed", 100, 200)}, nil, 0, nil, true},
 		"three crashes, and nothing is known of others": {nil, []coltsfootlink.PromptCrash{crashOf("1", "cd", 0, 100), crashOf("2", "ed", 100, 200), crashOf("3", "fd", 200, 300)}, nil, 0, []string{"d"}, true},
+		"two before a byte of the answer":               {nil, []coltsfootlink.PromptCrash{unbegun("1", "cd", 0, 100), unbegun("2", "ed", 100, 200)}, nil, 0, nil, false},
+		"three before a byte of the answer":             {nil, []coltsfootlink.PromptCrash{unbegun("1", "cd", 0, 100), unbegun("2", "ed", 100, 200), unbegun("3", "fd", 200, 300)}, nil, 0, []string{"d"}, false},
+		"one of two before a byte of the answer":        {nil, []coltsfootlink.PromptCrash{unbegun("1", "cd", 0, 100), crashOf("2", "ed", 100, 200)}, nil, 0, []string{"d"}, false},
+		"three before a byte, a part that was answered": {[]answer{{"d", 0}}, []coltsfootlink.PromptCrash{unbegun("1", "d", 0, 100), unbegun("2", "d", 150, 250), unbegun("3", "d", 250, 300)}, nil, 0, nil, false},
+		"four before a byte, a part that was answered":  {[]answer{{"d", 0}}, []coltsfootlink.PromptCrash{unbegun("1", "d", 0, 100), unbegun("2", "d", 150, 250), unbegun("3", "d", 250, 300), unbegun("4", "d", 300, 400)}, nil, 0, []string{"d"}, false},
+		"before a byte, many requests of one crash":     {nil, []coltsfootlink.PromptCrash{unbegun("1", "cd", 0, 100), unbegun("2", "cd", 1, 101), unbegun("3", "cd", 2, 100)}, nil, 0, nil, false},
 		"long ago": {nil, []coltsfootlink.PromptCrash{crashOf("1", "d", 0, 100), crashOf("2", "d", 100, 200)}, nil, 2 * time.Hour, nil, false},
 	}
 	for name, test := range cases {
--- a/quarantine/task.go
+++ b/quarantine/task.go
@@ -48,6 +48,8 @@
 	// their times.
 	held map[string]coltsfootlink.CrashRecord
 	own  map[string]time.Time
+	// unbegun are the crashes before a byte of the answer that this instance has seen since the last tick.
+	unbegun []coltsfootlink.PromptCrash
 	// gossipAt is when the next random instance is told of crashes.
 	gossipAt time.Time
 }
@@ -75,6 +77,7 @@
 	task.pools = Pools{}
 	task.view = View{}
 	task.syncBy, task.told = task.Clock.Now().Add(syncTimeout), false
+	task.unbegun = nil
 	task.held, task.own = nil, make(map[string]time.Time)
 	task.requestRecords()
 	task.publish()
@@ -107,13 +110,23 @@
 
 // handleCrash records a crash that this instance has seen and tells all others of it.
 func (task *Task) handleCrash(message Crashed) {
-	crash := task.withAnswers(message.Crash)
+	if message.Crash.Unbegun {
+		task.deferUnbegun(message)
+		return
+	}
+	crash := task.recordCrash(message.Crash)
+	message.Reply <- task.pools.State(crash.Pool).MayRepeat(crash.Request, partsOf(crash), crash.SentAt)
+}
+
+// recordCrash logs and announces a crash, and returns it with when its suspects were answered.
+func (task *Task) recordCrash(crash coltsfootlink.PromptCrash) coltsfootlink.PromptCrash {
+	crash = task.withAnswers(crash)
 	metrics.Count("prompt-crashes")
 	task.Log.Warn().Str("request", string(crash.Request)).Str("pool", string(crash.Pool)).Str("target", string(crash.Target)).
-		Str("parts", task.describe(crash.Suspects)).Int64("sent-ms-ago", task.age(crash.SentAt)).
+		Str("parts", task.describe(crash.Suspects)).Int64("sent-ms-ago", task.age(crash.SentAt)).Bool("unbegun", crash.Unbegun).
 		Msg("quarantine: target crashed when it began to answer; the parts of the prompt are suspected, with the time since each was last answered")
 	task.announce(crash)
-	message.Reply <- task.pools.State(crash.Pool).MayRepeat(crash.Request, partsOf(crash), crash.SentAt)
+	return crash
 }
 
 // handleTrial puts the next trial off on all instances, whatever becomes of this one.
@@ -191,6 +204,7 @@
 // tick ends the wait for others, drops old crashes and tells a random instance of the newest ones.
 func (task *Task) tick() {
 	now := task.Clock.Now()
+	task.announceUnbegun()
 	if !task.view.Synced {
 		task.requestNews()
 		task.updateSynced()
--- a/quarantine/task_test.go
+++ b/quarantine/task_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -164,6 +165,39 @@
 	})
 }
 
+// TestOldestRequestsOfACrashAreReported guards against a crash that takes many requests along, each of which is told to all instances.
+func TestOldestRequestsOfACrashAreReported(t *testing.T) {
+	cases := map[string]struct {
+		// requests are the letters of the requests that each target's crash took along, oldest last.
+		requests [][]string
+		suspects string
+	}{
+		"one request":         {[][]string{{"cd"}}, "cd"},
+		"many on one target":  {[][]string{{"ab", "ef", "xd", "cd"}}, "cdx"},
+		"many on each of two": {[][]string{{"ab", "xd", "cd"}, {"ab", "yd", "zd"}}, "cdxyz"},
+	}
+	for name, test := range cases {
+		Convey(name, t, func() {
+			fleet := newFleet(2)
+			for target, requests := range test.requests {
+				for index, letters := range requests {
+					crash := unbegun(fmt.Sprint(target, index), letters, len(requests)-index, 100)
+					crash.Target = coltsfootlink.TargetName(fmt.Sprint("t-", target))
+					fleet.tasks["i-0"].handle(coltsfootlink.Delivery{Message: Crashed{Crash: crash, Reply: make(chan bool, 1)}})
+				}
+			}
+			So(fleet.tasks["i-1"].pools.State("p").Crashes(), ShouldBeEmpty)
+			fleet.tasks["i-0"].tick()
+			var parts []coltsfootlink.PartID
+			for _, crash := range fleet.tasks["i-1"].pools.State("p").Crashes() {
+				parts = append(parts, partsOf(crash)...)
+			}
+			slices.Sort(parts)
+			So(slices.Compact(parts), ShouldResemble, prompt(test.suspects))
+		})
+	}
+}
+
 // Once a lifted bar no longer explained its crashes, they were held against the parts beside the lifted one.
 func TestLiftedBarsAreNotReplacedByBarsOnOtherParts(t *testing.T) {
 	cases := map[string]struct {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -82,9 +82,9 @@
 	answer, err := client.receive(conn, id, request.Incoming.Method, written)
 	if err != nil {
 		stopAbort()
-		conn.abort()
 		failure := callError(ctx, err)
-		failure.Begun = conn.answerBegun
+		failure.Begun, failure.Received = conn.answerBegun, errors.Is(err, errAllWritten) && web.Unacknowledged(conn.Conn) == 0
+		conn.abort()
 		return Answer{}, failure
 	}
 	received := &body{ReadCloser: answer.Response.Body, ctx: ctx, answer: answer.Response, conn: conn, client: client, written: written, stopAbort: stopAbort}
@@ -195,14 +195,18 @@
 	return !reused && !head.Stamped && (head.Misdirected || !head.NotRun)
 }
 
-// sendError returns the write error if writing has already failed, and otherwise err. The write error is preferred
-// because it shows whether any byte was sent.
+// errAllWritten marks errors that occurred after the whole request had been written.
+var errAllWritten = errors.New("the whole request was written")
+
+// sendError returns the write error if writing has already failed, and otherwise err, with a mark if the request has been
+// written. The write error is preferred because it shows whether any byte was sent.
 func sendError(written <-chan error, err error) error {
 	select {
 	case failure := <-written:
 		if failure != nil {
 			return failure
 		}
+		return errors.Mark(err, errAllWritten)
 	default:
 	}
 	return err
