Instances whose seeds are all down find each other in the store

Cause: instances find each other by seeds and gossip only, and one that knows nobody takes itself for the whole fleet.

Instances that know others, or whose settings name no other seeds, make no such call.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -90,7 +90,7 @@
 // mailboxes holds the inboxes of the tasks.
 type mailboxes struct {
 	// duties is nil without duties.
-	admission, catalog, collector, crashLog, dispatch, duties, gate, connPool, links, membership, moves, prober, quarantine, relay, shares, timeline *mailbox.Deliveries
+	admission, catalog, collector, crashLog, dispatch, duties, gate, connPool, discovery, links, membership, moves, prober, quarantine, relay, shares, timeline *mailbox.Deliveries
 }
 
 // Run runs the daemon until the context ends, and then shuts it down gracefully: requests in progress are finished first.
@@ -188,6 +188,7 @@
 		dispatch:   mailbox.NewCounted("dispatch"),
 		gate:       mailbox.NewCounted("gate"),
 		connPool:   mailbox.NewCounted("keeper"),
+		discovery:  mailbox.NewCounted("discovery"),
 		links:      mailbox.NewCounted("links"),
 		membership: mailbox.NewCounted("membership"),
 		moves:      mailbox.NewCounted("moves"),
--- a/gateway/tree.go
+++ b/gateway/tree.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/pprof"
+	"slices"
 
 	"google.golang.org/grpc/credentials/insecure"
 
@@ -10,6 +11,7 @@
 	"coltsfootlink/admission"
 	"coltsfootlink/catalog"
 	"coltsfootlink/crashlog"
+	"coltsfootlink/discovery"
 	"coltsfootlink/dispatch"
 	"coltsfootlink/engine"
 	"coltsfootlink/mailbox"
@@ -43,6 +45,10 @@
 		gateway.mailboxes.connPool, gateway.mailboxes.moves, gateway.mailboxes.relay, gateway.mailboxes.quarantine,
 		gateway.mailboxes.crashLog,
 	}
+	if gateway.hasOtherSeeds() {
+		subscribers = append(subscribers, gateway.mailboxes.discovery)
+		branch.Add("discovery", gateway.discoveryTask())
+	}
 	if gateway.hasDuties() {
 		subjects[coltsfootlink.DutiesSubject] = gateway.mailboxes.duties
 		subscribers = append(subscribers, gateway.mailboxes.duties)
@@ -210,6 +216,22 @@
 	}
 }
 
+// hasOtherSeeds reports whether the settings name other instances. Without any, the instance is the whole fleet.
+func (gateway *Gateway) hasOtherSeeds() bool {
+	return slices.ContainsFunc(seedsOf(gateway.Settings), func(seed coltsfootlink.Instance) bool { return seed.Name != gateway.self.Name })
+}
+
+func (gateway *Gateway) discoveryTask() *discovery.Task {
+	return &discovery.Task{
+		Self:       gateway.self,
+		Directory:  platform.InstanceDirectory{Store: gateway.store},
+		Clock:      gateway.clock,
+		Log:        gateway.Log,
+		Inbox:      gateway.mailboxes.discovery,
+		Membership: gateway.mailboxes.membership,
+	}
+}
+
 // seedsOf returns the seeds in the settings: the instances that membership contacts first.
 func seedsOf(gateway settings.Gateway) []coltsfootlink.Instance {
 	var seeds []coltsfootlink.Instance
