A request that a crashed target had not begun to answer may be sent to another one

Since such crashes are reported, their requests had to wait for the evidence that one in the middle of its first event needs: a sound request with a part that was never answered before was not repeated, though most requests without a byte of an answer have nothing to do with the crash. They are repeated now unless an earlier crash under one of their parts is unexplained. And where too many crashes are known, those without a byte go before others, and none that a bar rests on before one that none does.

--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -139,18 +139,31 @@
 
 // withoutExcess drops the oldest crashes beyond maxCrashes and maxSuspects, those that no bar rests on first.
 func (state State) withoutExcess() State {
-	for state.countBegun() > maxCrashes || len(state.crashes) > maxUnbegun || state.countSuspects() > maxSuspects && len(state.crashes) > 1 {
-		tooMany := state.countBegun() > maxCrashes
-		index := slices.IndexFunc(state.crashes, func(crash coltsfootlink.PromptCrash) bool {
-			return !state.explains(crash) && crash.Unbegun != tooMany
-		})
-		if index < 0 {
-			index = max(0, slices.IndexFunc(state.crashes, func(crash coltsfootlink.PromptCrash) bool { return crash.Unbegun != tooMany }))
+	for {
+		tooManyBegun := state.countBegun() > maxCrashes
+		tooMany := len(state.crashes) > maxUnbegun || state.countSuspects() > maxSuspects && len(state.crashes) > 1
+		if !tooManyBegun && !tooMany {
+			return state
 		}
+		index := state.oldest(!tooManyBegun)
 		state.crashes = slices.Delete(state.crashes, index, index+1)
 		state = state.withBars()
 	}
-	return state
+}
+
+// oldest returns the index of the crash to drop first, of those before a byte of the answer or of the others: one that no bar rests on,
+// or the oldest. If there are none before a byte of the answer, it is one of the others.
+func (state State) oldest(unbegun bool) int {
+	unexplained := slices.IndexFunc(state.crashes, func(crash coltsfootlink.PromptCrash) bool {
+		return crash.Unbegun == unbegun && !state.explains(crash)
+	})
+	if unexplained >= 0 {
+		return unexplained
+	}
+	if unbegun {
+		return state.oldest(false)
+	}
+	return max(0, slices.IndexFunc(state.crashes, func(crash coltsfootlink.PromptCrash) bool { return !crash.Unbegun }))
 }
 
 // countBegun returns the number of crashes in which a byte of the answer was received.
@@ -215,6 +228,12 @@
 	if slices.ContainsFunc(parts, func(part coltsfootlink.PartID) bool { return state.answered.At(part).IsZero() }) {
 		return false
 	}
+	return state.MayRepeatUnbegun(request, parts, sentAt)
+}
+
+// MayRepeatUnbegun does what MayRepeat does, for a request that the target had not begun to answer. Such a request mostly has nothing to
+// do with the crash, so that its parts need not have been answered.
+func (state State) MayRepeatUnbegun(request coltsfootlink.RequestID, parts []coltsfootlink.PartID, sentAt time.Time) bool {
 	return !slices.ContainsFunc(state.unexplained, func(earlier evidence) bool {
 		return earlier.crash.Request != request && !earlier.crash.CrashedAt.After(sentAt) && earlier.shares(parts)
 	})
--- a/quarantine/state_test.go
+++ b/quarantine/state_test.go
@@ -152,13 +152,14 @@
 	cases := map[string]struct {
 		answered string
 		crashes  []coltsfootlink.PromptCrash
-		repeat   bool
+		// repeat and unbegun are what holds for a request that the target had begun to answer, and for one that it had not.
+		repeat, unbegun bool
 	}{
-		"all parts answered before":           {"cx", []coltsfootlink.PromptCrash{crashOf("r", "cx", 0, 100)}, true},
-		"a part that was never answered":      {"c", []coltsfootlink.PromptCrash{crashOf("r", "cx", 0, 100)}, false},
-		"an earlier crash under the same":     {"cx", []coltsfootlink.PromptCrash{crashOf("o", "cx", -200, -100), crashOf("r", "cx", 0, 100)}, false},
-		"another crash at the same time":      {"cx", []coltsfootlink.PromptCrash{crashOf("o", "cd", 0, 100), crashOf("r", "cx", 0, 100)}, true},
-		"an earlier crash under other prompt": {"cx", []coltsfootlink.PromptCrash{crashOf("o", "yd", -200, -100), crashOf("r", "cx", 0, 100)}, true},
+		"all parts answered before":           {"cx", []coltsfootlink.PromptCrash{crashOf("r", "cx", 0, 100)}, true, true},
+		"a part that was never answered":      {"c", []coltsfootlink.PromptCrash{crashOf("r", "cx", 0, 100)}, false, true},
+		"an earlier crash under the same":     {"cx", []coltsfootlink.PromptCrash{crashOf("o", "cx", -200, -100), crashOf("r", "cx", 0, 100)}, false, false},
+		"another crash at the same time":      {"cx", []coltsfootlink.PromptCrash{crashOf("o", "cd", 0, 100), crashOf("r", "cx", 0, 100)}, true, true},
+		"an earlier crash under other prompt": {"cx", []coltsfootlink.PromptCrash{crashOf("o", "yd", -200, -100), crashOf("r", "cx", 0, 100)}, true, true},
 	}
 	for name, test := range cases {
 		Convey("a request under which a target crashed is sent to a second one: "+name, t, func() {
@@ -167,6 +168,7 @@
 				state = state.WithCrash(start, crash)
 			}
 			So(state.MayRepeat("r", prompt("cx"), start), ShouldEqual, test.repeat)
+			So(state.MayRepeatUnbegun("r", prompt("cx"), start), ShouldEqual, test.unbegun)
 		})
 	}
 }
--- a/quarantine/unbegun.go
+++ b/quarantine/unbegun.go
@@ -13,7 +13,7 @@
 // deferUnbegun keeps a crash before a byte of the answer until the next tick, when all of the same crash are known.
 func (task *Task) deferUnbegun(message Crashed) {
 	task.unbegun = append(task.unbegun, message.Crash)
-	message.Reply <- task.pools.State(message.Crash.Pool).MayRepeat(message.Crash.Request, partsOf(message.Crash), message.Crash.SentAt)
+	message.Reply <- task.pools.State(message.Crash.Pool).MayRepeatUnbegun(message.Crash.Request, partsOf(message.Crash), message.Crash.SentAt)
 }
 
 // announceUnbegun announces the oldest requests of each crash that was kept.
