Soak: all gateways are killed at the same moment once in each run

Nothing in the soak took what all instances know away at once, and requests with parts that crash targets were judged only until the first fault of their gateway.

--- a/cmd/soak/plan.go
+++ b/cmd/soak/plan.go
@@ -178,6 +178,7 @@
 	plan = drawFaults(rand.New(rand.NewPCG(seed, 2)), plan, []faultKind{crashingPromptsKind}, 0, size, duration)
 	plan = drawFaults(rand.New(rand.NewPCG(seed, 3)), plan, []faultKind{storeRestoredKind}, 0, size, duration)
 	plan = drawFaults(rand.New(rand.NewPCG(seed, 4)), plan, []faultKind{moveSupersededKind}, 0, size, duration)
+	plan = killAll(rand.New(rand.NewPCG(seed, 5)), plan, size, duration)
 	slices.SortStableFunc(plan, func(one, other step) int { return int(one.Starts - other.Starts) })
 	return plan
 }
@@ -197,6 +198,20 @@
 	return restore
 }
 
+// killAll adds the kill of all instances at the same moment to a plan, in its second half; instances with another fault of their process at
+// that time are left out.
+func killAll(random *rand.Rand, plan []step, size size, duration time.Duration) []step {
+	const downTime = time.Second
+	starts := duration/2 + time.Duration(random.Float64()*float64(duration/2-downTime))
+	for index := range size.Instances {
+		kill := step{Kind: killedKind, Subject: onInstance, Index: index, Starts: starts.Milliseconds(), Ends: (starts + downTime).Milliseconds()}
+		if !slices.ContainsFunc(plan, kill.conflicts) {
+			plan = append(plan, kill)
+		}
+	}
+	return plan
+}
+
 // drawFaults adds faults of the given kinds to a plan, at least one is drawn; those that conflict with others are left out.
 func drawFaults(random *rand.Rand, plan []step, kinds []faultKind, perSecond float64, size size, duration time.Duration) []step {
 	specs := faultSpecs()
--- a/cmd/soak/rules.go
+++ b/cmd/soak/rules.go
@@ -448,7 +448,7 @@
 			learned = arrival.at
 		}
 		attempt, ended := attempts[arrival.id]
-		if ended && !learned.IsZero() && arrival.at.Sub(learned) > contactTimeout && seen.instanceHealthy(attempt.instance, learned, arrival.at) {
+		if ended && !learned.IsZero() && arrival.at.Sub(learned) > contactTimeout && seen.instanceHealthy(attempt.instance, arrival.at, arrival.at) {
 			found = append(found, fmt.Sprintf("%s reached %s %v after the fifth crash", arrival.id, arrival.target, arrival.at.Sub(learned)))
 		}
 	}
