A replaced witness is closed

A witness that had ended went to the idle connections, where the next request for the target found it broken and opened another one. It is closed now. The tests of the package pass.

--- a/upstream/witness.go
+++ b/upstream/witness.go
@@ -34,10 +34,10 @@
 	for range maxWitnesses {
 		next, err := ending.openWitness(ctx)
 		switch {
-		case next != nil && seen.witness != nil:
-			ending.client.returnUnused(seen.witness)
-			seen.witness = next
 		case next != nil:
+			if seen.witness != nil {
+				_ = seen.witness.Close()
+			}
 			seen.witness = next
 		case errors.Is(err, unix.ECONNREFUSED) && ending.answering():
 			seen.refusedAt = ending.client.Clock.Now()
