Recorded crashes that are waited for are read within a second of the store's return

Calls that failed were repeated after up to 10 s, also the read of an instance that had started during an outage. It sends prompts after 5 s without the records, so that for up to ten seconds after the store's return parts that crash targets were not held back, where three are in the rule. Found by reading. The delay ends at 1 s while records are waited for (TestRetryDelay).

--- a/crashlog/state_test.go
+++ b/crashlog/state_test.go
@@ -77,6 +77,23 @@
 	})
 }
 
+// TestRetryDelay guards against records that are read long after the store is back.
+func TestRetryDelay(t *testing.T) {
+	cases := map[string]struct {
+		wanted   bool
+		failures int
+		delay    time.Duration
+	}{
+		"first":                           {false, 0, minRetryDelay},
+		"third":                           {false, 2, 4 * minRetryDelay},
+		"after a long outage":             {false, 1000, maxRetryDelay},
+		"after a long outage, waited for": {true, 1000, maxReadRetryDelay},
+	}
+	for name, test := range cases {
+		Convey(name, t, func() { So(retryDelay(test.wanted, test.failures), ShouldEqual, test.delay) })
+	}
+}
+
 // faultyStore is a store whose calls fail as often as it is told; the records it has are by key.
 type faultyStore struct {
 	mutex    sync.Mutex
--- a/crashlog/task.go
+++ b/crashlog/task.go
@@ -19,9 +19,11 @@
 	// writeInterval is the least time between two calls of an instance: crashes come in series, and all instances together may make
 	// some hundred calls a second.
 	writeInterval = 500 * time.Millisecond
-	// minRetryDelay is the delay after a call that has failed; it doubles with each one up to maxRetryDelay.
-	minRetryDelay = 400 * time.Millisecond
-	maxRetryDelay = 10 * time.Second
+	// minRetryDelay is the delay after a call that has failed; it doubles with each one up to maxRetryDelay, and up to
+	// maxReadRetryDelay while records are waited for: once the store is back, prompts are sent to targets.
+	minRetryDelay     = 400 * time.Millisecond
+	maxRetryDelay     = 10 * time.Second
+	maxReadRetryDelay = time.Second
 	// readInterval is the interval at which one instance of the fleet compares the records with what it knows.
 	readInterval = 10 * time.Second
 	// role names the role of that instance.
@@ -136,12 +138,21 @@
 	task.Inbox.Put(coltsfootlink.Delivery{Message: callResult{records: records, removed: removed, err: err}})
 }
 
+// retryDelay returns the delay after a call that has failed, before which others had.
+func retryDelay(wanted bool, failures int) time.Duration {
+	most := maxRetryDelay
+	if wanted {
+		most = maxReadRetryDelay
+	}
+	return min(minRetryDelay<<min(failures, 10), most)
+}
+
 func (task *Task) handleResult(result callResult) {
 	now := task.Clock.Now()
 	task.calling = false
 	if result.err != nil {
 		task.wanted = task.wanted || result.read
-		task.callAt = now.Add(min(minRetryDelay<<min(task.failures, 10), maxRetryDelay))
+		task.callAt = now.Add(retryDelay(task.wanted, task.failures))
 		task.failures++
 		metrics.Count("crash-log-failures")
 		task.Log.Warn().Err(result.err).Bool("read", result.read).Int("failures", task.failures).
